--- /dev/null
+++ b/codec/src/primaries.c
@@ -0,0 +1,194 @@
+#include "pw/codec/primaries.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#include "pw/core/error.h"
+
+static void primary_free(gpointer data)
+{
+	struct pw_primary *p = data;
+
+	g_free(p->group);
+	g_free(p->server_id);
+	g_free(p);
+}
+
+struct pw_primaries *pw_primaries_new(void)
+{
+	struct pw_primaries *p = g_atomic_rc_box_new0(struct pw_primaries);
+
+	p->list = g_ptr_array_new_with_free_func(primary_free);
+	return p;
+}
+
+struct pw_primaries *pw_primaries_copy(const struct pw_primaries *p)
+{
+	struct pw_primaries *copy = pw_primaries_new();
+
+	copy->revision = p->revision;
+	copy->fence = p->fence;
+	copy->holder = g_strdup(p->holder);
+	for (guint i = 0; i < p->list->len; i++) {
+		const struct pw_primary *from = g_ptr_array_index(p->list, i);
+		struct pw_primary *to = g_memdup2(from, sizeof(*from));
+
+		to->group = g_strdup(from->group);
+		to->server_id = g_strdup(from->server_id);
+		g_ptr_array_add(copy->list, to);
+	}
+	return copy;
+}
+
+struct pw_primaries *pw_primaries_ref(const struct pw_primaries *p)
+{
+	return g_atomic_rc_box_acquire((struct pw_primaries *)(uintptr_t)p);
+}
+
+static void clear(gpointer data)
+{
+	struct pw_primaries *p = data;
+
+	g_ptr_array_unref(p->list);
+	g_free(p->holder);
+}
+
+void pw_primaries_unref(const struct pw_primaries *p)
+{
+	if (p)
+		g_atomic_rc_box_release_full((struct pw_primaries *)(uintptr_t)p, clear);
+}
+
+struct pw_primary *pw_primaries_find(const struct pw_primaries *p, const char *group)
+{
+	for (guint i = 0; i < p->list->len; i++) {
+		struct pw_primary *item = g_ptr_array_index(p->list, i);
+
+		if (strcmp(item->group, group) == 0)
+			return item;
+	}
+	return NULL;
+}
+
+void pw_primaries_set(struct pw_primaries *p, const char *group, const char *server_id,
+		      uint64_t generation)
+{
+	struct pw_primary *item = pw_primaries_find(p, group);
+
+	if (!item) {
+		item = g_new0(struct pw_primary, 1);
+		item->group = g_strdup(group);
+		g_ptr_array_add(p->list, item);
+	}
+	g_free(item->server_id);
+	item->server_id = g_strdup(server_id);
+	item->generation = generation;
+	item->changing = false;
+	item->planned = false;
+}
+
+static char *dump(json_t *root)
+{
+	char *text = json_dumps(root, JSON_COMPACT);
+	char *copy = g_strdup(text);
+
+	free(text);
+	json_decref(root);
+	return copy;
+}
+
+char *pw_primaries_encode(const struct pw_primaries *p)
+{
+	json_t *list = json_array();
+
+	for (guint i = 0; i < p->list->len; i++) {
+		const struct pw_primary *item = g_ptr_array_index(p->list, i);
+
+		json_array_append_new(list, json_pack("{s:s,s:s,s:I,s:b,s:b}", "group", item->group,
+						      "server", item->server_id, "generation",
+						      (json_int_t)item->generation, "changing",
+						      item->changing, "planned", item->planned));
+	}
+	return dump(json_pack("{s:I,s:s,s:o}", "fence", (json_int_t)p->fence, "holder",
+			      p->holder ? p->holder : "", "primaries", list));
+}
+
+/* Returns false if the item is malformed. */
+static bool read_primary(struct pw_primaries *p, const json_t *item)
+{
+	const char *group = json_string_value(json_object_get(item, "group"));
+	const char *server = json_string_value(json_object_get(item, "server"));
+	json_int_t generation = json_integer_value(json_object_get(item, "generation"));
+	struct pw_primary *primary;
+
+	if (!group || !server || generation < 0)
+		return false;
+	pw_primaries_set(p, group, server, (uint64_t)generation);
+	primary = pw_primaries_find(p, group);
+	primary->changing = json_is_true(json_object_get(item, "changing"));
+	primary->planned = json_is_true(json_object_get(item, "planned"));
+	return true;
+}
+
+int pw_primaries_decode(struct pw_primaries **out, const char *text, size_t size_bytes,
+			int64_t revision)
+{
+	json_t *root = json_loadb(text, size_bytes, 0, NULL);
+	const json_t *list = json_object_get(root, "primaries"), *item;
+	const json_t *fence = json_object_get(root, "fence");
+	struct pw_primaries *p = pw_primaries_new();
+	bool ok = json_is_array(list) && json_is_integer(fence);
+	size_t i;
+
+	p->revision = revision;
+	p->fence = (uint64_t)json_integer_value(fence);
+	p->holder = g_strdup(json_string_value(json_object_get(root, "holder")));
+	json_array_foreach (list, i, item)
+		ok = ok && read_primary(p, item);
+	json_decref(root);
+	if (!ok) {
+		pw_primaries_unref(p);
+		return pw_error_set(PW_EINVALID, "the record of primaries is malformed");
+	}
+	*out = p;
+	return PW_OK;
+}
+
+void pw_fleet_member_free(struct pw_fleet_member *m)
+{
+	if (!m)
+		return;
+	g_free(m->name);
+	g_free(m->address);
+	g_free(m->availability_zone);
+	g_free(m);
+}
+
+char *pw_fleet_member_encode(const struct pw_fleet_member *m)
+{
+	return dump(json_pack("{s:s,s:s,s:s,s:I}", "name", m->name, "address", m->address,
+			      "availability_zone", m->availability_zone, "incarnation",
+			      (json_int_t)m->incarnation));
+}
+
+int pw_fleet_member_decode(struct pw_fleet_member **out, const char *text, size_t size_bytes)
+{
+	json_t *root = json_loadb(text, size_bytes, 0, NULL);
+	const char *name = json_string_value(json_object_get(root, "name"));
+	const char *address = json_string_value(json_object_get(root, "address"));
+	const char *zone = json_string_value(json_object_get(root, "availability_zone"));
+	struct pw_fleet_member *m;
+
+	if (!name || !address || !zone) {
+		json_decref(root);
+		return pw_error_set(PW_EINVALID, "the entry of a member is malformed");
+	}
+	m = g_new0(struct pw_fleet_member, 1);
+	m->name = g_strdup(name);
+	m->address = g_strdup(address);
+	m->availability_zone = g_strdup(zone);
+	m->incarnation = (uint64_t)json_integer_value(json_object_get(root, "incarnation"));
+	json_decref(root);
+	*out = m;
+	return PW_OK;
+}
--- /dev/null
+++ b/codec/src/pulse.c
@@ -0,0 +1,161 @@
+#include "pw/codec/pulse.h"
+
+#include "pulse.pb-c.h"
+#include "pw/core/error.h"
+
+/* More of either in one datagram is not ours. */
+#define ITEMS_MAX 1024
+
+static void group_clear(gpointer data)
+{
+	g_free(((struct pw_pulse_group *)data)->name);
+}
+
+static void account_clear(gpointer data)
+{
+	g_free(((struct pw_pulse_account *)data)->name);
+}
+
+void pw_pulse_init(struct pw_pulse *p)
+{
+	*p = (struct pw_pulse){ 0 };
+	p->groups = g_array_new(FALSE, FALSE, sizeof(struct pw_pulse_group));
+	p->accounts = g_array_new(FALSE, FALSE, sizeof(struct pw_pulse_account));
+	g_array_set_clear_func(p->groups, group_clear);
+	g_array_set_clear_func(p->accounts, account_clear);
+}
+
+void pw_pulse_dispose(struct pw_pulse *p)
+{
+	g_free(p->sender);
+	g_free(p->address);
+	if (p->groups)
+		g_array_unref(p->groups);
+	if (p->accounts)
+		g_array_unref(p->accounts);
+	*p = (struct pw_pulse){ 0 };
+}
+
+void pw_pulse_add_group(struct pw_pulse *p, const char *name, uint64_t generation, uint32_t lost_ms,
+			bool reached)
+{
+	struct pw_pulse_group g = {
+		.name = g_strdup(name),
+		.generation = generation,
+		.lost_ms = lost_ms,
+		.reached = reached,
+	};
+
+	g_array_append_val(p->groups, g);
+}
+
+void pw_pulse_add_account(struct pw_pulse *p, const char *name, float demand_per_s)
+{
+	struct pw_pulse_account a = { .name = g_strdup(name), .demand_per_s = demand_per_s };
+
+	g_array_append_val(p->accounts, a);
+}
+
+/* Message of protobuf-c that borrows the texts of a pulse. */
+struct borrowed {
+	Pw__Pulse message;
+	Pw__PulseGroup *groups;
+	Pw__PulseGroup **group_list;
+	Pw__PulseAccount *accounts;
+	Pw__PulseAccount **account_list;
+};
+
+static void borrow(struct borrowed *b, const struct pw_pulse *p)
+{
+	b->message = (Pw__Pulse)PW__PULSE__INIT;
+	b->message.sender = p->sender;
+	b->message.address = p->address;
+	b->message.incarnation = p->incarnation;
+	b->message.sequence = p->sequence;
+	b->message.echo_incarnation = p->echo_incarnation;
+	b->message.echo_sequence = p->echo_sequence;
+	b->message.permit_left_ms = p->permit_left_ms;
+	b->message.primaries_revision = p->primaries_revision;
+	b->message.confirmed_revision = p->confirmed_revision;
+	b->message.settled_revision = p->settled_revision;
+	b->message.needs_permit = p->needs_permit;
+	b->message.leaving = p->leaving;
+	b->groups = g_new0(Pw__PulseGroup, MAX(p->groups->len, 1));
+	b->group_list = g_new0(Pw__PulseGroup *, MAX(p->groups->len, 1));
+	b->accounts = g_new0(Pw__PulseAccount, MAX(p->accounts->len, 1));
+	b->account_list = g_new0(Pw__PulseAccount *, MAX(p->accounts->len, 1));
+	for (guint i = 0; i < p->groups->len; i++) {
+		const struct pw_pulse_group *g = &g_array_index(p->groups, struct pw_pulse_group, i);
+
+		b->groups[i] = (Pw__PulseGroup)PW__PULSE_GROUP__INIT;
+		b->groups[i].name = g->name;
+		b->groups[i].generation = g->generation;
+		b->groups[i].lost_ms = g->lost_ms;
+		b->groups[i].reached = g->reached;
+		b->group_list[i] = &b->groups[i];
+	}
+	for (guint i = 0; i < p->accounts->len; i++) {
+		const struct pw_pulse_account *a =
+			&g_array_index(p->accounts, struct pw_pulse_account, i);
+
+		b->accounts[i] = (Pw__PulseAccount)PW__PULSE_ACCOUNT__INIT;
+		b->accounts[i].name = a->name;
+		b->accounts[i].demand_per_s = a->demand_per_s;
+		b->account_list[i] = &b->accounts[i];
+	}
+	b->message.n_groups = p->groups->len;
+	b->message.groups = b->group_list;
+	b->message.n_accounts = p->accounts->len;
+	b->message.accounts = b->account_list;
+}
+
+size_t pw_pulse_encode(uint8_t out[PW_PULSE_MAX_BYTES], const struct pw_pulse *p)
+{
+	struct borrowed b;
+	size_t size_bytes;
+
+	borrow(&b, p);
+	size_bytes = pw__pulse__get_packed_size(&b.message);
+	while (size_bytes > PW_PULSE_MAX_BYTES && b.message.n_accounts) {
+		b.message.n_accounts--;
+		size_bytes = pw__pulse__get_packed_size(&b.message);
+	}
+	size_bytes = size_bytes > PW_PULSE_MAX_BYTES ? 0 : pw__pulse__pack(&b.message, out);
+	g_free(b.groups);
+	g_free(b.group_list);
+	g_free(b.accounts);
+	g_free(b.account_list);
+	return size_bytes;
+}
+
+int pw_pulse_decode(struct pw_pulse *out, const uint8_t *data, size_t size_bytes)
+{
+	Pw__Pulse *m = pw__pulse__unpack(NULL, size_bytes, data);
+
+	*out = (struct pw_pulse){ 0 };
+	if (!m || !m->sender[0] || m->n_groups > ITEMS_MAX || m->n_accounts > ITEMS_MAX) {
+		if (m)
+			pw__pulse__free_unpacked(m, NULL);
+		return pw_error_set(PW_EINVALID, "the datagram is no pulse");
+	}
+	pw_pulse_init(out);
+	out->sender = g_strdup(m->sender);
+	out->address = g_strdup(m->address);
+	out->incarnation = m->incarnation;
+	out->sequence = m->sequence;
+	out->echo_incarnation = m->echo_incarnation;
+	out->echo_sequence = m->echo_sequence;
+	out->permit_left_ms = m->permit_left_ms;
+	out->primaries_revision = m->primaries_revision;
+	out->confirmed_revision = m->confirmed_revision;
+	out->settled_revision = m->settled_revision;
+	out->needs_permit = m->needs_permit;
+	out->leaving = m->leaving;
+	for (size_t i = 0; i < m->n_groups; i++)
+		pw_pulse_add_group(out, m->groups[i]->name, m->groups[i]->generation,
+				   m->groups[i]->lost_ms, m->groups[i]->reached);
+	for (size_t i = 0; i < m->n_accounts; i++)
+		pw_pulse_add_account(out, m->accounts[i]->name, m->accounts[i]->demand_per_s);
+	pw__pulse__free_unpacked(m, NULL);
+	return PW_OK;
+}
--- a/core/include/pw/core/clock.h
+++ b/core/include/pw/core/clock.h
@@ -10,7 +10,10 @@
 #define PW_US_PER_MS UINT64_C(1000)
 #define PW_US_PER_S  UINT64_C(1000000)
 
-/** @return monotonic time in microseconds; unaffected by changes of the wall clock */
+/**
+ * @return monotonic time in microseconds; unaffected by changes of the wall clock. It goes on while
+ * the VM is suspended, so that a lease that ended meanwhile counts as ended.
+ */
 uint64_t pw_clock_now_us(void);
 
 /** @return 64 random bits from the kernel, for identifiers and jitter */
--- a/core/include/pw/core/event.h
+++ b/core/include/pw/core/event.h
@@ -17,6 +17,7 @@
 	X(TASK_RESTARTED, 1011, G_LOG_LEVEL_WARNING, "task_restarted")        \
 	X(SUPERVISOR_FAILED, 1012, G_LOG_LEVEL_CRITICAL, "supervisor_failed") \
 	X(LISTENING, 1020, G_LOG_LEVEL_MESSAGE, "listening")                  \
+	X(RELOAD_IGNORED, 1021, G_LOG_LEVEL_MESSAGE, "reload_ignored")        \
 	X(TLS_LOADED, 1030, G_LOG_LEVEL_MESSAGE, "tls_loaded")                \
 	X(TLS_FAILED, 1031, G_LOG_LEVEL_WARNING, "tls_failed")                \
 	X(CONFIG_APPLIED, 2001, G_LOG_LEVEL_MESSAGE, "config_applied")        \
@@ -31,12 +32,19 @@
 	X(LEASE_ACQUIRED, 3011, G_LOG_LEVEL_MESSAGE, "lease_acquired")        \
 	X(LEASE_LOST, 3012, G_LOG_LEVEL_WARNING, "lease_lost")                \
 	X(QUOTA_MOVED, 3020, G_LOG_LEVEL_DEBUG, "quota_moved")                \
+	X(PERMIT_ACQUIRED, 3030, G_LOG_LEVEL_MESSAGE, "permit_acquired")      \
+	X(PERMIT_LOST, 3031, G_LOG_LEVEL_WARNING, "permit_lost")              \
+	X(PERMIT_REVOKED, 3032, G_LOG_LEVEL_WARNING, "permit_revoked")        \
+	X(RECORD_MALFORMED, 3033, G_LOG_LEVEL_WARNING, "record_malformed")    \
 	X(UPSTREAM_DOWN, 4001, G_LOG_LEVEL_WARNING, "upstream_down")          \
 	X(UPSTREAM_UP, 4002, G_LOG_LEVEL_MESSAGE, "upstream_up")              \
 	X(FAILOVER_STARTED, 4010, G_LOG_LEVEL_WARNING, "failover_started")    \
 	X(FAILOVER_DONE, 4011, G_LOG_LEVEL_MESSAGE, "failover_done")          \
 	X(FAILOVER_GIVEN_UP, 4012, G_LOG_LEVEL_WARNING, "failover_given_up")  \
 	X(TERM_CHANGED, 4013, G_LOG_LEVEL_MESSAGE, "term_changed")            \
+	X(PROMOTE_ORDERED, 4014, G_LOG_LEVEL_MESSAGE, "promote_ordered")      \
+	X(PROMOTE_ANSWERED, 4015, G_LOG_LEVEL_MESSAGE, "promote_answered")    \
+	X(SERVER_GONE, 4020, G_LOG_LEVEL_WARNING, "server_gone")              \
 	X(KEY_WITHDRAWN, 5001, G_LOG_LEVEL_MESSAGE, "key_withdrawn")          \
 	X(ISOLATED, 5002, G_LOG_LEVEL_WARNING, "isolated")                    \
 	X(ADMIN_CHANGE, 6001, G_LOG_LEVEL_MESSAGE, "admin_change")
--- a/core/include/pw/core/stream.h
+++ b/core/include/pw/core/stream.h
@@ -57,6 +57,17 @@
 int pw_stream_connect(struct pw_stream *s, const struct pw_stream_ops *ops, struct pw_loop *l,
 		      const char *address);
 
+/**
+ * Sets how soon a connection counts as lost whose other side is gone.
+ *
+ * @param idle_s     silence before the first probe
+ * @param interval_s between probes
+ * @param probes     without an answer
+ * @param unacked_ms time for which sent bytes may be without an acknowledgement
+ */
+void pw_stream_set_keepalive(struct pw_stream *s, uint32_t idle_s, uint32_t interval_s,
+			     uint32_t probes, uint32_t unacked_ms);
+
 /**
  * Puts another transport under a stream without output in its buffer. Input in its buffer came by
  * the former one.
--- a/core/src/clock.c
+++ b/core/src/clock.c
@@ -8,7 +8,7 @@
 {
 	struct timespec ts;
 
-	clock_gettime(CLOCK_MONOTONIC, &ts);
+	clock_gettime(CLOCK_BOOTTIME, &ts);
 	return (uint64_t)ts.tv_sec * PW_US_PER_S + (uint64_t)ts.tv_nsec / 1000;
 }
 
--- a/core/src/stream.c
+++ b/core/src/stream.c
@@ -26,14 +26,20 @@
 	(void)setsockopt(fd, level, name, &value, sizeof(value));
 }
 
+static void set_keepalive(int32_t fd, int idle_s, int interval_s, int probes, int unacked_ms)
+{
+	set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, idle_s);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, interval_s);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, probes);
+	set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, unacked_ms);
+}
+
 static void set_socket_options(int32_t fd)
 {
 	set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
-	set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
-	set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
-	set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
-	set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
-	set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS);
+	set_keepalive(fd, KEEPALIVE_IDLE_S, KEEPALIVE_INTERVAL_S, KEEPALIVE_PROBES,
+		      UNACKED_TIMEOUT_MS);
 }
 
 int pw_stream_listen(int32_t *fd, const char *address)
@@ -284,6 +290,12 @@
 	return pw_loop_watch(l, &s->source, EPOLLOUT);
 }
 
+void pw_stream_set_keepalive(struct pw_stream *s, uint32_t idle_s, uint32_t interval_s,
+			     uint32_t probes, uint32_t unacked_ms)
+{
+	set_keepalive(s->source.fd, (int)idle_s, (int)interval_s, (int)probes, (int)unacked_ms);
+}
+
 void pw_stream_set_transport(struct pw_stream *s, struct pw_transport *t)
 {
 	s->transport->ops->free(s->transport);
--- /dev/null
+++ b/daemon/binding.h
@@ -0,0 +1,28 @@
+/**
+ * @file binding.h
+ * What binds the process to an environment: its store, the protocols of its callers and servers,
+ * where its catalogue is published, and how a primary is promoted there.
+ */
+#ifndef PW_DAEMON_BINDING_H
+#define PW_DAEMON_BINDING_H
+
+#include "pw/codec/catalog.h"
+#include "pw/codec/dialect.h"
+#include "pw/store/store.h"
+#include "pw/upstream/promoter.h"
+
+struct pw_binding {
+	const char *name;
+	int (*store_new)(struct pw_store **out, struct pw_loop *loop, const char *const *endpoints);
+	/** NULL: the promotion is a statement of the servers themselves. */
+	int (*promoter_new)(struct pw_promoter **out, struct pw_loop *loop, const char *address);
+	const struct pw_caller_dialect *caller; /**< NULL: PostgreSQL, see traffic/front.h */
+	const struct pw_server_dialect *server;
+	const struct pw_catalog_source *catalog;
+};
+
+/** Choices of the setting `--binding`, in the order of its words. */
+extern const struct pw_binding *const pw_bindings[];
+extern const char *const pw_binding_words[];
+
+#endif
--- a/daemon/control/admin.c
+++ b/daemon/control/admin.c
@@ -9,6 +9,8 @@
 #include "../directory.h"
 #include "../traffic/front.h"
 #include "../traffic/request.h"
+#include "catalog.h"
+#include "cluster.h"
 #include "peers.h"
 #include "pw/core/address.h"
 #include "pw/core/clock.h"
@@ -50,7 +52,9 @@
 	const struct pw_document *document;
 	uint64_t next_tag;
 	uint64_t fresh_until_us;
-	uint64_t lease_until_us; /**< end of the newest quorum lease; 0 before the first */
+	uint64_t lease_until_us; /**< end of the newest quorum lease or permission; 0: none yet */
+	bool has_catalog;        /**< with a binding that publishes one */
+	bool has_servers;
 	bool draining;           /**< planned stop */
 };
 
@@ -146,7 +150,7 @@
 
 	if (is_draining(a))
 		return respond_text(x->connection, MHD_HTTP_SERVICE_UNAVAILABLE, "draining\n");
-	if (!a->document)
+	if (a->directory->binding->catalog ? !a->has_catalog || !a->has_servers : !a->document)
 		return respond_text(x->connection, MHD_HTTP_SERVICE_UNAVAILABLE,
 				    "no configuration\n");
 	if (pw_loop_now_us(a->task.loop) >= a->lease_until_us + LEASE_GRACE_US)
@@ -452,6 +456,13 @@
 		a->fresh_until_us = ((struct pw_freshness *)m)->fresh_until_us;
 	} else if (m->ops == &pw_lease_msg_ops) {
 		a->lease_until_us = MAX(a->lease_until_us, ((struct pw_lease_msg *)m)->until_us);
+	} else if (m->ops == &pw_catalog_msg_ops) {
+		a->has_catalog = true;
+	} else if (m->ops == &pw_servers_msg_ops) {
+		a->has_servers = true;
+	} else if (m->ops == &pw_primaries_msg_ops) {
+		a->lease_until_us =
+			MAX(a->lease_until_us, ((struct pw_primaries_msg *)m)->permit_until_us);
 	} else if (m->ops == &pw_drain_ops) {
 		a->draining = true;
 	} else if (m->ops == &pw_store_result_msg_ops) {
@@ -669,7 +680,10 @@
 		dispose(a);
 		return rc;
 	}
-	pw_mailbox_send(a->directory->config, pw_snapshot_ask_msg(t->inbox));
+	if (a->directory->binding->catalog)
+		pw_mailbox_send(a->directory->catalog, pw_catalog_ask_msg(t->inbox));
+	else
+		pw_mailbox_send(a->directory->config, pw_snapshot_ask_msg(t->inbox));
 	pw_event_log(PW_EVENT_LISTENING, "task=admin address=%s",
 		     a->directory->settings->api_address);
 	return PW_OK;
--- /dev/null
+++ b/daemon/control/cluster.c
@@ -0,0 +1,400 @@
+#include <string.h>
+
+#include "cluster_private.h"
+#include "../traffic/request.h"
+#include "peers.h"
+#include "pw/core/clock.h"
+#include "pw/core/error.h"
+#include "pw/core/event.h"
+
+static void primaries_msg_destroy(struct pw_msg *m)
+{
+	pw_primaries_unref(((struct pw_primaries_msg *)m)->primaries);
+	g_free(m);
+}
+
+const struct pw_msg_ops pw_primaries_msg_ops = {
+	.name = "primaries",
+	.destroy = primaries_msg_destroy,
+};
+
+static void shares_msg_destroy(struct pw_msg *m)
+{
+	g_array_unref(((struct pw_shares_msg *)m)->shares);
+	g_free(m);
+}
+
+const struct pw_msg_ops pw_shares_msg_ops = { .name = "shares", .destroy = shares_msg_destroy };
+
+static void report_destroy(struct pw_msg *m)
+{
+	struct pw_traffic_report *r = (struct pw_traffic_report *)m;
+
+	g_array_unref(r->arrivals);
+	g_array_unref(r->contacts);
+	g_free(r);
+}
+
+const struct pw_msg_ops pw_traffic_report_ops = {
+	.name = "traffic_report",
+	.destroy = report_destroy,
+};
+
+static void arrivals_clear(gpointer data)
+{
+	g_free(((struct pw_account_arrivals *)data)->account);
+}
+
+static void contact_clear(gpointer data)
+{
+	g_free(((struct pw_primary_contact *)data)->group);
+}
+
+static void share_clear(gpointer data)
+{
+	g_free(((struct pw_account_share *)data)->account);
+}
+
+struct pw_traffic_report *pw_traffic_report_new(uint32_t gateway)
+{
+	struct pw_traffic_report *r = g_new0(struct pw_traffic_report, 1);
+
+	r->base.ops = &pw_traffic_report_ops;
+	r->gateway = gateway;
+	r->arrivals = g_array_new(FALSE, FALSE, sizeof(struct pw_account_arrivals));
+	r->contacts = g_array_new(FALSE, FALSE, sizeof(struct pw_primary_contact));
+	g_array_set_clear_func(r->arrivals, arrivals_clear);
+	g_array_set_clear_func(r->contacts, contact_clear);
+	return r;
+}
+
+static uint32_t member_count(const struct cluster *c)
+{
+	return 1 + g_hash_table_size(c->members);
+}
+
+static void send_primaries(const struct cluster *c, struct pw_mailbox *to)
+{
+	struct pw_primaries_msg *m = g_new0(struct pw_primaries_msg, 1);
+
+	m->base.ops = &pw_primaries_msg_ops;
+	m->primaries = c->primaries ? pw_primaries_ref(c->primaries) : NULL;
+	m->permit_until_us = MAX(c->permit_until_us, c->lent_until_us);
+	m->member_count = member_count(c);
+	pw_mailbox_send(to, &m->base);
+}
+
+void cluster_publish(struct cluster *c)
+{
+	send_primaries(c, c->directory->admin);
+	for (uint32_t i = 0; i < c->directory->gateway_count; i++)
+		send_primaries(c, c->directory->gateways[i]);
+}
+
+uint64_t cluster_since_us(const struct cluster *c, const char *group)
+{
+	const uint64_t *since = g_hash_table_lookup(c->since, group);
+
+	return since ? *since : 0;
+}
+
+/* Notes since when the record of each group is as it is. */
+static void note_since(struct cluster *c, const struct pw_primaries *next)
+{
+	for (guint i = 0; i < next->list->len; i++) {
+		const struct pw_primary *p = g_ptr_array_index(next->list, i);
+		const struct pw_primary *old =
+			c->primaries ? pw_primaries_find(c->primaries, p->group) : NULL;
+		uint64_t now = cluster_now_us(c);
+
+		if (old && old->generation == p->generation && old->changing == p->changing)
+			continue;
+		if (old && old->generation != p->generation) {
+			pw_event_log(PW_EVENT_TERM_CHANGED, "database=%s term=%" G_GUINT64_FORMAT
+				     " primary=%s", p->group, p->generation, p->server_id);
+			pw_mailbox_send(c->directory->catalog, pw_servers_refresh_msg());
+		}
+		g_hash_table_replace(c->since, g_strdup(p->group),
+				     g_memdup2(&now, sizeof(now)));
+	}
+}
+
+void cluster_adopt(struct cluster *c, struct pw_primaries *p)
+{
+	if (c->primaries && p->revision <= c->primaries->revision) {
+		pw_primaries_unref(p);
+		return;
+	}
+	note_since(c, p);
+	pw_primaries_unref(c->primaries);
+	c->primaries = p;
+	/* A permission that was lent is for one record. */
+	c->lent_until_us = 0;
+	cluster_publish(c);
+}
+
+int64_t cluster_settled_revision(const struct cluster *c)
+{
+	int64_t least = c->primaries ? c->primaries->revision : 0;
+
+	for (uint32_t i = 0; i < c->directory->gateway_count; i++)
+		least = MIN(least, c->gateways[i].settled_revision);
+	return least;
+}
+
+int64_t cluster_confirmed_revision(struct cluster *c)
+{
+	int64_t settled = cluster_settled_revision(c);
+	GHashTableIter it;
+	gpointer item;
+
+	g_hash_table_iter_init(&it, c->members);
+	while (g_hash_table_iter_next(&it, NULL, &item)) {
+		const struct member *m = item;
+
+		if (pw_permit_holds(m->lent_until_us, cluster_now_us(c)))
+			settled = MIN(settled, m->settled_revision);
+	}
+	return settled;
+}
+
+static struct pw_demand *demand_of(struct cluster *c, const char *account)
+{
+	struct pw_demand *d = g_hash_table_lookup(c->demands, account);
+
+	if (!d) {
+		d = g_new0(struct pw_demand, 1);
+		g_hash_table_insert(c->demands, g_strdup(account), d);
+	}
+	return d;
+}
+
+static void take_report(struct cluster *c, struct pw_traffic_report *r)
+{
+	struct gateway_view *g = &c->gateways[r->gateway];
+
+	for (guint i = 0; i < r->arrivals->len; i++) {
+		const struct pw_account_arrivals *a =
+			&g_array_index(r->arrivals, struct pw_account_arrivals, i);
+
+		pw_demand_add(demand_of(c, a->account), a->arrivals, cluster_now_us(c));
+	}
+	for (guint i = 0; i < r->contacts->len; i++) {
+		const struct pw_primary_contact *x =
+			&g_array_index(r->contacts, struct pw_primary_contact, i);
+		struct pw_primary_contact *copy = g_memdup2(x, sizeof(*x));
+
+		copy->group = g_strdup(x->group);
+		g_hash_table_replace(g->contacts, copy->group, copy);
+	}
+	g->settled_revision = r->settled_revision;
+	/* Whoever changes a primary waits for the confirmation. */
+	if (cluster_confirmed_revision(c) > c->told_confirmed) {
+		pulse_send_all(c);
+		change_tick(c);
+	}
+}
+
+static void contact_free(gpointer data)
+{
+	contact_clear(data);
+	g_free(data);
+}
+
+/* Demand of the other members for an account. */
+static double others_demand(const struct cluster *c, const char *account)
+{
+	double sum = 0;
+	GHashTableIter it;
+	gpointer item;
+
+	g_hash_table_iter_init(&it, c->members);
+	while (g_hash_table_iter_next(&it, NULL, &item)) {
+		const struct member *m = item;
+
+		if (!pulse_is_live(c, m) || !m->pulse.accounts)
+			continue;
+		for (guint i = 0; i < m->pulse.accounts->len; i++) {
+			const struct pw_pulse_account *a =
+				&g_array_index(m->pulse.accounts, struct pw_pulse_account, i);
+
+			if (strcmp(a->name, account) == 0)
+				sum += a->demand_per_s;
+		}
+	}
+	return sum;
+}
+
+static GArray *compute_shares(struct cluster *c)
+{
+	GArray *shares = g_array_new(FALSE, FALSE, sizeof(struct pw_account_share));
+	uint32_t heard = 0;
+	GHashTableIter it;
+	gpointer item;
+
+	g_array_set_clear_func(shares, share_clear);
+	g_hash_table_iter_init(&it, c->members);
+	while (g_hash_table_iter_next(&it, NULL, &item))
+		heard += pulse_is_live(c, item);
+	for (guint i = 0; i < c->catalog->accounts->len; i++) {
+		const struct pw_catalog_account *a = g_ptr_array_index(c->catalog->accounts, i);
+		const struct pw_share_input in = {
+			.rate_per_s = a->rate_per_s,
+			.burst = a->burst,
+			.own_demand_per_s =
+				pw_demand_at(demand_of(c, a->name), cluster_now_us(c)),
+			.others_demand_per_s = others_demand(c, a->name),
+			.heard = heard,
+			.silent = g_hash_table_size(c->members) - heard,
+		};
+		struct pw_account_share s = {
+			.account = g_strdup(a->name),
+			.share = pw_share_compute(&in),
+		};
+
+		g_array_append_val(shares, s);
+	}
+	return shares;
+}
+
+static void publish_shares(struct cluster *c)
+{
+	GArray *shares;
+
+	if (!c->catalog)
+		return;
+	shares = compute_shares(c);
+	for (uint32_t i = 0; i < c->directory->gateway_count; i++) {
+		struct pw_shares_msg *m = g_new0(struct pw_shares_msg, 1);
+
+		m->base.ops = &pw_shares_msg_ops;
+		m->shares = g_array_ref(shares);
+		pw_mailbox_send(c->directory->gateways[i], &m->base);
+	}
+	g_array_unref(shares);
+}
+
+/* Whether a group of the catalogue has no primary in the record. */
+static bool lacks_primary(const struct cluster *c)
+{
+	for (guint i = 0; c->catalog && i < c->catalog->groups->len; i++) {
+		const struct pw_catalog_group *g = g_ptr_array_index(c->catalog->groups, i);
+
+		if (!c->primaries || !pw_primaries_find(c->primaries, g->name))
+			return true;
+	}
+	return false;
+}
+
+static void tick(struct pw_timer *t, uint64_t now_us)
+{
+	struct cluster *c = (struct cluster *)((char *)t - offsetof(struct cluster, tick));
+
+	pw_loop_timer_set(c->task.loop, t, now_us + CLUSTER_TICK_US);
+	change_tick(c);
+	publish_shares(c);
+	if (lacks_primary(c))
+		member_create_primaries(c);
+}
+
+static const struct pw_timer_ops tick_ops = { .expire = tick };
+
+static void take_result(struct cluster *c, const struct pw_store_result_msg *m)
+{
+	if (m->tag >> CHANGE_TAG_SHIFT)
+		change_result(c, m->tag, m->result);
+	else
+		member_result(c, m->tag, m->result);
+	if (m->tag == TAG_LEAVE) {
+		struct pw_msg *left = g_new0(struct pw_msg, 1);
+
+		left->ops = &pw_peers_left_ops;
+		pw_mailbox_send(c->directory->stopper, left);
+	}
+}
+
+static void cluster_receive(struct pw_task *t, struct pw_msg *m)
+{
+	struct cluster *c = (struct cluster *)t;
+
+	if (m->ops == &pw_store_result_msg_ops) {
+		take_result(c, (struct pw_store_result_msg *)m);
+	} else if (m->ops == &pw_catalog_msg_ops) {
+		pw_catalog_unref(c->catalog);
+		c->catalog = pw_catalog_ref(((struct pw_catalog_msg *)m)->catalog);
+		if (lacks_primary(c))
+			member_create_primaries(c);
+		publish_shares(c);
+	} else if (m->ops == &pw_servers_msg_ops) {
+		pw_server_list_unref(c->servers);
+		c->servers = pw_server_list_ref(((struct pw_servers_msg *)m)->servers);
+		change_tick(c);
+	} else if (m->ops == &pw_traffic_report_ops) {
+		take_report(c, (struct pw_traffic_report *)m);
+	} else if (m->ops == &pw_drain_ops) {
+		member_leave(c);
+	}
+	pw_msg_free(m);
+}
+
+static void dispose(struct cluster *c)
+{
+	/* First, since an order that is open refers to a change. */
+	if (c->promoter)
+		c->promoter->ops->free(c->promoter);
+	change_stop_all(c);
+	pulse_stop(c);
+	pw_loop_timer_clear(c->task.loop, &c->tick);
+	for (uint32_t i = 0; i < c->directory->gateway_count; i++)
+		g_hash_table_unref(c->gateways[i].contacts);
+	g_free(c->gateways);
+	g_hash_table_unref(c->demands);
+	g_hash_table_unref(c->since);
+	pw_catalog_unref(c->catalog);
+	pw_server_list_unref(c->servers);
+	pw_primaries_unref(c->primaries);
+}
+
+static int cluster_start(struct pw_task *t)
+{
+	struct cluster *c = (struct cluster *)t;
+	int rc;
+
+	c->directory = ((const struct pw_task_args *)t->args)->directory;
+	c->gateways = g_new0(struct gateway_view, c->directory->gateway_count);
+	for (uint32_t i = 0; i < c->directory->gateway_count; i++)
+		c->gateways[i].contacts =
+			g_hash_table_new_full(g_str_hash, g_str_equal, NULL, contact_free);
+	c->demands = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	c->since = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	c->tick.ops = &tick_ops;
+	change_start(c);
+	rc = pulse_start(c);
+	if (!rc)
+		rc = c->directory->binding->promoter_new(&c->promoter, t->loop,
+							 c->directory->settings->promoter_address);
+	if (rc) {
+		dispose(c);
+		return rc;
+	}
+	member_start(c);
+	pw_loop_timer_set(t->loop, &c->tick, cluster_now_us(c) + CLUSTER_TICK_US);
+	pw_mailbox_send(c->directory->catalog, pw_catalog_ask_msg(t->inbox));
+	return PW_OK;
+}
+
+static void cluster_stop(struct pw_task *t)
+{
+	struct cluster *c = (struct cluster *)t;
+
+	member_stop(c);
+	dispose(c);
+}
+
+const struct pw_task_ops pw_cluster_ops = {
+	.name = "cluster",
+	.size_bytes = sizeof(struct cluster),
+	.start = cluster_start,
+	.receive = cluster_receive,
+	.stop = cluster_stop,
+};
--- /dev/null
+++ b/daemon/control/cluster_change.c
@@ -0,0 +1,832 @@
+/*
+ * Change of the primary of a group, led by this VM:
+ *
+ *   CLAIM    mark the record, which names this VM and a new fence
+ *   MEMBERS  read who may hold a permission
+ *   SETTLE   wait until all of them have confirmed the mark, or end their leases and wait
+ *   SURVEY   ask the servers for their logs, until one can be promoted
+ *   ORDER    give the order
+ *   CONFIRM  wait until the server leads
+ *   RECORD   write the new primary into the record
+ */
+#include <inttypes.h>
+#include <string.h>
+
+#include "cluster_private.h"
+#include "pw/core/clock.h"
+#include "pw/core/counter.h"
+#include "pw/core/error.h"
+#include "pw/core/event.h"
+
+/* Members that have not confirmed after this time lose their lease: two pulses' time. */
+#define CONFIRM_WAIT_US (300 * PW_US_PER_MS)
+/* As above while statements may end first. */
+#define PLANNED_WAIT_US (1500 * PW_US_PER_MS)
+/* Pause between two surveys. */
+#define SURVEY_PAUSE_US (50 * PW_US_PER_MS)
+/* From then on the best known replica is promoted, also if it is behind. */
+#define SURVEY_HURRY_US (700 * PW_US_PER_MS)
+/* Time limit of the order. */
+#define ORDER_TIMEOUT_US (700 * PW_US_PER_MS)
+
+#define TAG_MASK         ((UINT64_C(1) << LEASE_TAG_SHIFT) - 1)
+#define LEASE_INDEX_MASK ((UINT64_C(1) << (CHANGE_TAG_SHIFT - LEASE_TAG_SHIFT)) - 1)
+
+enum change_phase {
+	CHANGE_CLAIM,
+	CHANGE_MEMBERS,
+	CHANGE_SETTLE,
+	CHANGE_SURVEY,
+	CHANGE_ORDER,
+	CHANGE_CONFIRM,
+	CHANGE_RECORD,
+};
+
+/* A lease that has to end before the order. */
+struct lease {
+	char *member;
+	int64_t id;
+	bool ended;
+};
+
+struct change {
+	struct pw_promotion promotion;
+	struct cluster *cluster;
+	char *group;
+	uint64_t number;
+	enum pw_change_reason reason;
+	enum change_phase phase;
+	bool planned;
+	uint64_t started_us;
+	uint64_t phase_us;
+	int64_t revision; /**< of the record that this VM has marked */
+	uint64_t fence;
+	GArray *leases;
+	bool ending_leases;
+	uint64_t leases_ended_us; /**< 0: not all yet */
+	GPtrArray *entries;       /**< struct pw_server_entry */
+	GArray *servers;          /**< struct pw_change_server of the entries */
+	GPtrArray *reports;       /**< struct report that is awaited for each entry, or NULL */
+	uint64_t next_survey_us;
+	int32_t target; /**< index of the server to promote */
+	bool ordering; /**< the answer to an order is awaited */
+	bool ordered;  /**< an order may have been taken */
+	bool ended;
+};
+
+static void drop_reports(struct change *ch)
+{
+	for (guint i = 0; i < ch->reports->len; i++) {
+		struct report *r = g_ptr_array_index(ch->reports, i);
+
+		ch->reports->pdata[i] = NULL;
+		if (r)
+			report_forget(r);
+	}
+}
+
+static void end_change(struct change *ch, enum pw_event event, const char *text)
+{
+	struct cluster *c = ch->cluster;
+
+	if (ch->ended)
+		return;
+	pw_event_log(event, "database=%s term=%" PRIu64 " primary=%s reason=\"%s\" ms=%" PRIu64,
+		     ch->group, ch->fence,
+		     ch->target >= 0 ? ((struct pw_server_entry *)g_ptr_array_index(
+						ch->entries, (guint)ch->target))
+					       ->id
+				     : "",
+		     text, (cluster_now_us(c) - ch->started_us) / PW_US_PER_MS);
+	ch->ended = true;
+	drop_reports(ch);
+	g_hash_table_remove(c->changes, ch->group);
+}
+
+static void lease_clear(gpointer data)
+{
+	g_free(((struct lease *)data)->member);
+}
+
+/* Called when the hash table drops the change. */
+static void change_free(gpointer data)
+{
+	struct change *ch = data;
+
+	g_array_unref(ch->leases);
+	for (guint i = 0; i < ch->entries->len; i++)
+		pw_server_entry_free(g_ptr_array_index(ch->entries, i));
+	g_ptr_array_unref(ch->entries);
+	g_array_unref(ch->servers);
+	g_ptr_array_unref(ch->reports);
+	g_free(ch->group);
+	/* Its caller may be on the stack, and an order that is under way still refers to it. */
+	g_ptr_array_add(ch->cluster->ended_changes, ch);
+}
+
+static void enter(struct change *ch, enum change_phase phase)
+{
+	ch->phase = phase;
+	ch->phase_us = cluster_now_us(ch->cluster);
+}
+
+static uint64_t tag_of(const struct change *ch, enum cluster_tag tag)
+{
+	return ch->number << CHANGE_TAG_SHIFT | tag;
+}
+
+static uint64_t lease_tag(const struct change *ch, guint index)
+{
+	return tag_of(ch, TAG_END_LEASE) | (uint64_t)index << LEASE_TAG_SHIFT;
+}
+
+static struct change *change_of(struct cluster *c, uint64_t tag)
+{
+	GHashTableIter it;
+	gpointer item;
+
+	g_hash_table_iter_init(&it, c->changes);
+	while (g_hash_table_iter_next(&it, NULL, &item)) {
+		if (((struct change *)item)->number == tag >> CHANGE_TAG_SHIFT)
+			return item;
+	}
+	return NULL;
+}
+
+/* Writes a record under the condition that it is unchanged; takes ownership of the record. */
+static void write_record(struct change *ch, struct pw_primaries *p, enum cluster_tag tag)
+{
+	struct cluster *c = ch->cluster;
+	char *text = pw_primaries_encode(p);
+	const struct pw_store_compare compare = {
+		.key = c->primaries_key,
+		.target = PW_STORE_MOD_REVISION,
+		.revision = c->primaries->revision,
+	};
+	const struct pw_store_change put = {
+		.key = c->primaries_key,
+		.kind = PW_STORE_PUT,
+		.value = text,
+		.size_bytes = strlen(text),
+	};
+	const struct pw_store_txn txn = {
+		.compares = &compare,
+		.compare_count = 1,
+		.changes = &put,
+		.change_count = 1,
+	};
+
+	cluster_store(c, pw_store_txn_msg_new(c->task.inbox, tag_of(ch, tag), PW_STORE_TIMEOUT_US,
+					      &txn));
+	g_free(text);
+	pw_primaries_unref(p);
+}
+
+/*
+ * Ends a change without a new primary. Before the order the mark is taken back, so that the present
+ * primary can be used; after it only another survey can tell who leads.
+ */
+static void give_up(struct change *ch, const char *text)
+{
+	struct cluster *c = ch->cluster;
+
+	if (ch->phase > CHANGE_CLAIM && ch->phase < CHANGE_ORDER && !ch->ordered) {
+		struct pw_primaries *p = pw_primaries_copy(c->primaries);
+		struct pw_primary *primary = pw_primaries_find(p, ch->group);
+
+		primary->changing = false;
+		primary->planned = false;
+		write_record(ch, p, TAG_UNDO);
+	}
+	pw_counter_inc(PW_COUNTER_FAILOVERS_LOST);
+	end_change(ch, PW_EVENT_FAILOVER_GIVEN_UP, text);
+}
+
+static void claim(struct change *ch)
+{
+	struct cluster *c = ch->cluster;
+	struct pw_primaries *p = pw_primaries_copy(c->primaries);
+	struct pw_primary *primary = pw_primaries_find(p, ch->group);
+
+	ch->fence = ++p->fence;
+	g_free(p->holder);
+	p->holder = g_strdup(c->directory->settings->name);
+	primary->changing = true;
+	primary->planned = ch->planned;
+	enter(ch, CHANGE_CLAIM);
+	write_record(ch, p, TAG_CLAIM);
+}
+
+static void record(struct change *ch)
+{
+	struct cluster *c = ch->cluster;
+	struct pw_primaries *p = pw_primaries_copy(c->primaries);
+	const struct pw_server_entry *e = g_ptr_array_index(ch->entries, (guint)ch->target);
+
+	pw_primaries_set(p, ch->group, e->id, ch->fence);
+	enter(ch, CHANGE_RECORD);
+	write_record(ch, p, TAG_RECORD);
+}
+
+/* Takes the record of another VM from a conflict. Returns false if it is not there. */
+static bool adopt_conflict(struct cluster *c, const struct pw_store_txn_result *r)
+{
+	struct pw_primaries *p;
+
+	if (!r->kv_count || !r->kvs[0].mod_revision ||
+	    pw_primaries_decode(&p, r->kvs[0].value, r->kvs[0].size_bytes, r->kvs[0].mod_revision))
+		return false;
+	cluster_adopt(c, p);
+	return true;
+}
+
+/* Takes over the record that this VM has written. */
+static void adopt_own(struct change *ch, int64_t revision, bool done)
+{
+	struct cluster *c = ch->cluster;
+	struct pw_primaries *p = pw_primaries_copy(c->primaries);
+	struct pw_primary *primary = pw_primaries_find(p, ch->group);
+
+	p->revision = revision;
+	if (done) {
+		const struct pw_server_entry *e =
+			g_ptr_array_index(ch->entries, (guint)ch->target);
+
+		pw_primaries_set(p, ch->group, e->id, ch->fence);
+	} else {
+		p->fence = ch->fence;
+		g_free(p->holder);
+		p->holder = g_strdup(c->directory->settings->name);
+		primary->changing = true;
+		primary->planned = ch->planned;
+	}
+	cluster_adopt(c, p);
+}
+
+static void ask_members(struct change *ch)
+{
+	const struct pw_store_range req = { .key = ch->cluster->members_prefix, .prefix = true };
+
+	enter(ch, CHANGE_MEMBERS);
+	cluster_store(ch->cluster,
+		      pw_store_range_msg_new(ch->cluster->task.inbox,
+					     tag_of(ch, TAG_CHANGE_MEMBERS), PW_STORE_TIMEOUT_US,
+					     &req));
+}
+
+static void take_claim(struct change *ch, const struct pw_store_result *base)
+{
+	const struct pw_primary *p;
+
+	if (base->code == PW_OK) {
+		ch->revision = base->revision;
+		adopt_own(ch, base->revision, false);
+		ask_members(ch);
+		return;
+	}
+	if (base->code == PW_ECONFLICT &&
+	    adopt_conflict(ch->cluster, (const struct pw_store_txn_result *)base)) {
+		p = pw_primaries_find(ch->cluster->primaries, ch->group);
+		/* Another group was changed: the mark can still be made. */
+		if (p && !p->changing && ch->reason != PW_CHANGE_ABANDONED) {
+			claim(ch);
+			return;
+		}
+	}
+	give_up(ch, base->message ? base->message : "the record was changed by another VM");
+}
+
+static void take_members(struct change *ch, const struct pw_store_result *base)
+{
+	const struct pw_store_range_result *r = (const struct pw_store_range_result *)base;
+
+	if (base->code) {
+		if (cluster_now_us(ch->cluster) - ch->started_us < PW_CHANGE_ORDER_US)
+			ask_members(ch);
+		else
+			give_up(ch, base->message);
+		return;
+	}
+	for (size_t i = 0; i < r->kv_count; i++) {
+		struct member *m = member_listed(ch->cluster, &r->kvs[i]);
+		struct lease l = { .id = r->kvs[i].lease_id };
+
+		if (!m)
+			continue;
+		l.member = g_strdup(m->name);
+		g_array_append_val(ch->leases, l);
+	}
+	enter(ch, CHANGE_SETTLE);
+}
+
+/* Whether a member has the mark in force. */
+static bool has_confirmed(struct cluster *c, const char *name, int64_t revision)
+{
+	const struct member *m = g_hash_table_lookup(c->members, name);
+
+	return m && m->confirmed_revision >= revision;
+}
+
+static void end_lease(struct change *ch, guint index)
+{
+	const struct lease *l = &g_array_index(ch->leases, struct lease, index);
+
+	cluster_store(ch->cluster, pw_store_lease_revoke_msg_new(ch->cluster->task.inbox,
+								 lease_tag(ch, index),
+								 PW_STORE_TIMEOUT_US, l->id));
+}
+
+/* Ends the leases of the members that have not confirmed: they get no further permission. */
+static void end_leases(struct change *ch)
+{
+	ch->ending_leases = true;
+	for (guint i = 0; i < ch->leases->len; i++) {
+		const struct lease *l = &g_array_index(ch->leases, struct lease, i);
+
+		if (has_confirmed(ch->cluster, l->member, ch->revision))
+			continue;
+		pw_event_log(PW_EVENT_PERMIT_REVOKED, "database=%s peer=%s lease=%" PRId64,
+			     ch->group, l->member, l->id);
+		end_lease(ch, i);
+	}
+}
+
+static void take_lease_end(struct change *ch, guint index, const struct pw_store_result *base)
+{
+	if (index >= ch->leases->len)
+		return;
+	if (base->code == PW_OK || base->code == PW_ENOTFOUND)
+		g_array_index(ch->leases, struct lease, index).ended = true;
+	else
+		end_lease(ch, index);
+}
+
+static void start_survey(struct change *ch)
+{
+	struct cluster *c = ch->cluster;
+	const struct pw_primary *p = pw_primaries_find(c->primaries, ch->group);
+
+	for (guint i = 0; i < c->servers->entries->len; i++) {
+		const struct pw_server_entry *e = g_ptr_array_index(c->servers->entries, i);
+		bool primary = strcmp(e->id, p->server_id) == 0;
+		struct pw_change_server s = {
+			.primary = primary,
+			.eligible = !e->leaving &&
+				    (!primary || ch->reason == PW_CHANGE_ABANDONED),
+			.distance = strcmp(e->availability_zone,
+					   c->directory->settings->availability_zone) != 0,
+		};
+
+		if (strcmp(e->group, ch->group) != 0)
+			continue;
+		g_ptr_array_add(ch->entries, pw_server_entry_copy(e));
+		g_ptr_array_add(ch->reports, NULL);
+		g_array_append_val(ch->servers, s);
+	}
+	enter(ch, CHANGE_SURVEY);
+}
+
+/* Whether nobody can hold a permission for the present primary any more. */
+static bool is_settled(struct change *ch)
+{
+	struct cluster *c = ch->cluster;
+	uint64_t now = cluster_now_us(c);
+	bool confirmed = cluster_confirmed_revision(c) >= ch->revision;
+	bool ended = true;
+
+	if (!confirmed)
+		return false;
+	for (guint i = 0; i < ch->leases->len; i++) {
+		const struct lease *l = &g_array_index(ch->leases, struct lease, i);
+
+		if (has_confirmed(c, l->member, ch->revision))
+			continue;
+		confirmed = false;
+		ended = ended && l->ended;
+	}
+	if (confirmed)
+		return true;
+	if (!ch->ending_leases &&
+	    now - ch->phase_us >= (ch->planned ? PLANNED_WAIT_US : CONFIRM_WAIT_US))
+		end_leases(ch);
+	if (!ended)
+		return false;
+	if (!ch->leases_ended_us)
+		ch->leases_ended_us = now;
+	return now - ch->leases_ended_us >= PW_PERMIT_US;
+}
+
+static void take_report(void *owner, struct report *r, const struct pw_server_report *row)
+{
+	struct change *ch = owner;
+
+	for (guint i = 0; i < ch->entries->len; i++) {
+		struct pw_change_server *s = &g_array_index(ch->servers, struct pw_change_server, i);
+
+		if (ch->reports->pdata[i] != r)
+			continue;
+		ch->reports->pdata[i] = NULL;
+		s->reported = row != NULL;
+		if (!row)
+			continue;
+		s->leads = row->primary;
+		s->term = row->term;
+		s->log = row->log;
+	}
+}
+
+static const struct report_ops report_ops = { .done = take_report };
+
+/* Asks all servers, or only the target, for their status, unless an answer is awaited. */
+static void ask_reports(struct change *ch, bool target_only)
+{
+	for (guint i = 0; i < ch->entries->len; i++) {
+		if ((target_only && (int32_t)i != ch->target) || ch->reports->pdata[i])
+			continue;
+		ch->reports->pdata[i] = report_start(
+			ch->cluster, g_ptr_array_index(ch->entries, i), 0, &report_ops, ch);
+	}
+	ch->next_survey_us = cluster_now_us(ch->cluster) + SURVEY_PAUSE_US;
+}
+
+static void promotion_done(struct pw_promotion *p, int32_t code, const char *message)
+{
+	struct change *ch = (struct change *)p;
+
+	ch->ordering = false;
+	if (ch->ended)
+		return;
+	pw_event_log(PW_EVENT_PROMOTE_ANSWERED,
+		     "database=%s term=%" PRIu64 " code=%d text=\"%s\"", ch->group, ch->fence, code,
+		     message);
+	if (code == PW_OK || code == PW_ETIMEOUT) {
+		enter(ch, CHANGE_CONFIRM);
+	} else if (code == PW_ECONFLICT) {
+		g_array_index(ch->servers, struct pw_change_server, ch->target).eligible = false;
+		enter(ch, CHANGE_SURVEY);
+	} else {
+		enter(ch, CHANGE_SURVEY);
+	}
+}
+
+static const struct pw_promotion_ops promotion_ops = { .done = promotion_done };
+
+static void order(struct change *ch)
+{
+	struct cluster *c = ch->cluster;
+	const struct pw_server_entry *e = g_ptr_array_index(ch->entries, (guint)ch->target);
+	const struct pw_promotion_order o = {
+		.group = ch->group,
+		.server_id = e->id,
+		.holder = c->directory->settings->name,
+		.fence = ch->fence,
+		.timeout_us = ORDER_TIMEOUT_US,
+	};
+
+	/* After a pause of the process another VM may lead the change. */
+	if (pw_loop_refresh_us(c->task.loop) - ch->started_us > PW_CHANGE_ORDER_US) {
+		give_up(ch, "the order is not given in time");
+		return;
+	}
+	drop_reports(ch);
+	enter(ch, CHANGE_ORDER);
+	ch->ordering = true;
+	ch->ordered = true;
+	ch->promotion.ops = &promotion_ops;
+	pw_event_log(PW_EVENT_PROMOTE_ORDERED,
+		     "database=%s term=%" PRIu64 " server=%s reason=%s settle_ms=%" PRIu64,
+		     ch->group, ch->fence, e->id, pw_change_reason_name(ch->reason),
+		     (cluster_now_us(c) - ch->started_us) / PW_US_PER_MS);
+	if (c->promoter->ops->promote(c->promoter, &o, &ch->promotion)) {
+		ch->ordering = false;
+		give_up(ch, pw_error_message());
+	}
+}
+
+static void survey(struct change *ch)
+{
+	struct cluster *c = ch->cluster;
+	uint64_t now = cluster_now_us(c);
+	const struct pw_catalog_group *g = pw_catalog_group(c->catalog, ch->group);
+	uint32_t target = 0;
+
+	switch (pw_change_choose(&target, (struct pw_change_server *)(void *)ch->servers->data,
+				 ch->servers->len, g ? g->sync_replicas : 0, ch->planned,
+				 now - ch->phase_us >= SURVEY_HURRY_US)) {
+	case PW_CHANGE_PROMOTE:
+		ch->target = (int32_t)target;
+		order(ch);
+		return;
+	case PW_CHANGE_ADOPT:
+		ch->target = (int32_t)target;
+		drop_reports(ch);
+		record(ch);
+		return;
+	case PW_CHANGE_WAIT:
+		if (now >= ch->next_survey_us)
+			ask_reports(ch, false);
+		return;
+	}
+}
+
+static void confirm(struct change *ch)
+{
+	const struct pw_change_server *s =
+		&g_array_index(ch->servers, struct pw_change_server, ch->target);
+
+	if (s->reported && s->leads) {
+		drop_reports(ch);
+		record(ch);
+	} else if (cluster_now_us(ch->cluster) >= ch->next_survey_us) {
+		ask_reports(ch, true);
+	}
+}
+
+/* Tells the former primary, which may still think that it leads. */
+static void step_down(struct change *ch)
+{
+	uint64_t term = g_array_index(ch->servers, struct pw_change_server, ch->target).term;
+
+	for (guint i = 0; i < ch->entries->len; i++) {
+		if (g_array_index(ch->servers, struct pw_change_server, i).primary &&
+		    (int32_t)i != ch->target)
+			(void)report_start(ch->cluster, g_ptr_array_index(ch->entries, i), term,
+					   &report_ops, NULL);
+	}
+}
+
+static void take_record(struct change *ch, const struct pw_store_result *base)
+{
+	if (base->code == PW_OK) {
+		adopt_own(ch, base->revision, true);
+		step_down(ch);
+		pw_counter_inc(PW_COUNTER_FAILOVERS_WON);
+		end_change(ch, PW_EVENT_FAILOVER_DONE, pw_change_reason_name(ch->reason));
+		return;
+	}
+	if (base->code == PW_ECONFLICT) {
+		const struct pw_primary *p;
+
+		if (adopt_conflict(ch->cluster, (const struct pw_store_txn_result *)base)) {
+			p = pw_primaries_find(ch->cluster->primaries, ch->group);
+			/* Another group was changed, or an earlier attempt succeeded. */
+			if (p && p->changing &&
+			    g_strcmp0(ch->cluster->primaries->holder,
+				      ch->cluster->directory->settings->name) == 0) {
+				record(ch);
+				return;
+			}
+		}
+		give_up(ch, "the record was changed by another VM");
+		return;
+	}
+	/* Unanswered: written again by the tick under the same condition. */
+	enter(ch, CHANGE_CONFIRM);
+}
+
+void change_result(struct cluster *c, uint64_t tag, struct pw_store_result *r)
+{
+	struct change *ch = change_of(c, tag);
+
+	if (!ch || ch->ended)
+		return;
+	switch (tag & TAG_MASK) {
+	case TAG_CLAIM:
+		take_claim(ch, r);
+		break;
+	case TAG_CHANGE_MEMBERS:
+		take_members(ch, r);
+		break;
+	case TAG_END_LEASE:
+		take_lease_end(ch, tag >> LEASE_TAG_SHIFT & LEASE_INDEX_MASK, r);
+		break;
+	case TAG_RECORD:
+		take_record(ch, r);
+		break;
+	}
+}
+
+static void continue_change(struct change *ch)
+{
+	/* After the order, the change is brought to its end as long as the record is this VM's. */
+	if (ch->phase < CHANGE_ORDER && !ch->ordered &&
+	    cluster_now_us(ch->cluster) - ch->started_us > PW_CHANGE_ORDER_US) {
+		give_up(ch, "the change took too long");
+		return;
+	}
+	if (cluster_now_us(ch->cluster) - ch->started_us > PW_CHANGE_LIMIT_US) {
+		give_up(ch, "the change took too long");
+		return;
+	}
+	switch (ch->phase) {
+	case CHANGE_SETTLE:
+		if (!is_settled(ch))
+			return;
+		start_survey(ch);
+		survey(ch);
+		break;
+	case CHANGE_SURVEY:
+		survey(ch);
+		break;
+	case CHANGE_CONFIRM:
+		confirm(ch);
+		break;
+	default:
+		break;
+	}
+}
+
+/* Place of this VM in an order of all live members that differs from group to group. */
+static uint32_t rank(const struct cluster *c, const char *group)
+{
+	const char *own = c->directory->settings->name;
+	uint32_t own_weight = (uint32_t)pw_directory_peer_number(own) ^ g_str_hash(group);
+	uint32_t before = 0;
+	GHashTableIter it;
+	gpointer item;
+
+	g_hash_table_iter_init(&it, c->members);
+	while (g_hash_table_iter_next(&it, NULL, &item)) {
+		const struct member *m = item;
+
+		if (pulse_is_live(c, m) && !m->needs_permit &&
+		    ((uint32_t)pw_directory_peer_number(m->name) ^ g_str_hash(group)) < own_weight)
+			before++;
+	}
+	return before;
+}
+
+static void count_votes(const struct cluster *c, const struct pw_primary *p,
+			struct pw_change_view *v)
+{
+	uint64_t now = cluster_now_us(c), oldest_us = 0;
+	GHashTableIter it;
+	gpointer item;
+
+	for (uint32_t k = 0; k < c->directory->gateway_count; k++) {
+		const struct pw_primary_contact *x =
+			g_hash_table_lookup(c->gateways[k].contacts, p->group);
+
+		if (!x || x->generation != p->generation)
+			continue;
+		if (x->lost_since_us) {
+			v->votes_lost++;
+			oldest_us = MAX(oldest_us, now - MIN(x->lost_since_us, now));
+		} else if (x->reached_us && now - x->reached_us < PW_CHANGE_LOST_US) {
+			v->votes_reached++;
+		}
+	}
+	g_hash_table_iter_init(&it, c->members);
+	while (g_hash_table_iter_next(&it, NULL, &item)) {
+		const struct member *m = item;
+
+		if (!pulse_is_live(c, m) || !m->pulse.groups)
+			continue;
+		for (guint i = 0; i < m->pulse.groups->len; i++) {
+			const struct pw_pulse_group *g =
+				&g_array_index(m->pulse.groups, struct pw_pulse_group, i);
+
+			if (strcmp(g->name, p->group) != 0 || g->generation != p->generation)
+				continue;
+			v->votes_reached += g->reached;
+			if (g->lost_ms) {
+				v->votes_lost++;
+				oldest_us = MAX(oldest_us, g->lost_ms * PW_US_PER_MS);
+			}
+		}
+	}
+	if (v->votes_lost)
+		v->lost_since_us = now - MIN(oldest_us, now);
+}
+
+/* Remembers since when the entry of a primary says that it is a replica. */
+static uint64_t demoted_since_us(struct cluster *c, const struct pw_primary *p, bool demoted)
+{
+	uint64_t *since = g_hash_table_lookup(c->demoted, p->group);
+
+	if (!demoted) {
+		g_hash_table_remove(c->demoted, p->group);
+		return 0;
+	}
+	if (!since) {
+		since = g_new(uint64_t, 1);
+		*since = cluster_now_us(c);
+		g_hash_table_insert(c->demoted, g_strdup(p->group), since);
+	}
+	return *since;
+}
+
+static void make_view(struct cluster *c, const struct pw_primary *p, struct pw_change_view *v)
+{
+	const struct pw_server_entry *e = pw_server_list_find(c->servers, p->server_id);
+
+	*v = (struct pw_change_view){
+		.listed = e != NULL,
+		.leaving = e && e->leaving,
+		.demoted = e && !e->primary,
+		.changing = p->changing,
+		.record_since_us = cluster_since_us(c, p->group),
+		.rank = rank(c, p->group),
+	};
+	v->demoted_since_us = demoted_since_us(c, p, v->demoted);
+	for (guint i = 0; i < c->servers->entries->len; i++) {
+		const struct pw_server_entry *s = g_ptr_array_index(c->servers->entries, i);
+
+		v->candidates += strcmp(s->group, p->group) == 0 && !s->leaving &&
+				 strcmp(s->id, p->server_id) != 0;
+	}
+	count_votes(c, p, v);
+}
+
+static void start_change(struct cluster *c, const struct pw_primary *p,
+			 enum pw_change_reason reason, const struct pw_change_view *v)
+{
+	struct change *ch = g_new0(struct change, 1);
+
+	ch->cluster = c;
+	ch->group = g_strdup(p->group);
+	ch->number = ++c->next_change;
+	ch->reason = reason;
+	ch->planned = reason != PW_CHANGE_UNREACHABLE && reason != PW_CHANGE_ABANDONED &&
+		      v->votes_reached > v->votes_lost;
+	ch->started_us = pw_loop_refresh_us(c->task.loop);
+	ch->target = -1;
+	ch->leases = g_array_new(FALSE, TRUE, sizeof(struct lease));
+	g_array_set_clear_func(ch->leases, lease_clear);
+	ch->entries = g_ptr_array_new();
+	ch->servers = g_array_new(FALSE, TRUE, sizeof(struct pw_change_server));
+	ch->reports = g_ptr_array_new();
+	g_hash_table_insert(c->changes, ch->group, ch);
+	pw_counter_inc(PW_COUNTER_FAILOVERS_STARTED);
+	pw_event_log(PW_EVENT_FAILOVER_STARTED,
+		     "database=%s term=%" PRIu64 " primary=%s reason=%s lost=%u reached=%u rank=%u",
+		     p->group, p->generation, p->server_id, pw_change_reason_name(reason),
+		     v->votes_lost, v->votes_reached, v->rank);
+	claim(ch);
+}
+
+/* Frees changes that have ended; one that awaits the answer to an order stays. */
+static void free_ended(struct cluster *c)
+{
+	for (guint i = c->ended_changes->len; i-- > 0;) {
+		struct change *ch = g_ptr_array_index(c->ended_changes, i);
+
+		if (!ch->ordering)
+			g_free(g_ptr_array_remove_index_fast(c->ended_changes, i));
+	}
+}
+
+void change_start(struct cluster *c)
+{
+	c->changes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, change_free);
+	c->demoted = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	c->ended_changes = g_ptr_array_new();
+	c->ended_reports = g_ptr_array_new_with_free_func(g_free);
+}
+
+void change_tick(struct cluster *c)
+{
+	GList *open;
+
+	free_ended(c);
+	g_ptr_array_set_size(c->ended_reports, 0);
+	if (!c->primaries || !c->servers || !c->catalog)
+		return;
+	open = g_hash_table_get_values(c->changes);
+	for (GList *l = open; l; l = l->next)
+		continue_change(l->data);
+	g_list_free(open);
+	/* Without the store no record can be marked; the members decide without this VM. */
+	if (!c->renewing || c->leaving)
+		return;
+	for (guint i = 0; i < c->primaries->list->len; i++) {
+		const struct pw_primary *p = g_ptr_array_index(c->primaries->list, i);
+		struct pw_change_view v;
+		enum pw_change_reason reason;
+
+		if (g_hash_table_contains(c->changes, p->group))
+			continue;
+		make_view(c, p, &v);
+		reason = pw_change_due(&v, cluster_now_us(c));
+		if (reason != PW_CHANGE_NONE) {
+			start_change(c, p, reason, &v);
+			return;
+		}
+	}
+}
+
+void change_stop_all(struct cluster *c)
+{
+	GList *open = g_hash_table_get_values(c->changes);
+
+	for (GList *l = open; l; l = l->next)
+		end_change(l->data, PW_EVENT_FAILOVER_GIVEN_UP, "the process stops");
+	g_list_free(open);
+	g_hash_table_unref(c->changes);
+	g_hash_table_unref(c->demoted);
+	/* The promoter is gone, so that no answer is awaited. */
+	for (guint i = 0; i < c->ended_changes->len; i++)
+		g_free(g_ptr_array_index(c->ended_changes, i));
+	g_ptr_array_unref(c->ended_changes);
+	g_ptr_array_unref(c->ended_reports);
+}
--- /dev/null
+++ b/daemon/control/cluster_private.h
@@ -0,0 +1,201 @@
+/*
+ * Parts of the cluster task: membership and permission (cluster_member.c), datagrams
+ * (cluster_pulse.c), and changes of primary (cluster_change.c, cluster_report.c). cluster.c owns the
+ * task and hands messages and timers to them.
+ */
+#ifndef PW_DAEMON_CONTROL_CLUSTER_PRIVATE_H
+#define PW_DAEMON_CONTROL_CLUSTER_PRIVATE_H
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include "../directory.h"
+#include "catalog.h"
+#include "cluster.h"
+#include "pw/codec/pulse.h"
+#include "pw/core/address.h"
+#include "pw/core/stream.h"
+#include "pw/decide/change.h"
+#include "store.h"
+
+/* Lease of the member's entry: longer than a permission, so that an entry outlasts it. */
+#define MEMBER_TTL_US (4000 * PW_US_PER_MS)
+/* Members are read again this often; new ones announce themselves by datagrams. */
+#define MEMBERS_INTERVAL_US (10 * PW_US_PER_S)
+/* Pause after a failed call to the store. */
+#define CLUSTER_RETRY_US (250 * PW_US_PER_MS)
+/* Datagrams to each member; with many members the pause grows, see pulse_interval_us(). */
+#define PULSE_INTERVAL_US (250 * PW_US_PER_MS)
+#define PULSE_SPREAD_US   (8 * PW_US_PER_MS)
+/* A member that was not heard of for so many pulses counts as silent. */
+#define PULSE_SILENT_COUNT 5
+/* Decisions on changes and shares. */
+#define CLUSTER_TICK_US (100 * PW_US_PER_MS)
+/* Times of sent pulses that are remembered, for echoes. */
+#define PULSE_TIMES 64
+
+enum cluster_tag {
+	TAG_GRANT,
+	TAG_REGISTER,
+	TAG_KEEP,
+	TAG_PRIMARIES,
+	TAG_PRIMARIES_WATCH,
+	TAG_MEMBERS,
+	TAG_CREATE,
+	TAG_LEAVE,
+	/* Calls of a change carry its number, and the index of a lease, above the tag. */
+	TAG_CLAIM,
+	TAG_CHANGE_MEMBERS,
+	TAG_END_LEASE,
+	TAG_RECORD,
+	TAG_UNDO,
+};
+
+#define LEASE_TAG_SHIFT  8
+#define CHANGE_TAG_SHIFT 24
+
+struct change;
+
+/* Another VM. */
+struct member {
+	char *name;
+	struct pw_address address;
+	bool has_address;
+	bool listed; /**< in the last read of all members */
+	bool leaving;
+	bool needs_permit;
+	uint64_t incarnation;
+	uint64_t heard_us; /**< last pulse; 0: none */
+	uint64_t heard_sequence;
+	uint64_t sequence; /**< of the next pulse to it */
+	uint64_t sent_us[PULSE_TIMES];
+	uint64_t lent_until_us; /**< end of the last permission that was lent to it */
+	int64_t settled_revision;
+	int64_t confirmed_revision;
+	struct pw_pulse pulse; /**< the last one; `groups` is NULL before it */
+};
+
+/* What a gateway task has reported. */
+struct gateway_view {
+	int64_t settled_revision;
+	GHashTable *contacts; /**< group -> struct pw_primary_contact */
+};
+
+struct cluster {
+	struct pw_task task;
+	const struct pw_directory *directory;
+	struct pw_catalog *catalog;
+	struct pw_server_list *servers;
+	struct pw_primaries *primaries;
+	GHashTable *since; /**< group -> time since when its present record is known */
+	struct gateway_view *gateways;
+	struct pw_timer tick;
+
+	/* Membership. */
+	char *member_key;
+	char *members_prefix;
+	char *primaries_key;
+	uint64_t incarnation;
+	int64_t lease_id; /**< 0: not registered */
+	bool registered;
+	bool permitted; /**< the record was read after the registration */
+	bool keeping;   /**< a renewal is under way */
+	bool renewing;  /**< the last renewal succeeded */
+	bool watching;
+	bool leaving;
+	bool creating;
+	uint64_t call_sent_us; /**< when the last grant, registration or read was sent */
+	uint64_t keep_sent_us;
+	uint64_t permit_until_us; /**< from the store; may be lent */
+	uint64_t lent_until_us;   /**< from another member */
+	struct pw_timer member_timer;
+	struct pw_timer members_timer;
+
+	/* Datagrams. */
+	struct pw_source socket;
+	GHashTable *members; /**< name -> struct member */
+	struct pw_timer pulse_timer;
+	int64_t told_confirmed;
+
+	/* Accounts: name -> struct pw_demand. */
+	GHashTable *demands;
+
+	/* Changes of primary. */
+	struct pw_promoter *promoter;
+	GHashTable *changes; /**< group -> struct change */
+	GHashTable *demoted; /**< group -> time since when its primary says "replica" */
+	uint64_t next_change;
+	GPtrArray *ended_changes; /**< whose memory the tick releases */
+	GPtrArray *ended_reports;
+};
+
+static inline uint64_t cluster_now_us(const struct cluster *c)
+{
+	return pw_loop_now_us(c->task.loop);
+}
+
+static inline void cluster_store(struct cluster *c, struct pw_msg *m)
+{
+	pw_mailbox_send(c->directory->store, m);
+}
+
+/* cluster.c */
+/** Sends primaries and permission to the gateways. */
+void cluster_publish(struct cluster *c);
+/** Takes over a newer record of primaries; takes ownership. */
+void cluster_adopt(struct cluster *c, struct pw_primaries *p);
+/** @return since when the present record of a group is known */
+uint64_t cluster_since_us(const struct cluster *c, const char *group);
+/** @return record in force at all gateways of this VM */
+int64_t cluster_settled_revision(const struct cluster *c);
+/** @return the same, once also those have it in force that this VM has lent a permission to */
+int64_t cluster_confirmed_revision(struct cluster *c);
+
+/* cluster_member.c */
+void member_start(struct cluster *c);
+void member_stop(struct cluster *c);
+void member_result(struct cluster *c, uint64_t tag, struct pw_store_result *r);
+/** Removes this VM's entry. */
+void member_leave(struct cluster *c);
+/** Creates the record, or adds groups that have none. */
+void member_create_primaries(struct cluster *c);
+/** Takes a member of the registry over. @return the member */
+struct member *member_listed(struct cluster *c, const struct pw_store_kv *kv);
+
+/* cluster_pulse.c */
+int pulse_start(struct cluster *c);
+void pulse_stop(struct cluster *c);
+/** Sends a pulse to every member now. */
+void pulse_send_all(struct cluster *c);
+struct member *pulse_member(struct cluster *c, const char *name);
+/** @return whether the member was heard of recently */
+bool pulse_is_live(const struct cluster *c, const struct member *m);
+
+/* cluster_change.c */
+void change_start(struct cluster *c);
+/** Starts, continues and ends changes. */
+void change_tick(struct cluster *c);
+void change_result(struct cluster *c, uint64_t tag, struct pw_store_result *r);
+void change_stop_all(struct cluster *c);
+
+/* cluster_report.c: the status of one server, by a connection of its own. */
+
+struct report;
+
+/** Answer of a server, or the lack of one. */
+struct report_ops {
+	/** @param row NULL without an answer; `r` is not to be used afterwards */
+	void (*done)(void *owner, struct report *r, const struct pw_server_report *row);
+};
+
+/**
+ * Asks a server for its status; `done` is called once, with NULL when there is no answer.
+ *
+ * @param step_down_term 0, or term above that of a primary which is to become a replica
+ */
+struct report *report_start(struct cluster *c, const struct pw_server_entry *e,
+			    uint64_t step_down_term, const struct report_ops *ops, void *owner);
+/** The owner no longer waits. */
+void report_forget(struct report *r);
+
+#endif
--- /dev/null
+++ b/daemon/control/cluster_pulse.c
@@ -0,0 +1,270 @@
+#include <errno.h>
+#include <inttypes.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "cluster_private.h"
+#include "pw/core/clock.h"
+#include "pw/core/counter.h"
+#include "pw/core/error.h"
+#include "pw/core/event.h"
+
+/* Datagrams taken in one round. */
+#define DATAGRAMS_PER_ROUND 64
+
+static void member_free(gpointer data)
+{
+	struct member *m = data;
+
+	pw_pulse_dispose(&m->pulse);
+	g_free(m->name);
+	g_free(m);
+}
+
+struct member *pulse_member(struct cluster *c, const char *name)
+{
+	struct member *m = g_hash_table_lookup(c->members, name);
+
+	if (!m) {
+		m = g_new0(struct member, 1);
+		m->name = g_strdup(name);
+		m->sequence = 1;
+		g_hash_table_insert(c->members, m->name, m);
+	}
+	return m;
+}
+
+/* With many members the pause grows, so that the cost for a VM grows with them, not faster. */
+static uint64_t pulse_interval_us(const struct cluster *c)
+{
+	return MAX(PULSE_INTERVAL_US, g_hash_table_size(c->members) * PULSE_SPREAD_US);
+}
+
+bool pulse_is_live(const struct cluster *c, const struct member *m)
+{
+	return m->heard_us && !m->leaving &&
+	       cluster_now_us(c) - m->heard_us < PULSE_SILENT_COUNT * pulse_interval_us(c);
+}
+
+static void add_groups(const struct cluster *c, struct pw_pulse *p)
+{
+	uint64_t now = cluster_now_us(c);
+
+	if (!c->primaries)
+		return;
+	for (guint i = 0; i < c->primaries->list->len; i++) {
+		const struct pw_primary *g = g_ptr_array_index(c->primaries->list, i);
+		uint64_t lost_us = 0, reached_us = 0;
+
+		for (uint32_t k = 0; k < c->directory->gateway_count; k++) {
+			const struct pw_primary_contact *x =
+				g_hash_table_lookup(c->gateways[k].contacts, g->group);
+
+			if (!x || x->generation != g->generation)
+				continue;
+			reached_us = MAX(reached_us, x->reached_us);
+			if (x->lost_since_us)
+				lost_us = MAX(lost_us, now - MIN(x->lost_since_us, now));
+		}
+		pw_pulse_add_group(p, g->group, g->generation, (uint32_t)(lost_us / PW_US_PER_MS),
+				   !lost_us && reached_us &&
+					   now - reached_us < PW_CHANGE_LOST_US);
+	}
+}
+
+static void add_accounts(const struct cluster *c, struct pw_pulse *p)
+{
+	/* Less demand than this makes no difference to the others' shares. */
+	static const double least_per_s = 0.05;
+	GHashTableIter it;
+	gpointer name, demand;
+
+	g_hash_table_iter_init(&it, c->demands);
+	while (g_hash_table_iter_next(&it, &name, &demand)) {
+		double per_s = pw_demand_at(demand, cluster_now_us(c));
+
+		if (per_s >= least_per_s)
+			pw_pulse_add_account(p, name, (float)per_s);
+	}
+}
+
+/* Lends the rest of this VM's own permission to a member that has none. */
+static uint32_t lend(struct cluster *c, struct member *m)
+{
+	uint64_t now = cluster_now_us(c);
+
+	if (!m->needs_permit || !pw_permit_holds(c->permit_until_us, now) || !c->primaries ||
+	    cluster_settled_revision(c) < c->primaries->revision)
+		return 0;
+	m->lent_until_us = MAX(m->lent_until_us, c->permit_until_us);
+	return (uint32_t)((c->permit_until_us - now) / PW_US_PER_MS);
+}
+
+static void send_pulse(struct cluster *c, struct member *m, struct pw_pulse *p)
+{
+	uint8_t data[PW_PULSE_MAX_BYTES];
+	size_t size_bytes;
+
+	if (!m->has_address)
+		return;
+	p->sequence = m->sequence++;
+	p->echo_incarnation = m->incarnation;
+	p->echo_sequence = m->heard_sequence;
+	p->permit_left_ms = lend(c, m);
+	m->sent_us[p->sequence % PULSE_TIMES] = cluster_now_us(c);
+	size_bytes = pw_pulse_encode(data, p);
+	if (!size_bytes)
+		return;
+	/* A datagram may be lost anyway; the next one follows soon. */
+	if (sendto(c->socket.fd, data, size_bytes, MSG_DONTWAIT,
+		   (struct sockaddr *)&m->address.socket, m->address.size_bytes) < 0) {
+		pw_counter_inc(PW_COUNTER_PEER_MESSAGES_DROPPED);
+		return;
+	}
+	pw_counter_inc(PW_COUNTER_PEER_MESSAGES_SENT);
+	pw_counter_add(PW_COUNTER_PEER_BYTES_SENT, size_bytes);
+}
+
+void pulse_send_all(struct cluster *c)
+{
+	const struct pw_process_settings *s = c->directory->settings;
+	struct pw_pulse p;
+	GHashTableIter it;
+	gpointer item;
+
+	pw_pulse_init(&p);
+	p.sender = g_strdup(s->name);
+	p.address = g_strdup(s->peer_address);
+	p.incarnation = c->incarnation;
+	p.primaries_revision = c->primaries ? c->primaries->revision : 0;
+	p.settled_revision = cluster_settled_revision(c);
+	p.confirmed_revision = cluster_confirmed_revision(c);
+	p.needs_permit = !c->renewing;
+	p.leaving = c->leaving;
+	c->told_confirmed = p.confirmed_revision;
+	add_groups(c, &p);
+	add_accounts(c, &p);
+	g_hash_table_iter_init(&it, c->members);
+	while (g_hash_table_iter_next(&it, NULL, &item))
+		send_pulse(c, item, &p);
+	pw_pulse_dispose(&p);
+	pw_loop_timer_set(c->task.loop, &c->pulse_timer,
+			  cluster_now_us(c) + pulse_interval_us(c));
+}
+
+/* A permission that was lent counts from when the pulse that it answers was sent. */
+static void take_lent(struct cluster *c, struct member *m, const struct pw_pulse *p)
+{
+	uint64_t until_us;
+
+	if (!p->permit_left_ms || !c->primaries || p->echo_incarnation != c->incarnation ||
+	    p->primaries_revision != c->primaries->revision || p->echo_sequence >= m->sequence ||
+	    p->echo_sequence + PULSE_TIMES < m->sequence)
+		return;
+	until_us = m->sent_us[p->echo_sequence % PULSE_TIMES] +
+		   p->permit_left_ms * PW_US_PER_MS;
+	if (until_us > c->lent_until_us) {
+		c->lent_until_us = until_us;
+		cluster_publish(c);
+	}
+}
+
+static void take_pulse(struct cluster *c, struct pw_pulse *p)
+{
+	struct member *m;
+	bool is_new;
+
+	if (strcmp(p->sender, c->directory->settings->name) == 0)
+		return;
+	m = pulse_member(c, p->sender);
+	is_new = m->incarnation != p->incarnation;
+	if (is_new) {
+		/* Datagrams of an earlier process may come late, but only for moments. */
+		m->incarnation = p->incarnation;
+		m->heard_sequence = 0;
+		m->settled_revision = 0;
+		m->confirmed_revision = 0;
+		m->has_address = pw_address_parse(&m->address, p->address) == PW_OK;
+		pw_event_log(PW_EVENT_MEMBER_JOINED, "peer=%s address=%s incarnation=%" PRIu64,
+			     p->sender, p->address, p->incarnation);
+	}
+	if (p->sequence <= m->heard_sequence)
+		return;
+	m->heard_sequence = p->sequence;
+	m->heard_us = cluster_now_us(c);
+	m->leaving = p->leaving;
+	m->needs_permit = p->needs_permit;
+	m->settled_revision = p->settled_revision;
+	m->confirmed_revision = p->confirmed_revision;
+	take_lent(c, m, p);
+	pw_pulse_dispose(&m->pulse);
+	m->pulse = *p;
+	pw_pulse_init(p);
+	if (is_new)
+		pulse_send_all(c);
+}
+
+static void socket_ready(struct pw_source *s, uint32_t events)
+{
+	struct cluster *c = (struct cluster *)((char *)s - offsetof(struct cluster, socket));
+	uint8_t data[PW_PULSE_MAX_BYTES];
+
+	(void)events;
+	for (int i = 0; i < DATAGRAMS_PER_ROUND; i++) {
+		ssize_t n = recv(s->fd, data, sizeof(data), MSG_DONTWAIT);
+		struct pw_pulse p;
+
+		if (n < 0)
+			return;
+		if (pw_pulse_decode(&p, data, (size_t)n)) {
+			pw_counter_inc(PW_COUNTER_PEER_MESSAGES_DROPPED);
+			continue;
+		}
+		pw_counter_inc(PW_COUNTER_PEER_MESSAGES_RECEIVED);
+		take_pulse(c, &p);
+		pw_pulse_dispose(&p);
+	}
+}
+
+static const struct pw_source_ops socket_ops = { .ready = socket_ready };
+
+static void pulse_expire(struct pw_timer *t, uint64_t now_us)
+{
+	(void)now_us;
+	pulse_send_all((struct cluster *)((char *)t - offsetof(struct cluster, pulse_timer)));
+}
+
+static const struct pw_timer_ops pulse_timer_ops = { .expire = pulse_expire };
+
+int pulse_start(struct cluster *c)
+{
+	const char *address = c->directory->settings->peer_address;
+	struct pw_address at;
+	int rc = pw_address_parse(&at, address);
+
+	c->members = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, member_free);
+	c->pulse_timer.ops = &pulse_timer_ops;
+	c->socket.ops = &socket_ops;
+	c->socket.fd = -1;
+	if (rc)
+		return rc;
+	c->socket.fd =
+		socket(at.socket.ss_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (c->socket.fd < 0)
+		return pw_error_set(PW_ESYSTEM, "socket: %s", strerror(errno));
+	if (bind(c->socket.fd, (struct sockaddr *)&at.socket, at.size_bytes) < 0)
+		return pw_error_set(PW_ESYSTEM, "cannot bind %s: %s", address, strerror(errno));
+	pw_loop_timer_set(c->task.loop, &c->pulse_timer,
+			  cluster_now_us(c) + PULSE_INTERVAL_US);
+	return pw_loop_watch(c->task.loop, &c->socket, EPOLLIN);
+}
+
+void pulse_stop(struct cluster *c)
+{
+	pw_loop_timer_clear(c->task.loop, &c->pulse_timer);
+	if (c->socket.fd >= 0) {
+		pw_loop_unwatch(c->task.loop, &c->socket);
+		close(c->socket.fd);
+	}
+	g_hash_table_unref(c->members);
+}
--- a/daemon/control/control.c
+++ b/daemon/control/control.c
@@ -1,6 +1,8 @@
 #include "control.h"
 
 #include "admin.h"
+#include "catalog.h"
+#include "cluster.h"
 #include "config.h"
 #include "monitor.h"
 #include "peers.h"
@@ -9,6 +11,12 @@
 void pw_control_children(GArray *children, const struct pw_directory *d,
 			 const struct pw_task_args *args, const struct pw_store_task_args *store)
 {
+	const struct pw_child_spec published[] = {
+		{ .ops = &pw_store_task_ops, .inbox = d->store, .args = store },
+		{ .ops = &pw_catalog_task_ops, .inbox = d->catalog, .args = args },
+		{ .ops = &pw_cluster_ops, .inbox = d->cluster, .args = args },
+		{ .ops = &pw_admin_ops, .inbox = d->admin, .args = args },
+	};
 	const struct pw_child_spec specs[] = {
 		{ .ops = &pw_store_task_ops, .inbox = d->store, .args = store },
 		{ .ops = &pw_peers_ops, .inbox = d->peers, .args = args },
@@ -17,5 +25,8 @@
 		{ .ops = &pw_admin_ops, .inbox = d->admin, .args = args },
 	};
 
-	g_array_append_vals(children, specs, G_N_ELEMENTS(specs));
+	if (d->binding->catalog)
+		g_array_append_vals(children, published, G_N_ELEMENTS(published));
+	else
+		g_array_append_vals(children, specs, G_N_ELEMENTS(specs));
 }
--- a/daemon/control/store.c
+++ b/daemon/control/store.c
@@ -344,11 +344,8 @@
 {
 	struct store_task *s = (struct store_task *)t;
 	const struct pw_store_task_args *args = t->args;
-	struct pw_store_http_options opts = PW_STORE_HTTP_OPTIONS_INIT;
-	int rc;
+	int rc = args->store_new(&s->store, t->loop, args->endpoints);
 
-	opts.endpoints = args->endpoints;
-	rc = pw_store_http_new(&s->store, t->loop, &opts);
 	if (!rc)
 		s->calls = g_hash_table_new(NULL, NULL);
 	return rc;
--- a/daemon/control/store.h
+++ b/daemon/control/store.h
@@ -17,6 +17,7 @@
 
 /** Arguments of the task. */
 struct pw_store_task_args {
+	int (*store_new)(struct pw_store **out, struct pw_loop *loop, const char *const *endpoints);
 	const char *const *endpoints; /**< base URLs as `http://IP:PORT`, ended by NULL */
 };
 
--- a/daemon/directory.h
+++ b/daemon/directory.h
@@ -9,7 +9,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "binding.h"
 #include "pw/core/msg.h"
+#include "pw/decide/place.h"
 
 struct pw_process_settings {
 	char *name; /**< of this VM, unique in the fleet */
@@ -28,6 +30,10 @@
 	char *tls_certificate; /**< path; NULL without TLS */
 	char *tls_key;         /**< path */
 	bool tls_required;     /**< callers without TLS are refused */
+	uint32_t binding;       /**< index in pw_bindings */
+	char *promoter_address; /**< IP:PORT for orders to promote; not used by every binding */
+	char *zone_regions;     /**< ZONE=REGION, separated by commas; may be empty */
+	uint32_t gateway_tasks;
 	uint32_t front_tasks;
 	uint32_t group_tasks;
 	uint32_t log_level;
@@ -37,6 +43,7 @@
 
 struct pw_directory {
 	const struct pw_process_settings *settings;
+	const struct pw_binding *binding;
 	struct pw_mailbox *root;
 	struct pw_mailbox *stopper;
 	struct pw_mailbox *store;
@@ -45,10 +52,14 @@
 	struct pw_mailbox *admin;
 	struct pw_mailbox *monitor;
 	struct pw_mailbox *ledger;
+	struct pw_mailbox *catalog;
+	struct pw_mailbox *cluster;
 	struct pw_mailbox **fronts;
 	struct pw_mailbox **groups;
+	struct pw_mailbox **gateways;
 	uint32_t front_count;
 	uint32_t group_count;
+	uint32_t gateway_count;
 };
 
 /** Arguments of a task of which there are several. */
@@ -60,6 +71,9 @@
 /** @return mailbox of the group task that owns a database */
 struct pw_mailbox *pw_directory_group(const struct pw_directory *d, const char *database);
 
+/** @return distance from this VM to an availability zone, by the settings */
+enum pw_distance pw_directory_distance(const struct pw_directory *d, const char *zone);
+
 /** @return stable number of a VM of that name, never 0, for decision modules that want numbers */
 uint64_t pw_directory_peer_number(const char *name);
 
--- a/daemon/root.c
+++ b/daemon/root.c
@@ -59,11 +59,12 @@
 
 static void root_init(struct root *r, const struct pw_process_settings *s)
 {
-	uint32_t count = MAX(s->front_tasks, s->group_tasks);
+	uint32_t count = MAX(MAX(s->front_tasks, s->group_tasks), s->gateway_tasks);
 
 	*r = (struct root){ .mailboxes = g_ptr_array_new() };
 	r->directory = (struct pw_directory){
 		.settings = s,
+		.binding = pw_bindings[s->binding],
 		.root = new_mailbox(r),
 		.stopper = new_mailbox(r),
 		.store = new_mailbox(r),
@@ -72,10 +73,14 @@
 		.admin = new_mailbox(r),
 		.monitor = new_mailbox(r),
 		.ledger = new_mailbox(r),
+		.catalog = new_mailbox(r),
+		.cluster = new_mailbox(r),
 		.fronts = new_mailboxes(r, s->front_tasks),
 		.groups = new_mailboxes(r, s->group_tasks),
+		.gateways = new_mailboxes(r, s->gateway_tasks),
 		.front_count = s->front_tasks,
 		.group_count = s->group_tasks,
+		.gateway_count = s->gateway_tasks,
 	};
 	r->endpoints = new_endpoints(s->store_addresses);
 	r->control = new_mailbox(r);
@@ -85,6 +90,7 @@
 		r->args[i] = (struct pw_task_args){ .directory = &r->directory, .index = i };
 	r->control_children = g_array_new(FALSE, TRUE, sizeof(struct pw_child_spec));
 	r->traffic_children = g_array_new(FALSE, TRUE, sizeof(struct pw_child_spec));
+	r->store.store_new = r->directory.binding->store_new;
 	r->store.endpoints = (const char *const *)r->endpoints;
 	pw_control_children(r->control_children, &r->directory, r->args, &r->store);
 	pw_traffic_children(r->traffic_children, &r->directory, r->args);
@@ -99,6 +105,7 @@
 	g_array_unref(r->traffic_children);
 	g_free(r->directory.fronts);
 	g_free(r->directory.groups);
+	g_free(r->directory.gateways);
 	g_free(r->args);
 	g_strfreev(r->endpoints);
 }
@@ -135,6 +142,17 @@
 	pw_loop_timer_set(st->task.loop, &st->timer, pw_loop_now_us(st->task.loop) + after_us);
 }
 
+/* The tasks that serve callers. */
+static struct pw_mailbox *const *entries(const struct pw_directory *d)
+{
+	return d->binding->caller ? d->gateways : d->fronts;
+}
+
+static uint32_t entry_count(const struct pw_directory *d)
+{
+	return d->binding->caller ? d->gateway_count : d->front_count;
+}
+
 static void next_step(struct stopper *st)
 {
 	const struct pw_directory *d = st->directory;
@@ -146,16 +164,21 @@
 		set_step_timer(st, d->settings->drain_grace_us);
 		break;
 	case STOP_FRONTS:
-		for (uint32_t i = 0; i < d->front_count; i++)
-			pw_mailbox_send(d->fronts[i], pw_drain_msg());
+		for (uint32_t i = 0; i < entry_count(d); i++)
+			pw_mailbox_send(entries(d)[i], pw_drain_msg());
 		set_step_timer(st, d->settings->drain_timeout_us + LEAVE_TIMEOUT_US);
 		break;
 	case STOP_QUOTA:
+		/* Shares of the gateways are not holdings: they end with the membership. */
+		if (d->binding->caller) {
+			next_step(st);
+			return;
+		}
 		pw_mailbox_send(d->ledger, pw_drain_msg());
 		set_step_timer(st, GIVE_TIME_US);
 		break;
 	case STOP_PEERS:
-		pw_mailbox_send(d->peers, pw_drain_msg());
+		pw_mailbox_send(d->binding->caller ? d->cluster : d->peers, pw_drain_msg());
 		set_step_timer(st, LEAVE_TIMEOUT_US);
 		break;
 	default:
@@ -181,6 +204,11 @@
 	(void)events;
 	if (read(s->fd, &info, sizeof(info)) != (ssize_t)sizeof(info))
 		return;
+	/* Settings come from flags and the environment, which stay as they are in a process. */
+	if (info.ssi_signo == SIGHUP) {
+		pw_event_log(PW_EVENT_RELOAD_IGNORED, "signal=%u", info.ssi_signo);
+		return;
+	}
 	pw_event_log(PW_EVENT_STOPPING, "signal=%u", info.ssi_signo);
 	next_step(st);
 }
@@ -195,6 +223,7 @@
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
 	s->directory = ((const struct pw_task_args *)t->args)->directory;
 	s->timer.ops = &step_timer_ops;
 	s->source.ops = &signal_ops;
@@ -210,7 +239,7 @@
 
 	if (m->ops == &pw_front_drained_ops)
 		s->fronts_done++;
-	if ((s->step == STOP_FRONTS && s->fronts_done == s->directory->front_count) ||
+	if ((s->step == STOP_FRONTS && s->fronts_done == entry_count(s->directory)) ||
 	    (s->step == STOP_PEERS && m->ops == &pw_peers_left_ops))
 		next_step(s);
 	pw_msg_free(m);
@@ -241,6 +270,7 @@
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	signal(SIGPIPE, SIG_IGN);
 }
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -2,6 +2,7 @@
 
 #include <stddef.h>
 
+#include "binding.h"
 #include "pw/codec/document.h"
 #include "pw/core/clock.h"
 
@@ -66,7 +67,6 @@
 	  FIELD(upstream_user) },
 	{ .ops = &pw_setting_string,
 	  .variable = "PW_UPSTREAM_PASSWORD",
-	  .fallback = "",
 	  .help = "password of upstream connections",
 	  FIELD(upstream_password) },
 	{ .ops = &pw_setting_string,
@@ -77,7 +77,6 @@
 	  FIELD(control_user) },
 	{ .ops = &pw_setting_string,
 	  .variable = "PW_CONTROL_PASSWORD",
-	  .fallback = "",
 	  .help = "password of control connections",
 	  FIELD(control_password) },
 	{ .ops = &pw_setting_string,
@@ -100,6 +99,31 @@
 	  .variable = "PW_TLS_REQUIRED",
 	  .help = "refuse callers without TLS",
 	  FIELD(tls_required) },
+	{ .ops = &pw_setting_choice,
+	  .flag = "binding",
+	  .variable = "PW_BINDING",
+	  .fallback = "postgresql",
+	  .help = "environment that the proxy runs in: protocols, store, catalogue",
+	  .choices = pw_binding_words,
+	  FIELD(binding) },
+	{ .ops = &pw_setting_address,
+	  .flag = "promoter",
+	  .variable = "PW_PROMOTER",
+	  .help = "address that orders to promote a server go to, with a binding that has one",
+	  FIELD(promoter_address) },
+	{ .ops = &pw_setting_string,
+	  .flag = "zone-regions",
+	  .variable = "PW_ZONE_REGIONS",
+	  .help = "regions of the availability zones as ZONE=REGION, separated by commas",
+	  FIELD(zone_regions) },
+	{ .ops = &pw_setting_u32,
+	  .flag = "gateway-tasks",
+	  .variable = "PW_GATEWAY_TASKS",
+	  .fallback = "1",
+	  .help = "tasks that serve callers and servers, with a binding that has them",
+	  .min = 1,
+	  .max = TASKS_MAX,
+	  FIELD(gateway_tasks) },
 	{ .ops = &pw_setting_u32,
 	  .flag = "front-tasks",
 	  .variable = "PW_FRONT_TASKS",
@@ -156,11 +180,26 @@
 				"letter or digit");
 }
 
+/* Servers of the PostgreSQL protocol ask for a password. */
+static void check_passwords(const struct pw_process_settings *s, struct pw_findings *f)
+{
+	if (pw_bindings[s->binding]->server)
+		return;
+	if (!s->upstream_password)
+		pw_findings_add(f, "PW_UPSTREAM_PASSWORD", "must not be empty");
+	if (!s->control_password)
+		pw_findings_add(f, "PW_CONTROL_PASSWORD", "must not be empty");
+}
+
 void pw_process_settings_check(const struct pw_process_settings *s, struct pw_findings *f)
 {
 	check_name(s->name, "--name", f);
 	check_name(s->availability_zone, "--availability-zone", f);
 	check_name(s->service, "--service", f);
+	check_passwords(s, f);
+	if (pw_bindings[s->binding]->promoter_new && !s->promoter_address)
+		pw_findings_add(f, "--promoter", "missing; the binding \"%s\" needs it",
+				pw_bindings[s->binding]->name);
 	if (s->tls_certificate && !s->tls_key)
 		pw_findings_add(f, "--tls-key", "missing; --tls-certificate needs it");
 	if (s->tls_key && !s->tls_certificate)
--- /dev/null
+++ b/daemon/traffic/gateway.c
@@ -0,0 +1,326 @@
+#include "gateway_private.h"
+
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "front.h"
+#include "pw/core/error.h"
+#include "pw/core/event.h"
+#include "request.h"
+
+/* Connections taken in one round, so that a burst of connects does not delay statements. */
+#define ACCEPTS_PER_ROUND 32
+/* Sessions of one VM; descriptors for servers, the store and other VMs have to remain. */
+#define SESSIONS_MAX 3500
+
+void gateway_discard(struct gateway *g, void *memory)
+{
+	g_ptr_array_add(g->trash, memory);
+}
+
+void gateway_discard_server(struct gateway *g, struct server *s)
+{
+	g_ptr_array_add(g->gone, s);
+}
+
+bool gateway_is_permitted(struct gateway *g)
+{
+	return pw_permit_holds(g->permit_until_us, pw_loop_refresh_us(g->task.loop));
+}
+
+/* Newest record whose marks are in force here. */
+static int64_t settled_revision(struct gateway *g)
+{
+	GHashTableIter it;
+	gpointer item;
+
+	g_hash_table_iter_init(&it, g->groups);
+	while (g_hash_table_iter_next(&it, NULL, &item)) {
+		const struct group *group = item;
+
+		if (group->changing && !group->settled)
+			return g->settled_revision;
+	}
+	if (g->primaries)
+		g->settled_revision = g->primaries->revision;
+	return g->settled_revision;
+}
+
+void gateway_report(struct gateway *g)
+{
+	struct pw_traffic_report *r = pw_traffic_report_new(g->index);
+	GHashTableIter it;
+	gpointer item;
+
+	r->settled_revision = settled_revision(g);
+	g_hash_table_iter_init(&it, g->accounts);
+	while (g_hash_table_iter_next(&it, NULL, &item)) {
+		struct account *a = item;
+		struct pw_account_arrivals x = { .arrivals = a->arrivals };
+
+		if (!a->arrivals)
+			continue;
+		x.account = g_strdup(a->name);
+		a->arrivals = 0;
+		g_array_append_val(r->arrivals, x);
+	}
+	g_hash_table_iter_init(&it, g->groups);
+	while (g_hash_table_iter_next(&it, NULL, &item)) {
+		const struct group *group = item;
+		struct pw_primary_contact x = {
+			.generation = group->generation,
+			.reached_us = group->reached_us,
+			.lost_since_us = group->lost_since_us,
+		};
+
+		x.group = g_strdup(group->name);
+		g_array_append_val(r->contacts, x);
+	}
+	g->next_report_us = gateway_now_us(g) + GATEWAY_REPORT_US;
+	pw_mailbox_send(g->directory->cluster, &r->base);
+}
+
+static void for_each_session(struct gateway *g, void (*action)(struct session *s))
+{
+	GList *sessions = g_hash_table_get_keys(g->sessions);
+
+	for (GList *l = sessions; l; l = l->next) {
+		struct session *s = l->data;
+
+		if (!s->closed)
+			action(s);
+	}
+	g_list_free(sessions);
+}
+
+static void finish_when_drained(struct gateway *g)
+{
+	struct pw_msg *m;
+
+	if (!g->stopping || g->drained || g_hash_table_size(g->sessions))
+		return;
+	g->drained = true;
+	m = g_new0(struct pw_msg, 1);
+	m->ops = &pw_front_drained_ops;
+	pw_mailbox_send(g->directory->stopper, m);
+}
+
+static void drain_expire(struct pw_timer *t, uint64_t now_us)
+{
+	struct gateway *g = (struct gateway *)((char *)t - offsetof(struct gateway, drain_timer));
+
+	(void)now_us;
+	for_each_session(g, gw_session_close);
+	finish_when_drained(g);
+}
+
+static const struct pw_timer_ops drain_timer_ops = { .expire = drain_expire };
+
+static void start_drain(struct gateway *g)
+{
+	if (g->stopping)
+		return;
+	g->stopping = true;
+	pw_loop_unwatch(g->task.loop, &g->listener);
+	close(g->listener.fd);
+	g->listener.fd = -1;
+	pw_loop_timer_set(g->task.loop, &g->drain_timer,
+			  gateway_now_us(g) + g->directory->settings->drain_timeout_us);
+	for_each_session(g, gw_session_drain);
+	finish_when_drained(g);
+}
+
+static void free_trash(struct gateway *g)
+{
+	g_ptr_array_set_size(g->trash, 0);
+	for (guint i = 0; i < g->gone->len; i++)
+		gw_group_server_free(g_ptr_array_index(g->gone, i));
+	g_ptr_array_set_size(g->gone, 0);
+}
+
+static void tick(struct pw_timer *t, uint64_t now_us)
+{
+	struct gateway *g = (struct gateway *)((char *)t - offsetof(struct gateway, tick));
+	GHashTableIter it;
+	gpointer item;
+
+	pw_loop_timer_set(g->task.loop, t, now_us + GATEWAY_TICK_US);
+	free_trash(g);
+	g_hash_table_iter_init(&it, g->groups);
+	while (g_hash_table_iter_next(&it, NULL, &item))
+		gw_group_tick(item);
+	if (now_us >= g->next_report_us)
+		gateway_report(g);
+	if (g->stopping) {
+		for_each_session(g, gw_session_drain);
+		finish_when_drained(g);
+	}
+}
+
+static const struct pw_timer_ops tick_ops = { .expire = tick };
+
+static void listener_ready(struct pw_source *s, uint32_t events)
+{
+	struct gateway *g = (struct gateway *)((char *)s - offsetof(struct gateway, listener));
+
+	(void)events;
+	for (int32_t i = 0; i < ACCEPTS_PER_ROUND; i++) {
+		int32_t fd = accept4(s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (fd < 0)
+			return;
+		if (g_hash_table_size(g->sessions) < SESSIONS_MAX) {
+			gw_session_accept(g, fd);
+		} else {
+			pw_counter_inc(PW_COUNTER_REFUSED_LIMIT);
+			close(fd);
+		}
+	}
+}
+
+static const struct pw_source_ops listener_ops = { .ready = listener_ready };
+
+static void take_catalog(struct gateway *g, const struct pw_catalog_msg *m)
+{
+	pw_catalog_unref(g->catalog);
+	g->catalog = pw_catalog_ref(m->catalog);
+	for (guint i = 0; i < g->catalog->groups->len; i++) {
+		const struct pw_catalog_group *c = g_ptr_array_index(g->catalog->groups, i);
+
+		gw_group_get(g, c->name)->connection_limit = c->connection_limit;
+	}
+	for_each_session(g, gw_session_check_key);
+}
+
+static void take_primaries(struct gateway *g, const struct pw_primaries_msg *m)
+{
+	bool changed = m->primaries && m->primaries != g->primaries;
+	bool regained = !pw_permit_holds(g->permit_until_us, gateway_now_us(g));
+	GHashTableIter it;
+	gpointer item;
+
+	g->permit_until_us = m->permit_until_us;
+	g->member_count = m->member_count;
+	if (changed) {
+		pw_primaries_unref(g->primaries);
+		g->primaries = pw_primaries_ref(m->primaries);
+		gw_group_take_primaries(g);
+		gateway_report(g);
+	} else if (regained) {
+		g_hash_table_iter_init(&it, g->groups);
+		while (g_hash_table_iter_next(&it, NULL, &item))
+			gw_work_pump(item);
+	}
+}
+
+static void gateway_receive(struct pw_task *t, struct pw_msg *m)
+{
+	struct gateway *g = (struct gateway *)t;
+
+	if (m->ops == &pw_catalog_msg_ops) {
+		take_catalog(g, (struct pw_catalog_msg *)m);
+	} else if (m->ops == &pw_servers_msg_ops) {
+		pw_server_list_unref(g->servers);
+		g->servers = pw_server_list_ref(((struct pw_servers_msg *)m)->servers);
+		gw_group_take_servers(g);
+	} else if (m->ops == &pw_primaries_msg_ops) {
+		take_primaries(g, (struct pw_primaries_msg *)m);
+	} else if (m->ops == &pw_shares_msg_ops) {
+		gw_account_take_shares(g, ((struct pw_shares_msg *)m)->shares);
+	} else if (m->ops == &pw_drain_ops) {
+		start_drain(g);
+	}
+	pw_msg_free(m);
+}
+
+static int gateway_start(struct pw_task *t)
+{
+	struct gateway *g = (struct gateway *)t;
+	const struct pw_task_args *args = t->args;
+	int rc;
+
+	g->directory = args->directory;
+	g->index = args->index;
+	g->caller = g->directory->binding->caller;
+	g->dialect = g->directory->binding->server;
+	g->member_count = 1;
+	g->listener.ops = &listener_ops;
+	g->listener.fd = -1;
+	g->tick.ops = &tick_ops;
+	g->drain_timer.ops = &drain_timer_ops;
+	rc = pw_stream_listen(&g->listener.fd, g->directory->settings->caller_address);
+	if (!rc)
+		rc = pw_loop_watch(t->loop, &g->listener, EPOLLIN);
+	if (rc) {
+		if (g->listener.fd >= 0)
+			close(g->listener.fd);
+		return rc;
+	}
+	g->sessions = g_hash_table_new(NULL, NULL);
+	g->groups = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, gw_group_free);
+	g->accounts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, gw_account_free);
+	g->trash = g_ptr_array_new_with_free_func(g_free);
+	g->gone = g_ptr_array_new();
+	pw_loop_timer_set(t->loop, &g->tick, gateway_now_us(g) + GATEWAY_TICK_US);
+	pw_mailbox_send(g->directory->catalog, pw_catalog_ask_msg(t->inbox));
+	pw_event_log(PW_EVENT_LISTENING, "task=gateway index=%u address=%s", g->index,
+		     g->directory->settings->caller_address);
+	return PW_OK;
+}
+
+static bool is_open(const struct conn *c)
+{
+	return !c->closed;
+}
+
+static void close_conns(struct gateway *g)
+{
+	GHashTableIter it;
+	gpointer item;
+
+	g_hash_table_iter_init(&it, g->groups);
+	while (g_hash_table_iter_next(&it, NULL, &item)) {
+		struct group *group = item;
+
+		group->pumping = true;
+		for (guint i = 0; i < group->servers->len; i++) {
+			struct server *s = g_ptr_array_index(group->servers, i);
+
+			while (s->conns->len && is_open(g_ptr_array_index(s->conns, 0)))
+				gw_conn_fail(g_ptr_array_index(s->conns, 0), "the process stops");
+		}
+	}
+}
+
+static void gateway_stop(struct pw_task *t)
+{
+	struct gateway *g = (struct gateway *)t;
+
+	g->stopping = false;
+	for_each_session(g, gw_session_close);
+	close_conns(g);
+	pw_loop_timer_clear(t->loop, &g->tick);
+	pw_loop_timer_clear(t->loop, &g->drain_timer);
+	if (g->listener.fd >= 0) {
+		pw_loop_unwatch(t->loop, &g->listener);
+		close(g->listener.fd);
+	}
+	g_hash_table_unref(g->sessions);
+	g_hash_table_unref(g->groups);
+	g_hash_table_unref(g->accounts);
+	free_trash(g);
+	g_ptr_array_unref(g->trash);
+	g_ptr_array_unref(g->gone);
+	pw_catalog_unref(g->catalog);
+	pw_server_list_unref(g->servers);
+	pw_primaries_unref(g->primaries);
+}
+
+const struct pw_task_ops pw_gateway_ops = {
+	.name = "gateway",
+	.size_bytes = sizeof(struct gateway),
+	.start = gateway_start,
+	.receive = gateway_receive,
+	.stop = gateway_stop,
+};
--- /dev/null
+++ b/daemon/traffic/gateway_account.c
@@ -0,0 +1,55 @@
+#include "gateway_private.h"
+
+struct account *gw_account_get(struct gateway *g, const char *name)
+{
+	struct account *a = g_hash_table_lookup(g->accounts, name);
+
+	if (!a) {
+		a = g_new0(struct account, 1);
+		a->name = g_strdup(name);
+		g_hash_table_insert(g->accounts, a->name, a);
+	}
+	return a;
+}
+
+void gw_account_free(gpointer data)
+{
+	struct account *a = data;
+
+	g_free(a->name);
+	g_free(a);
+}
+
+/* Time after which a caller is asked to come back when nothing better is known. */
+#define ADMIT_WAIT_US (200 * PW_US_PER_MS)
+
+bool gw_account_admit(struct gateway *g, struct account *a, uint64_t *wait_us)
+{
+	uint64_t now = gateway_now_us(g);
+
+	a->arrivals++;
+	*wait_us = ADMIT_WAIT_US;
+	if (!a->has_share)
+		return false;
+	if (pw_tokens_take(&a->tokens, &a->share, now))
+		return true;
+	*wait_us = pw_tokens_wait_us(&a->tokens, &a->share);
+	return false;
+}
+
+void gw_account_take_shares(struct gateway *g, const GArray *shares)
+{
+	for (guint i = 0; i < shares->len; i++) {
+		const struct pw_account_share *s =
+			&g_array_index(shares, struct pw_account_share, i);
+		struct account *a = gw_account_get(g, s->account);
+
+		a->share = s->share;
+		/* Each gateway task of the VM gets an equal part. */
+		a->share.rate_per_s /= g->directory->gateway_count;
+		a->share.burst /= g->directory->gateway_count;
+		if (!a->has_share)
+			pw_tokens_init(&a->tokens, &a->share, gateway_now_us(g));
+		a->has_share = true;
+	}
+}
--- /dev/null
+++ b/daemon/traffic/gateway_work.c
@@ -0,0 +1,418 @@
+#include "gateway_private.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+/* Time after which a caller is asked to come back when a server is full. */
+#define RETRY_BUSY_MS 100
+/* The same while a primary is lost or being changed: about the time of a change. */
+#define RETRY_CHANGE_MS 1000
+
+static struct gateway *gateway_of(const struct work *w)
+{
+	return w->group->gateway;
+}
+
+static bool is_commit(const struct pw_statement_call *call)
+{
+	return call->verb == PW_VERB_COMMIT;
+}
+
+struct work *gw_work_new(struct session *s, struct pw_statement_call *call)
+{
+	struct work *w = g_new0(struct work, 1);
+	bool single = s->transaction == TRANSACTION_NONE;
+
+	w->session = s;
+	w->account = s->account;
+	w->operation = s->operation;
+	w->group = s->operation.group;
+	w->call = call;
+	w->link.data = w;
+	if (call->verb == PW_VERB_EXECUTE)
+		w->prepared = g_hash_table_lookup(s->prepared, call->name);
+	w->begins = s->transaction == TRANSACTION_BEGUN;
+	w->ends = is_commit(call);
+	w->writes = single &&
+		    (call->verb == PW_VERB_WRITE || (w->prepared && w->prepared->writes));
+	w->primary = w->operation.consistency == PW_CONSISTENCY_PRIMARY || w->writes ||
+		     (!single && !s->read_only);
+	w->arrived_us = pw_loop_refresh_us(s->gateway->task.loop);
+	w->wait_until_us =
+		w->arrived_us + MAX(w->operation.target_us / WAIT_TARGET_PART, WAIT_MIN_US);
+	w->state = WORK_RUNNING;
+	return w;
+}
+
+static void free_work(struct work *w)
+{
+	struct gateway *g = gateway_of(w);
+
+	pw_loop_timer_clear(g->task.loop, &w->timer);
+	if (w->state == WORK_WAITING)
+		g_queue_unlink(&w->group->waiting, &w->link);
+	if (w->answer)
+		g_byte_array_unref(w->answer);
+	pw_statement_call_free(w->call);
+	g_free(w->signature);
+	g_free(w->error);
+	/* It may be the one that a loop over the queue is at. */
+	gateway_discard(g, w);
+}
+
+/* Sends the answer to the caller, if it is still there, and forgets the statement. */
+static void answer(struct work *w, const struct pw_position *at)
+{
+	struct session *s = w->session;
+
+	w->session = NULL;
+	if (s)
+		gw_session_answered(s, w, at);
+	free_work(w);
+}
+
+static enum pw_counter refusal_counter(const struct work *w, enum pw_reason reason)
+{
+	switch (reason) {
+	case PW_REASON_OUTCOME_UNKNOWN:
+	case PW_REASON_TIMEOUT:
+		return PW_COUNTER_OUTCOME_UNKNOWN;
+	case PW_REASON_BUSY:
+		return w->primary ? PW_COUNTER_REFUSED_NO_PRIMARY : PW_COUNTER_REFUSED_DEADLINE;
+	default:
+		return PW_COUNTER_REFUSED_NO_PRIMARY;
+	}
+}
+
+void gw_work_refuse(struct work *w, enum pw_reason reason, const char *text)
+{
+	pw_counter_inc(refusal_counter(w, reason));
+	w->reason = reason;
+	g_free(w->error);
+	w->error = g_strdup(text);
+	answer(w, NULL);
+}
+
+/* No server could take the statement in time: nothing of it has run. */
+static void refuse_waiting(struct work *w)
+{
+	const struct group *g = w->group;
+	bool lost = w->primary && (g->changing || !g->primary || g->lost_since_us);
+	char text[96];
+
+	g_snprintf(text, sizeof(text), "retry_after_ms=%d %s",
+		   lost ? RETRY_CHANGE_MS : RETRY_BUSY_MS,
+		   lost ? "the primary is being changed" : "no server could take the statement");
+	/* The transaction has not begun at any server, so the caller's is over. */
+	if (w->session && w->begins)
+		w->session->transaction = TRANSACTION_LOST;
+	gw_work_refuse(w, w->begins ? PW_REASON_ABORTED : PW_REASON_BUSY, text);
+}
+
+static void wait_expire(struct pw_timer *t, uint64_t now_us)
+{
+	struct work *w = (struct work *)((char *)t - offsetof(struct work, timer));
+
+	(void)now_us;
+	if (w->state == WORK_WAITING)
+		refuse_waiting(w);
+}
+
+static const struct pw_timer_ops wait_timer_ops = { .expire = wait_expire };
+
+static void wait(struct work *w)
+{
+	struct gateway *g = gateway_of(w);
+
+	w->state = WORK_WAITING;
+	w->timer.ops = &wait_timer_ops;
+	g_queue_push_tail_link(&w->group->waiting, &w->link);
+	pw_loop_timer_set(g->task.loop, &w->timer, w->wait_until_us);
+}
+
+/* Hands the statement to a server if one can take it. */
+static bool try_place(struct work *w)
+{
+	struct server *s = gw_group_place(w);
+
+	if (!s)
+		return false;
+	if (w->state == WORK_WAITING)
+		g_queue_unlink(&w->group->waiting, &w->link);
+	w->state = WORK_RUNNING;
+	pw_loop_timer_clear(gateway_of(w)->task.loop, &w->timer);
+	gw_conn_take(s, w);
+	return true;
+}
+
+void gw_work_start(struct work *w)
+{
+	if (w->session->conn) {
+		gw_conn_continue(w->session->conn, w);
+		return;
+	}
+	if (!try_place(w))
+		wait(w);
+}
+
+/* Order of waiting statements: the operation's priority, then the account with the least running. */
+static struct work *next_waiting(struct group *g, GHashTable *tried)
+{
+	struct work *best = NULL;
+
+	for (GList *l = g->waiting.head; l; l = l->next) {
+		struct work *w = l->data;
+
+		if (g_hash_table_contains(tried, w))
+			continue;
+		if (!best || w->operation.priority < best->operation.priority ||
+		    (w->operation.priority == best->operation.priority &&
+		     w->account->running < best->account->running))
+			best = w;
+	}
+	return best;
+}
+
+static void pump_once(struct group *g)
+{
+	GHashTable *tried = g_hash_table_new(NULL, NULL);
+	struct work *w;
+
+	while ((w = next_waiting(g, tried))) {
+		g_hash_table_add(tried, w);
+		(void)try_place(w);
+	}
+	g_hash_table_unref(tried);
+}
+
+void gw_work_pump(struct group *g)
+{
+	g->pump_again = true;
+	if (g->pumping)
+		return;
+	g->pumping = true;
+	while (g->pump_again && g->waiting.length) {
+		g->pump_again = false;
+		pump_once(g);
+	}
+	g->pumping = false;
+}
+
+/* Another attempt, as nothing of the statement has run or it may run again. */
+static void retry(struct work *w, struct server *avoid, enum pw_counter counter)
+{
+	uint64_t now = gateway_now_us(gateway_of(w));
+
+	w->conn = NULL;
+	w->reason = PW_REASON_NONE;
+	w->avoid = avoid;
+	g_clear_pointer(&w->error, g_free);
+	g_clear_pointer(&w->signature, g_free);
+	if (w->answer)
+		g_byte_array_set_size(w->answer, 0);
+	if (!w->session) {
+		free_work(w);
+		return;
+	}
+	/* A statement that was offered to a server has the rest of its time. */
+	if (w->sent)
+		w->wait_until_us = MAX(w->wait_until_us, w->arrived_us + w->operation.timeout_us);
+	w->sent = false;
+	if (++w->attempts >= ATTEMPTS_MAX || now >= w->wait_until_us) {
+		refuse_waiting(w);
+		return;
+	}
+	pw_counter_inc(counter);
+	if (!try_place(w))
+		wait(w);
+}
+
+void gw_work_abandon(struct work *w)
+{
+	w->session = NULL;
+	if (w->state == WORK_WAITING)
+		free_work(w);
+	/* Else the connection goes on until the answer is there, and is cleaned then. */
+}
+
+bool gw_work_floor(const struct work *w, struct pw_position *floor, uint64_t *seen_us)
+{
+	const struct session *s = w->session;
+	const struct group *g = w->group;
+	uint64_t now = gateway_now_us(g->gateway);
+	uint64_t age = w->operation.stale_age_us;
+
+	if (w->primary || age <= STALE_MARGIN_US || now < age ||
+	    !pw_history_floor(&g->history, now - age + STALE_MARGIN_US, floor, seen_us))
+		return false;
+	if (w->operation.consistency == PW_CONSISTENCY_SESSION && s && s->has_own &&
+	    s->own_generation == g->generation && pw_position_compare(&s->own, floor) > 0) {
+		*floor = s->own;
+		*seen_us = s->own_us;
+	}
+	return true;
+}
+
+/* The caller has gone: the connection is cleaned. */
+static void finish_orphan(struct work *w, struct conn *c, enum pw_session_state state)
+{
+	free_work(w);
+	if (state == PW_SESSION_IDLE)
+		return;
+	c->session = NULL;
+	gw_conn_roll_back(c);
+}
+
+/* What a successful answer did to the session. Changes the answer if it cannot be vouched for. */
+static void note_success(struct work *w, struct conn *c, const struct pw_position *at)
+{
+	struct session *s = w->session;
+	bool commits = w->writes || (w->ends && c->generation);
+
+	if (!commits)
+		return;
+	if (!gw_group_is_present(c)) {
+		/* The primary may have been replaced before it committed. */
+		w->reason = PW_REASON_OUTCOME_UNKNOWN;
+		w->error = g_strdup("the primary may have been replaced");
+		pw_counter_inc(PW_COUNTER_OUTCOME_UNKNOWN_TERM);
+		return;
+	}
+	pw_counter_inc(PW_COUNTER_WRITES);
+	if (!at)
+		return;
+	s->own = *at;
+	s->own_generation = w->group->generation;
+	s->own_us = gateway_now_us(gateway_of(w));
+	s->has_own = true;
+}
+
+/* Whether the server refused without running anything, so that another attempt is safe. */
+static bool was_not_run(enum pw_reason r)
+{
+	switch (r) {
+	case PW_REASON_BUSY:
+	case PW_REASON_BEHIND:
+	case PW_REASON_NOT_PRIMARY:
+	case PW_REASON_UNKNOWN_STATEMENT:
+	case PW_REASON_WRONG_SERVER:
+	case PW_REASON_CONNECTION_LIMIT:
+		return true;
+	default:
+		return false;
+	}
+}
+
+static void note_refusal(struct server *s, struct conn *c, enum pw_reason reason)
+{
+	uint64_t now = gateway_now_us(s->group->gateway);
+
+	if (reason == PW_REASON_BUSY)
+		s->pause_until_us = now + SERVER_BUSY_US;
+	else if (reason == PW_REASON_BEHIND && c->floor_seen_us)
+		pw_replica_lag_behind(&s->lag, now - c->floor_seen_us, now);
+	else if (reason == PW_REASON_NOT_PRIMARY)
+		s->pause_until_us = now + PROBE_SILENCE_US;
+	else if (reason == PW_REASON_UNKNOWN_STATEMENT)
+		c->tainted = true;
+}
+
+static void count_read(const struct work *w, const struct conn *c)
+{
+	if (w->reason != PW_REASON_NONE || w->writes || w->ends)
+		return;
+	pw_counter_inc(c->generation ? PW_COUNTER_READS_PRIMARY : PW_COUNTER_READS_REPLICA);
+}
+
+/* Ends a statement of a transaction. */
+static void finish_in_transaction(struct work *w, struct conn *c, enum pw_session_state state,
+				  const struct pw_position *at)
+{
+	struct session *s = w->session;
+
+	if (state == PW_SESSION_IN_TRANSACTION) {
+		s->transaction = TRANSACTION_ACTIVE;
+		s->conn = c;
+		c->session = s;
+	} else if (state == PW_SESSION_FAILED) {
+		/* The caller can only end it; the server need not wait for that. */
+		s->transaction = TRANSACTION_LOST;
+		s->conn = NULL;
+		c->session = NULL;
+		gw_conn_roll_back(c);
+	} else {
+		s->transaction = w->ends ? TRANSACTION_NONE : TRANSACTION_LOST;
+		s->conn = NULL;
+		c->session = NULL;
+	}
+	answer(w, at);
+}
+
+void gw_work_finished(struct work *w, struct conn *c, enum pw_session_state state,
+		   const struct pw_position *at)
+{
+	struct session *s = w->session;
+	struct server *server = c->server;
+	bool in_transaction = s && (s->transaction != TRANSACTION_NONE);
+
+	w->conn = NULL;
+	if (!s) {
+		finish_orphan(w, c, state);
+		return;
+	}
+	note_refusal(server, c, w->reason);
+	if (was_not_run(w->reason) && (!in_transaction || w->begins) && !w->ends) {
+		if (state != PW_SESSION_IDLE) {
+			c->session = NULL;
+			gw_conn_roll_back(c);
+		}
+		retry(w, server, PW_COUNTER_RETRY_REFUSED_BY_UPSTREAM);
+		return;
+	}
+	count_read(w, c);
+	if (w->reason == PW_REASON_NONE)
+		note_success(w, c, at);
+	if (in_transaction)
+		finish_in_transaction(w, c, state, at);
+	else
+		answer(w, at);
+}
+
+void gw_work_not_begun(struct work *w, enum pw_reason reason)
+{
+	struct conn *c = w->conn;
+
+	note_refusal(c->server, c, reason);
+	retry(w, c->server, PW_COUNTER_RETRY_REFUSED_BY_UPSTREAM);
+}
+
+void gw_work_conn_lost(struct work *w, const char *why)
+{
+	struct session *s = w->session;
+	struct server *server = w->conn ? w->conn->server : NULL;
+	bool in_transaction = s && s->transaction != TRANSACTION_NONE;
+
+	w->conn = NULL;
+	if (!s) {
+		free_work(w);
+		return;
+	}
+	s->conn = NULL;
+	if (!w->sent && (!in_transaction || w->begins)) {
+		retry(w, server, PW_COUNTER_RETRY_NOT_SENT);
+	} else if (!in_transaction && !w->writes) {
+		uint64_t age = gateway_now_us(gateway_of(w)) - w->arrived_us;
+
+		if (w->passed_on || age >= w->operation.timeout_us)
+			gw_work_refuse(w, PW_REASON_TIMEOUT, why);
+		else
+			retry(w, server, PW_COUNTER_RETRY_READ);
+	} else if (!in_transaction || w->ends) {
+		s->transaction = TRANSACTION_NONE;
+		gw_work_refuse(w, PW_REASON_OUTCOME_UNKNOWN, why);
+	} else {
+		/* The server rolls back what was not committed. */
+		s->transaction = TRANSACTION_LOST;
+		gw_work_refuse(w, PW_REASON_ABORTED, why);
+	}
+}
--- /dev/null
+++ b/decide/src/change.c
@@ -0,0 +1,119 @@
+#include "pw/decide/change.h"
+
+#include <stddef.h>
+
+const char *pw_change_reason_name(enum pw_change_reason r)
+{
+	static const char *const names[] = {
+		[PW_CHANGE_NONE] = "none",	 [PW_CHANGE_UNREACHABLE] = "unreachable",
+		[PW_CHANGE_GONE] = "gone",	 [PW_CHANGE_LEAVING] = "leaving",
+		[PW_CHANGE_DEMOTED] = "demoted", [PW_CHANGE_ABANDONED] = "abandoned",
+	};
+
+	return names[r];
+}
+
+/* Since when a reason holds; UINT64_MAX when it does not. */
+static uint64_t reason_since_us(const struct pw_change_view *v, enum pw_change_reason *reason)
+{
+	if (v->changing) {
+		*reason = PW_CHANGE_ABANDONED;
+		return v->record_since_us + PW_CHANGE_TAKEOVER_US;
+	}
+	if (v->votes_lost > v->votes_reached && v->lost_since_us) {
+		*reason = PW_CHANGE_UNREACHABLE;
+		return v->lost_since_us + PW_CHANGE_LOST_US;
+	}
+	if (!v->listed) {
+		*reason = PW_CHANGE_GONE;
+		return 0;
+	}
+	if (v->leaving) {
+		*reason = PW_CHANGE_LEAVING;
+		return 0;
+	}
+	if (v->demoted && v->demoted_since_us) {
+		*reason = PW_CHANGE_DEMOTED;
+		return v->demoted_since_us + PW_CHANGE_DEMOTED_US;
+	}
+	return UINT64_MAX;
+}
+
+enum pw_change_reason pw_change_due(const struct pw_change_view *v, uint64_t now_us)
+{
+	enum pw_change_reason reason = PW_CHANGE_NONE;
+	uint64_t since = reason_since_us(v, &reason);
+	uint64_t delay = v->rank * PW_CHANGE_RANK_US;
+
+	if (since == UINT64_MAX || !v->candidates)
+		return PW_CHANGE_NONE;
+	/* A record that has just changed may answer the reason. */
+	if (since < v->record_since_us)
+		since = v->record_since_us;
+	return now_us >= since + delay ? reason : PW_CHANGE_NONE;
+}
+
+static bool is_better(const struct pw_change_server *a, const struct pw_change_server *b)
+{
+	int order = pw_position_compare(&a->log, &b->log);
+
+	return order > 0 || (order == 0 && a->distance < b->distance);
+}
+
+/* A server of a greater term than all others that says it leads. */
+static bool find_leader(uint32_t *server, const struct pw_change_server *servers, uint32_t count)
+{
+	uint64_t term = 0;
+	bool found = false;
+
+	for (uint32_t i = 0; i < count; i++) {
+		if (!servers[i].reported)
+			continue;
+		if (servers[i].term > term) {
+			term = servers[i].term;
+			found = false;
+		}
+		if (servers[i].leads && servers[i].term == term && servers[i].eligible) {
+			*server = i;
+			found = true;
+		}
+	}
+	return found;
+}
+
+enum pw_change_choice pw_change_choose(uint32_t *server, const struct pw_change_server *servers,
+				       uint32_t count, uint32_t sync_replicas, bool planned,
+				       bool hurry)
+{
+	const struct pw_change_server *best = NULL, *old = NULL;
+	uint32_t replicas = 0, reports = 0;
+
+	if (find_leader(server, servers, count))
+		return PW_CHANGE_ADOPT;
+	for (uint32_t i = 0; i < count; i++) {
+		const struct pw_change_server *s = &servers[i];
+
+		if (s->primary) {
+			old = s;
+		} else {
+			replicas++;
+			reports += s->reported;
+		}
+		if (s->eligible && s->reported && (!best || is_better(s, best))) {
+			best = s;
+			*server = i;
+		}
+	}
+	if (!best)
+		return PW_CHANGE_WAIT;
+	/* A commit that `sync` replicas have is in one of any replicas - sync + 1. */
+	if (sync_replicas && reports + sync_replicas <= replicas)
+		return PW_CHANGE_WAIT;
+	if (hurry)
+		return PW_CHANGE_PROMOTE;
+	if (reports < replicas)
+		return PW_CHANGE_WAIT;
+	if (planned && (!old || !old->reported || pw_position_compare(&best->log, &old->log) < 0))
+		return PW_CHANGE_WAIT;
+	return PW_CHANGE_PROMOTE;
+}
--- /dev/null
+++ b/decide/src/place.c
@@ -0,0 +1,75 @@
+#include "pw/decide/place.h"
+
+static uint64_t cost_us(const struct pw_place_server *s)
+{
+	uint64_t cost = s->latency_us * (1 + s->running);
+
+	if (!s->has_idle)
+		cost += PW_PLACE_OPEN_COST_US;
+	if (s->primary)
+		cost += PW_PLACE_PRIMARY_COST_US;
+	if (s->distance == PW_DISTANCE_REMOTE)
+		cost += PW_PLACE_REMOTE_COST_US;
+	return cost;
+}
+
+int32_t pw_place_read(const struct pw_place_server *servers, uint32_t count)
+{
+	int32_t best = -1;
+	uint64_t best_us = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		const struct pw_place_server *s = &servers[i];
+		uint64_t cost;
+
+		if (!s->usable || !s->caught_up || (!s->has_idle && !s->can_open))
+			continue;
+		cost = cost_us(s);
+		if (best < 0 || cost < best_us) {
+			best = (int32_t)i;
+			best_us = cost;
+		}
+	}
+	return best;
+}
+
+uint64_t pw_latency_add(uint64_t average_us, uint64_t measured_us)
+{
+	return average_us ? average_us - average_us / 8 + measured_us / 8 : measured_us;
+}
+
+/* Without news, the lag that is assumed halves in this time, so that a replica is tried again. */
+#define LAG_HALF_LIFE_US UINT64_C(300000)
+
+static uint64_t decayed(const struct pw_replica_lag *l, uint64_t now_us)
+{
+	uint64_t halves = now_us > l->noted_us ? (now_us - l->noted_us) / LAG_HALF_LIFE_US : 0;
+
+	return halves < 32 ? l->lag_us >> halves : 0;
+}
+
+void pw_replica_lag_served(struct pw_replica_lag *l, uint64_t age_us, uint64_t now_us)
+{
+	uint64_t lag = decayed(l, now_us);
+
+	if (age_us >= lag)
+		return;
+	l->lag_us = age_us;
+	l->noted_us = now_us;
+}
+
+void pw_replica_lag_behind(struct pw_replica_lag *l, uint64_t age_us, uint64_t now_us)
+{
+	uint64_t lag = decayed(l, now_us);
+
+	/* It lacks a position of this age; the next one that it is tried with is twice as old. */
+	if (age_us * 2 > lag)
+		lag = age_us * 2;
+	l->lag_us = lag;
+	l->noted_us = now_us;
+}
+
+bool pw_replica_lag_covers(const struct pw_replica_lag *l, uint64_t age_us, uint64_t now_us)
+{
+	return age_us >= decayed(l, now_us);
+}
--- /dev/null
+++ b/decide/src/registry.c
@@ -0,0 +1,12 @@
+#include "pw/decide/registry.h"
+
+bool pw_registry_keep(struct pw_registry_mark *m, bool listed, uint64_t now_us)
+{
+	if (listed) {
+		m->missing_since_us = 0;
+		return true;
+	}
+	if (!m->missing_since_us)
+		m->missing_since_us = now_us;
+	return now_us - m->missing_since_us < PW_REGISTRY_MISSING_US;
+}
--- a/store/include/pw/store/store.h
+++ b/store/include/pw/store/store.h
@@ -45,6 +45,7 @@
 		*after;   /**< with a prefix: only keys above this one; NULL reads from the start */
 	uint32_t limit;   /**< greatest number of keys; 0 for no limit */
 	int64_t revision; /**< reads the keys as they were at this revision; 0 for the newest */
+	bool stale;       /**< an answer that lacks the newest changes will do; it costs less */
 };
 
 enum pw_store_target {
--- a/store/src/json.c
+++ b/store/src/json.c
@@ -73,6 +73,8 @@
 		json_object_set_new(j, "limit", int64_json(req->limit));
 	if (req->revision)
 		json_object_set_new(j, "revision", int64_json(req->revision));
+	if (req->stale)
+		json_object_set_new(j, "serializable", json_true());
 	return dump(j);
 }
 
