--- a/codec/include/pw/codec/dialect.h
+++ b/codec/include/pw/codec/dialect.h
@@ -37,6 +37,9 @@
 	PW_REASON_COUNT
 };
 
+/** @return name for the log */
+const char *pw_reason_name(enum pw_reason r);
+
 /** State of a session after an answer. */
 enum pw_session_state {
 	PW_SESSION_IDLE,
--- a/codec/src/dialect.c
+++ b/codec/src/dialect.c
@@ -1,5 +1,29 @@
 #include "pw/codec/dialect.h"
 
+const char *pw_reason_name(enum pw_reason r)
+{
+	static const char *const names[PW_REASON_COUNT] = {
+		[PW_REASON_NONE] = "none",
+		[PW_REASON_BUSY] = "busy",
+		[PW_REASON_ABORTED] = "aborted",
+		[PW_REASON_BEHIND] = "behind",
+		[PW_REASON_NOT_PRIMARY] = "not_primary",
+		[PW_REASON_WRONG_SERVER] = "wrong_server",
+		[PW_REASON_CONNECTION_LIMIT] = "connection_limit",
+		[PW_REASON_UNKNOWN_STATEMENT] = "unknown_statement",
+		[PW_REASON_FAILED] = "failed",
+		[PW_REASON_TIMEOUT] = "timeout",
+		[PW_REASON_OUTCOME_UNKNOWN] = "outcome_unknown",
+		[PW_REASON_BAD_KEY] = "bad_key",
+		[PW_REASON_NO_DATABASE] = "no_database",
+		[PW_REASON_TOO_LARGE] = "too_large",
+		[PW_REASON_MALFORMED] = "malformed",
+		[PW_REASON_OTHER] = "other",
+	};
+
+	return names[r];
+}
+
 void pw_statement_call_free(struct pw_statement_call *s)
 {
 	if (!s)
--- a/core/include/pw/core/event.h
+++ b/core/include/pw/core/event.h
@@ -6,8 +6,15 @@
 #define PW_CORE_EVENT_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
+/**
+ * Lines of one event in one second. A line costs about 20 us, so that all events of a flood of
+ * refusals together stay below a thousandth of a core.
+ */
+#define PW_EVENT_LINES_PER_SECOND 40
+
 /** The events: identifier, number, level of GLib, name in the log. */
 #define PW_EVENTS(X)                                                          \
 	X(STARTED, 1001, G_LOG_LEVEL_MESSAGE, "started")                      \
@@ -45,6 +52,8 @@
 	X(PROMOTE_ORDERED, 4014, G_LOG_LEVEL_MESSAGE, "promote_ordered")      \
 	X(PROMOTE_ANSWERED, 4015, G_LOG_LEVEL_MESSAGE, "promote_answered")    \
 	X(SERVER_GONE, 4020, G_LOG_LEVEL_WARNING, "server_gone")              \
+	X(REQUEST_REFUSED, 4030, G_LOG_LEVEL_INFO, "request_refused")         \
+	X(REQUEST_RETRIED, 4031, G_LOG_LEVEL_INFO, "request_retried")         \
 	X(KEY_WITHDRAWN, 5001, G_LOG_LEVEL_MESSAGE, "key_withdrawn")          \
 	X(ISOLATED, 5002, G_LOG_LEVEL_WARNING, "isolated")                    \
 	X(ADMIN_CHANGE, 6001, G_LOG_LEVEL_MESSAGE, "admin_change")
@@ -67,8 +76,15 @@
 /** Sends GLib's structured logs to standard error, one line an event, from `level` upwards. */
 void pw_event_log_init(GLogLevelFlags level);
 
+/** @return whether events of this kind are logged; saves the work for their fields */
+bool pw_event_is_logged(enum pw_event e);
+
+/** @return lines that were dropped because the reader of the log did not take them */
+uint64_t pw_event_unwritten(void);
+
 /**
- * Logs an event.
+ * Logs an event. It never waits for the reader of the log. At most PW_EVENT_LINES_PER_SECOND lines
+ * of one event are written; the next one says in `left_out` how many are missing before it.
  *
  * @param format printf format of the fields as `name=value` pairs; control characters in the
  *               result are replaced, so that input of callers cannot forge a line
--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -498,15 +498,20 @@
 
 static const struct pw_timer_ops timer_ops = { .expire = conn_expire };
 
-/* Connections of the server that this VM may have. */
-static uint32_t limit(const struct server *s)
+/* Connections of the server that are this VM's part; may be 0. */
+static uint32_t share(const struct server *s)
 {
 	const struct group *g = s->group;
 	uint32_t spare = MIN(CONNECTIONS_SPARE, g->connection_limit / 4);
-	uint32_t share = (g->connection_limit - spare) / MAX(g->gateway->member_count, 1) /
-			 g->gateway->directory->gateway_count;
 
-	return MAX(share, 1);
+	return (g->connection_limit - spare) / MAX(g->gateway->member_count, 1) /
+	       g->gateway->directory->gateway_count;
+}
+
+/* Connections of the server that this VM may have. */
+static uint32_t limit(const struct server *s)
+{
+	return MAX(share(s) * CONN_OVERCOMMIT, CONN_OVERCOMMIT);
 }
 
 /* The connection of the account that needs the least to be prepared; NULL if none is idle. */
@@ -612,7 +617,9 @@
 	for (guint i = s->conns->len; i-- > 0;) {
 		struct conn *c = g_ptr_array_index(s->conns, i);
 
-		if (c->state == CONN_IDLE && (all || now - c->idle_since_us > CONN_IDLE_US))
+		uint64_t limit_us = s->conns->len > share(s) ? CONN_IDLE_EXTRA_US : CONN_IDLE_US;
+
+		if (c->state == CONN_IDLE && (all || now - c->idle_since_us > limit_us))
 			drop(c);
 	}
 }
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -49,8 +49,15 @@
 #define CONN_OPEN_LIMIT_US (600 * PW_US_PER_MS)
 /* Time for a rollback, and for statements that prepare a connection. */
 #define CONN_CLEANUP_LIMIT_US (1500 * PW_US_PER_MS)
-/* Idle connections to servers are closed after this time. */
+/* Idle connections within this VM's share of a server are closed after this time. */
 #define CONN_IDLE_US (20 * PW_US_PER_S)
+/* Those beyond the share are kept for the next statement of a busy account only. */
+#define CONN_IDLE_EXTRA_US (150 * PW_US_PER_MS)
+/*
+ * A VM may have so many times its share of a server's connections while it needs them: all VMs
+ * seldom do at once, and the server refuses what is too much.
+ */
+#define CONN_OVERCOMMIT 3
 /* Pause after a failed connect; doubles up to the greatest. */
 #define SERVER_BACKOFF_FIRST_US (50 * PW_US_PER_MS)
 #define SERVER_BACKOFF_MAX_US   (1 * PW_US_PER_S)
@@ -118,8 +125,8 @@
 	TRANSACTION_NONE,
 	TRANSACTION_BEGUN,  /**< accepted; no server has been asked */
 	TRANSACTION_ACTIVE, /**< open on `conn` */
-	TRANSACTION_FAILED, /**< open on `conn`, and can only be ended */
-	TRANSACTION_LOST,   /**< rolled back; the caller has to end it */
+	TRANSACTION_LOST,   /**< rolled back; the caller was told and has to end it */
+	TRANSACTION_ENDED,  /**< rolled back; the caller was not told yet */
 };
 
 /* What the route of an operation said when it began. */
@@ -153,6 +160,7 @@
 	struct operation operation;
 	struct conn *conn;
 	struct work *work;
+	const char *statement_id; /**< of the statement that is being looked at, for the log */
 	struct pw_position own; /**< end of the log after the session's last commit */
 	uint64_t own_generation;
 	uint64_t own_us;
--- a/daemon/traffic/gateway_session.c
+++ b/daemon/traffic/gateway_session.c
@@ -101,8 +101,18 @@
 
 static void answer_error(struct session *s, enum pw_reason reason, const char *text)
 {
-	GByteArray *b = g_byte_array_new();
+	GByteArray *b;
+
+	if (pw_event_is_logged(PW_EVENT_REQUEST_REFUSED))
+		pw_event_log(PW_EVENT_REQUEST_REFUSED,
+			     "id=%s account=%s database=%s reason=%s text=\"%s\" rate=%.1f "
+			     "burst=%.1f contended=%d",
+			     s->statement_id, s->account ? s->account->name : "", s->database,
+			     pw_reason_name(reason), text, s->account ? s->account->share.rate_per_s : 0,
+			     s->account ? s->account->share.burst : 0,
+			     s->account && s->account->share.contended);
 
+	b = g_byte_array_new();
 	dialect(s)->put_error(b, reason, text);
 	dialect(s)->put_ready(b, told_state(s), NULL);
 	send_bytes(s, b);
@@ -303,6 +313,17 @@
 	answer_done(s);
 }
 
+/* Answers a statement of a transaction that was rolled back. */
+static void answer_rolled_back(struct session *s, enum pw_verb verb)
+{
+	bool told = s->transaction == TRANSACTION_LOST;
+	bool commit = verb == PW_VERB_COMMIT;
+
+	s->transaction = commit ? TRANSACTION_NONE : TRANSACTION_LOST;
+	answer_error(s, told && !commit ? PW_REASON_MALFORMED : PW_REASON_ABORTED,
+		     "the transaction was rolled back");
+}
+
 /* Returns false after an error, which has been sent. */
 static bool check_forward(struct session *s, const struct pw_statement_call *call)
 {
@@ -315,13 +336,8 @@
 		answer_error(s, PW_REASON_UNKNOWN_STATEMENT, "no prepared statement of that name");
 		return false;
 	}
-	if (s->transaction == TRANSACTION_LOST) {
-		bool commit = call->verb == PW_VERB_COMMIT;
-
-		if (commit)
-			s->transaction = TRANSACTION_NONE;
-		answer_error(s, commit ? PW_REASON_ABORTED : PW_REASON_MALFORMED,
-			     "the transaction was rolled back");
+	if (s->transaction == TRANSACTION_LOST || s->transaction == TRANSACTION_ENDED) {
+		answer_rolled_back(s, call->verb);
 		return false;
 	}
 	if (s->transaction == TRANSACTION_NONE)
@@ -362,8 +378,9 @@
 	default:
 		break;
 	}
-	if (s->transaction == TRANSACTION_LOST && call->verb != PW_VERB_ROLLBACK)
-		answer_error(s, PW_REASON_MALFORMED, "the transaction was rolled back");
+	if ((s->transaction == TRANSACTION_LOST || s->transaction == TRANSACTION_ENDED) &&
+	    call->verb != PW_VERB_ROLLBACK)
+		answer_rolled_back(s, call->verb);
 	else if (call->verb == PW_VERB_SET)
 		set_value(s, call);
 	else if (call->verb == PW_VERB_PREPARE)
@@ -390,9 +407,11 @@
 			     "unexpected message");
 	} else if (call->kind == PW_CALL_MALFORMED) {
 		pw_counter_inc(PW_COUNTER_REFUSED_PROTOCOL);
+		s->statement_id = statement->id;
 		answer_error(s, PW_REASON_MALFORMED, "the statement cannot be read");
 	} else {
 		call->statement = NULL;
+		s->statement_id = statement->id;
 		handle_statement(s, statement);
 	}
 }
@@ -463,7 +482,7 @@
 	}
 	pw_counter_inc(PW_COUNTER_TRANSACTIONS_IDLE);
 	release_conn(s);
-	s->transaction = TRANSACTION_LOST;
+	s->transaction = TRANSACTION_ENDED;
 }
 
 static const struct pw_timer_ops timer_ops = { .expire = session_expire };
@@ -533,6 +552,6 @@
 void gw_session_transaction_lost(struct session *s)
 {
 	s->conn = NULL;
-	s->transaction = TRANSACTION_LOST;
+	s->transaction = TRANSACTION_ENDED;
 	clear_timer(s);
 }
--- a/daemon/traffic/gateway_work.c
+++ b/daemon/traffic/gateway_work.c
@@ -3,6 +3,8 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "pw/core/event.h"
+
 /* Time after which a caller is asked to come back when a server is full. */
 #define RETRY_BUSY_MS 100
 /* The same while a primary is lost or being changed: about the time of a change. */
@@ -84,8 +86,30 @@
 	}
 }
 
+/* The inputs of a decision about a statement, for the log. */
+static void log_decision(const struct work *w, enum pw_event event, enum pw_reason reason,
+			 const char *text)
+{
+	const struct group *g = w->group;
+	uint64_t now = gateway_now_us(g->gateway);
+
+	if (!pw_event_is_logged(event))
+		return;
+	pw_event_log(event,
+		     "id=%s account=%s database=%s reason=%s text=\"%s\" waited_ms=%" PRIu64
+		     " attempts=%u needs_primary=%d waiting=%u changing=%d permit_left_ms=%" PRId64
+		     " term=%" PRIu64 " server=%s",
+		     w->call->id, w->account->name, g->name, pw_reason_name(reason), text,
+		     (now - w->arrived_us) / PW_US_PER_MS, w->attempts, w->primary,
+		     g->waiting.length, g->changing,
+		     ((int64_t)g->gateway->permit_until_us - (int64_t)now) /
+			     (int64_t)PW_US_PER_MS,
+		     g->generation, w->avoid ? w->avoid->id : "");
+}
+
 void gw_work_refuse(struct work *w, enum pw_reason reason, const char *text)
 {
+	log_decision(w, PW_EVENT_REQUEST_REFUSED, reason, text);
 	pw_counter_inc(refusal_counter(w, reason));
 	w->reason = reason;
 	g_free(w->error);
@@ -203,9 +227,10 @@
 {
 	uint64_t now = gateway_now_us(gateway_of(w));
 
+	w->avoid = avoid;
+	log_decision(w, PW_EVENT_REQUEST_RETRIED, w->reason, w->error ? w->error : "");
 	w->conn = NULL;
 	w->reason = PW_REASON_NONE;
-	w->avoid = avoid;
 	g_clear_pointer(&w->error, g_free);
 	g_clear_pointer(&w->signature, g_free);
 	if (w->answer)
--- a/decide/src/share.c
+++ b/decide/src/share.c
@@ -70,10 +70,19 @@
 	t->level = fmin(t->level, s->burst);
 }
 
+/*
+ * While the account is inside its rate, arrivals may run ahead of the tokens by this time: other
+ * VMs have some to spare.
+ */
+#define AHEAD_S   0.3
+#define AHEAD_MIN 1.0
+
 bool pw_tokens_take(struct pw_tokens *t, const struct pw_share *s, uint64_t now_us)
 {
+	double ahead = s->contended ? 0 : fmax(s->rate_per_s * AHEAD_S, AHEAD_MIN);
+
 	fill(t, s, now_us);
-	if (t->level < 1)
+	if (t->level + ahead < 1)
 		return false;
 	t->level -= 1;
 	return true;
