Check the catalogue and servers by turns in the fleet

Each VM now reads again when nobody in the fleet has read for 2.2 s, and pulses tell versions and records that others lack.

--- a/codec/include/pw/codec/pulse.h
+++ b/codec/include/pw/codec/pulse.h
@@ -38,6 +38,10 @@
 	int64_t confirmed_revision;
 	bool needs_permit;
 	bool leaving;
+	uint64_t catalog_version;
+	uint32_t catalog_age_ms; /**< since the version was known to be the newest */
+	uint64_t servers_digest;
+	uint32_t servers_age_ms;
 	GArray *groups;   /**< struct pw_pulse_group */
 	GArray *accounts; /**< struct pw_pulse_account */
 };
--- a/codec/src/pulse.c
+++ b/codec/src/pulse.c
@@ -80,6 +80,10 @@
 	b->message.settled_revision = p->settled_revision;
 	b->message.needs_permit = p->needs_permit;
 	b->message.leaving = p->leaving;
+	b->message.catalog_version = p->catalog_version;
+	b->message.catalog_age_ms = p->catalog_age_ms;
+	b->message.servers_digest = p->servers_digest;
+	b->message.servers_age_ms = p->servers_age_ms;
 	b->groups = g_new0(Pw__PulseGroup, MAX(p->groups->len, 1));
 	b->group_list = g_new0(Pw__PulseGroup *, MAX(p->groups->len, 1));
 	b->accounts = g_new0(Pw__PulseAccount, MAX(p->accounts->len, 1));
@@ -151,6 +155,10 @@
 	out->settled_revision = m->settled_revision;
 	out->needs_permit = m->needs_permit;
 	out->leaving = m->leaving;
+	out->catalog_version = m->catalog_version;
+	out->catalog_age_ms = m->catalog_age_ms;
+	out->servers_digest = m->servers_digest;
+	out->servers_age_ms = m->servers_age_ms;
 	for (size_t i = 0; i < m->n_groups; i++)
 		pw_pulse_add_group(out, m->groups[i]->name, m->groups[i]->generation,
 				   m->groups[i]->lost_ms, m->groups[i]->reached);
--- a/daemon/control/catalog.c
+++ b/daemon/control/catalog.c
@@ -12,10 +12,13 @@
 #include "store.h"
 
 /*
- * Servers write their entries again about once a second, so a watch would return all the time, and
- * each call to the store is paid for. A server that leaves serves for several seconds.
+ * The catalogue and the servers are read again when nobody in the fleet has read them for this long;
+ * each call to the store is paid for. A change of the catalogue has to be in force after 4 s, also
+ * when the watch misses it. Servers write their entries again about once a second, so that a watch
+ * of them would return all the time.
  */
-#define SERVERS_INTERVAL_US (2500 * PW_US_PER_MS)
+#define CHECK_US        (2200 * PW_US_PER_MS)
+#define CHECK_SPREAD_US (600 * PW_US_PER_MS)
 /* Shortest time between two reads that are asked for. */
 #define SERVERS_REFRESH_US (400 * PW_US_PER_MS)
 /* Pause after a failed read; half of it is random. */
@@ -39,7 +42,10 @@
 	struct pw_timer catalog_timer;
 	struct pw_timer servers_timer;
 	uint64_t servers_asked_us;
+	uint64_t catalog_asked_us;
+	struct pw_confirmation confirmed;
 	bool reading_servers;
+	bool reading_catalog;
 	bool watching;
 };
 
@@ -98,6 +104,20 @@
 	return m;
 }
 
+const struct pw_msg_ops pw_confirmation_msg_ops = {
+	.name = "confirmation",
+	.destroy = plain_destroy,
+};
+
+struct pw_msg *pw_confirmation_msg_new(const struct pw_confirmation *c)
+{
+	struct pw_confirmation_msg *m = g_new0(struct pw_confirmation_msg, 1);
+
+	m->base.ops = &pw_confirmation_msg_ops;
+	m->confirmation = *c;
+	return &m->base;
+}
+
 static void send_catalog(struct catalog_task *c, struct pw_mailbox *to)
 {
 	struct pw_catalog_msg *m;
@@ -143,10 +163,20 @@
 	return RETRY_US / 2 + pw_clock_random_bits() % (RETRY_US / 2);
 }
 
+/* Time of the next read after a state was known to be the newest. */
+static uint64_t next_check_us(uint64_t confirmed_us)
+{
+	return confirmed_us + CHECK_US + pw_clock_random_bits() % CHECK_SPREAD_US;
+}
+
 static void ask_catalog(struct catalog_task *c)
 {
 	const struct pw_store_range req = { .key = c->source->catalog_key };
 
+	if (c->reading_catalog)
+		return;
+	c->reading_catalog = true;
+	c->catalog_asked_us = now_us(c);
 	pw_mailbox_send(c->directory->store, pw_store_range_msg_new(c->task.inbox, TAG_CATALOG,
 								    PW_STORE_TIMEOUT_US, &req));
 }
@@ -228,21 +258,75 @@
 		.start_revision = revision + 1,
 	};
 
+	c->watching = true;
 	pw_mailbox_send(c->directory->store,
 			pw_store_watch_msg_new(c->task.inbox, TAG_CATALOG_WATCH,
 					       PW_STORE_TIMEOUT_US, &req));
 }
 
+static void tell_confirmed(struct catalog_task *c)
+{
+	pw_mailbox_send(c->directory->cluster, pw_confirmation_msg_new(&c->confirmed));
+}
+
+/* The version in force was the newest at that time. */
+static void confirm_catalog(struct catalog_task *c, uint64_t at_us)
+{
+	if (!c->catalog)
+		return;
+	c->confirmed.catalog_version = c->catalog->version;
+	c->confirmed.catalog_us = at_us;
+	pw_loop_timer_set(c->task.loop, &c->catalog_timer, next_check_us(at_us));
+	tell_confirmed(c);
+}
+
+static void confirm_servers(struct catalog_task *c, uint64_t digest, uint64_t at_us)
+{
+	c->confirmed.servers_digest = digest;
+	c->confirmed.servers_us = at_us;
+	pw_loop_timer_set(c->task.loop, &c->servers_timer, next_check_us(at_us));
+	tell_confirmed(c);
+}
+
+/* What another VM has read; a state that is not known here is read at once. */
+static void take_confirmation(struct catalog_task *c, const struct pw_confirmation *x)
+{
+	if (x->catalog_version > c->confirmed.catalog_version) {
+		ask_catalog(c);
+	} else if (x->catalog_version == c->confirmed.catalog_version &&
+		   x->catalog_us > c->confirmed.catalog_us) {
+		c->confirmed.catalog_us = x->catalog_us;
+		tell_confirmed(c);
+		if (!c->reading_catalog)
+			pw_loop_timer_set(c->task.loop, &c->catalog_timer,
+					  next_check_us(x->catalog_us));
+	}
+	if (x->servers_us <= c->confirmed.servers_us)
+		return;
+	if (x->servers_digest != c->confirmed.servers_digest) {
+		refresh_servers(c);
+	} else {
+		c->confirmed.servers_us = x->servers_us;
+		tell_confirmed(c);
+		if (!c->reading_servers)
+			pw_loop_timer_set(c->task.loop, &c->servers_timer,
+					  next_check_us(x->servers_us));
+	}
+}
+
 static void take_catalog(struct catalog_task *c, const struct pw_store_result *base)
 {
 	const struct pw_store_range_result *r = (const struct pw_store_range_result *)base;
 
+	c->reading_catalog = false;
 	if (base->code || !r->kv_count) {
 		pw_loop_timer_set(c->task.loop, &c->catalog_timer, now_us(c) + retry_pause_us());
 		return;
 	}
 	adopt_catalog(c, &r->kvs[0]);
-	watch_catalog(c, MAX(base->revision, r->kvs[0].mod_revision));
+	confirm_catalog(c, c->catalog_asked_us);
+	if (!c->watching)
+		watch_catalog(c, MAX(base->revision, r->kvs[0].mod_revision));
 }
 
 static void take_watch(struct catalog_task *c, const struct pw_store_result *base)
@@ -253,9 +337,13 @@
 		if (r->events[i].kind == PW_STORE_PUT)
 			adopt_catalog(c, &r->events[i].kv);
 	}
+	if (r->event_count && c->catalog)
+		confirm_catalog(c, c->confirmed.catalog_us);
 	/* The history was dropped, or the store task has started again. */
-	if (r->ended)
+	if (r->ended) {
+		c->watching = false;
 		ask_catalog(c);
+	}
 }
 
 static bool entries_equal(const struct pw_server_entry *a, const struct pw_server_entry *b)
@@ -343,6 +431,23 @@
 		refresh_servers(c);
 }
 
+/* Number that differs when what matters of the entries does. */
+static uint64_t digest_of(const GPtrArray *entries)
+{
+	GString *text = g_string_new(NULL);
+	uint64_t digest;
+
+	for (guint i = 0; i < entries->len; i++) {
+		const struct pw_server_entry *e = g_ptr_array_index(entries, i);
+
+		g_string_append_printf(text, "%s %s %s %" PRIu64 " %d %d\n", e->id, e->group,
+				       e->address, e->started_ms, e->leaving, e->primary);
+	}
+	digest = pw_directory_peer_number(text->str);
+	g_string_free(text, TRUE);
+	return digest;
+}
+
 static void drop_read(struct catalog_task *c)
 {
 	for (guint i = 0; i < c->read->len; i++)
@@ -374,7 +479,8 @@
 		ask_servers(c);
 		return;
 	}
-	pw_loop_timer_set(c->task.loop, &c->servers_timer, now_us(c) + SERVERS_INTERVAL_US);
+	g_ptr_array_sort(c->read, compare_entries);
+	confirm_servers(c, digest_of(c->read), c->servers_asked_us);
 	adopt_servers(c);
 }
 
@@ -406,6 +512,8 @@
 		send_servers(c, to);
 	} else if (m->ops == &refresh_ops) {
 		refresh_servers(c);
+	} else if (m->ops == &pw_confirmation_msg_ops) {
+		take_confirmation(c, &((struct pw_confirmation_msg *)m)->confirmation);
 	}
 	pw_msg_free(m);
 }
--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -331,6 +331,8 @@
 		change_tick(c);
 	} else if (m->ops == &pw_traffic_report_ops) {
 		take_report(c, (struct pw_traffic_report *)m);
+	} else if (m->ops == &pw_confirmation_msg_ops) {
+		c->confirmation = ((struct pw_confirmation_msg *)m)->confirmation;
 	} else if (m->ops == &pw_drain_ops) {
 		member_leave(c);
 	}
--- a/daemon/control/cluster_member.c
+++ b/daemon/control/cluster_member.c
@@ -270,6 +270,26 @@
 	pulse_send_all(c);
 }
 
+void member_refresh(struct cluster *c)
+{
+	const struct pw_store_range req = { .key = c->primaries_key };
+
+	if (c->reading)
+		return;
+	c->reading = true;
+	cluster_store(c, pw_store_range_msg_new(c->task.inbox, TAG_REFRESH, PW_STORE_TIMEOUT_US,
+						&req));
+}
+
+static void take_refresh(struct cluster *c, const struct pw_store_result *base)
+{
+	const struct pw_store_range_result *r = (const struct pw_store_range_result *)base;
+
+	c->reading = false;
+	if (base->code == PW_OK && r->kv_count)
+		adopt_item(c, &r->kvs[0]);
+}
+
 static void take_create(struct cluster *c, const struct pw_store_result *base)
 {
 	c->creating = false;
@@ -349,6 +369,9 @@
 	case TAG_PRIMARIES_WATCH:
 		take_watch(c, r);
 		break;
+	case TAG_REFRESH:
+		take_refresh(c, r);
+		break;
 	case TAG_MEMBERS:
 		take_members(c, r);
 		break;
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -40,6 +40,7 @@
 	TAG_KEEP,
 	TAG_PRIMARIES,
 	TAG_PRIMARIES_WATCH,
+	TAG_REFRESH,
 	TAG_MEMBERS,
 	TAG_CREATE,
 	TAG_LEAVE,
@@ -87,6 +88,7 @@
 	struct pw_catalog *catalog;
 	struct pw_server_list *servers;
 	struct pw_primaries *primaries;
+	struct pw_confirmation confirmation; /**< of what this VM has read */
 	GHashTable *since; /**< group -> time since when its present record is known */
 	struct gateway_view *gateways;
 	struct pw_timer tick;
@@ -104,6 +106,7 @@
 	bool watching;
 	bool leaving;
 	bool creating;
+	bool reading;    /**< a read of the record is under way */
 	uint64_t call_sent_us; /**< when the last grant, registration or read was sent */
 	uint64_t keep_sent_us;
 	uint64_t permit_until_us; /**< from the store; may be lent */
@@ -152,6 +155,8 @@
 int64_t cluster_confirmed_revision(struct cluster *c);
 
 /* cluster_member.c */
+/** Reads the record of primaries, since a member has a newer one. */
+void member_refresh(struct cluster *c);
 void member_start(struct cluster *c);
 void member_stop(struct cluster *c);
 void member_result(struct cluster *c, uint64_t tag, struct pw_store_result *r);
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -88,6 +88,41 @@
 	}
 }
 
+static uint32_t age_ms(const struct cluster *c, uint64_t at_us)
+{
+	uint64_t now = cluster_now_us(c);
+
+	return (uint32_t)MIN((now - MIN(at_us, now)) / PW_US_PER_MS, UINT32_MAX);
+}
+
+static void add_confirmation(const struct cluster *c, struct pw_pulse *p)
+{
+	p->catalog_version = c->confirmation.catalog_version;
+	p->catalog_age_ms = age_ms(c, c->confirmation.catalog_us);
+	p->servers_digest = c->confirmation.servers_digest;
+	p->servers_age_ms = age_ms(c, c->confirmation.servers_us);
+}
+
+/* Tells the catalogue task what the sender has read. */
+static void take_confirmation(struct cluster *c, const struct pw_pulse *p)
+{
+	uint64_t now = cluster_now_us(c);
+	const struct pw_confirmation x = {
+		.catalog_version = p->catalog_version,
+		.catalog_us = now - MIN(p->catalog_age_ms * PW_US_PER_MS, now),
+		.servers_digest = p->servers_digest,
+		.servers_us = now - MIN(p->servers_age_ms * PW_US_PER_MS, now),
+	};
+	const struct pw_confirmation *own = &c->confirmation;
+
+	/* What is hardly newer is not worth a message. */
+	if (x.catalog_version <= own->catalog_version &&
+	    x.catalog_us < own->catalog_us + PULSE_INTERVAL_US &&
+	    x.servers_us < own->servers_us + PULSE_INTERVAL_US)
+		return;
+	pw_mailbox_send(c->directory->catalog, pw_confirmation_msg_new(&x));
+}
+
 /* Lends the rest of this VM's own permission to a member that has none. */
 static uint32_t lend(struct cluster *c, struct member *m)
 {
@@ -142,6 +177,7 @@
 	p.needs_permit = !c->renewing;
 	p.leaving = c->leaving;
 	c->told_confirmed = p.confirmed_revision;
+	add_confirmation(c, &p);
 	add_groups(c, &p);
 	add_accounts(c, &p);
 	g_hash_table_iter_init(&it, c->members);
@@ -197,6 +233,9 @@
 	m->settled_revision = p->settled_revision;
 	m->confirmed_revision = p->confirmed_revision;
 	take_lent(c, m, p);
+	take_confirmation(c, p);
+	if (c->primaries && p->primaries_revision > c->primaries->revision)
+		member_refresh(c);
 	pw_pulse_dispose(&m->pulse);
 	m->pulse = *p;
 	pw_pulse_init(p);
