--- a/core/include/pw/core/event.h
+++ b/core/include/pw/core/event.h
@@ -31,6 +31,7 @@
 	X(CONFIG_REJECTED, 2002, G_LOG_LEVEL_WARNING, "config_rejected")      \
 	X(STORE_DOWN, 2010, G_LOG_LEVEL_WARNING, "store_down")                \
 	X(STORE_UP, 2011, G_LOG_LEVEL_MESSAGE, "store_up")                    \
+	X(STORE_CALL, 2012, G_LOG_LEVEL_DEBUG, "store_call")                  \
 	X(MEMBER_JOINED, 3001, G_LOG_LEVEL_MESSAGE, "member_joined")          \
 	X(MEMBER_SUSPECT, 3002, G_LOG_LEVEL_WARNING, "member_suspect")        \
 	X(MEMBER_REMOVED, 3003, G_LOG_LEVEL_WARNING, "member_removed")        \
--- a/daemon/control/catalog.c
+++ b/daemon/control/catalog.c
@@ -17,12 +17,13 @@
  * when the watch misses it. Servers write their entries again about once a second, so that a watch
  * of them would return all the time.
  */
-#define CHECK_US        (2200 * PW_US_PER_MS)
-#define CHECK_SPREAD_US (600 * PW_US_PER_MS)
+#define CHECK_US        (1600 * PW_US_PER_MS)
+#define CHECK_SPREAD_US (1300 * PW_US_PER_MS)
 /* Shortest time between two reads that are asked for. */
 #define SERVERS_REFRESH_US (400 * PW_US_PER_MS)
-/* Pause after a failed read; half of it is random. */
-#define RETRY_US (300 * PW_US_PER_MS)
+/* Pause after a failed read, which doubles with each further one; half of it is random. */
+#define RETRY_FIRST_US (300 * PW_US_PER_MS)
+#define RETRY_MAX_US   (2 * PW_US_PER_S)
 
 enum request_tag {
 	TAG_CATALOG,
@@ -43,6 +44,8 @@
 	struct pw_timer servers_timer;
 	uint64_t servers_asked_us;
 	uint64_t catalog_asked_us;
+	uint64_t catalog_backoff_us;
+	uint64_t servers_backoff_us;
 	struct pw_confirmation confirmed;
 	bool reading_servers;
 	bool reading_catalog;
@@ -158,9 +161,13 @@
 	return pw_loop_now_us(c->task.loop);
 }
 
-static uint64_t retry_pause_us(void)
+static uint64_t retry_pause_us(uint64_t *backoff_us)
 {
-	return RETRY_US / 2 + pw_clock_random_bits() % (RETRY_US / 2);
+	uint64_t half_us;
+
+	*backoff_us = *backoff_us ? MIN(*backoff_us * 2, RETRY_MAX_US) : RETRY_FIRST_US;
+	half_us = *backoff_us / 2;
+	return half_us + pw_clock_random_bits() % half_us;
 }
 
 /* Time of the next read after a state was known to be the newest. */
@@ -320,9 +327,11 @@
 
 	c->reading_catalog = false;
 	if (base->code || !r->kv_count) {
-		pw_loop_timer_set(c->task.loop, &c->catalog_timer, now_us(c) + retry_pause_us());
+		pw_loop_timer_set(c->task.loop, &c->catalog_timer,
+				  now_us(c) + retry_pause_us(&c->catalog_backoff_us));
 		return;
 	}
+	c->catalog_backoff_us = 0;
 	adopt_catalog(c, &r->kvs[0]);
 	confirm_catalog(c, c->catalog_asked_us);
 	if (!c->watching)
@@ -463,9 +472,11 @@
 	c->reading_servers = false;
 	if (base->code) {
 		drop_read(c);
-		pw_loop_timer_set(c->task.loop, &c->servers_timer, now_us(c) + retry_pause_us());
+		pw_loop_timer_set(c->task.loop, &c->servers_timer,
+				  now_us(c) + retry_pause_us(&c->servers_backoff_us));
 		return;
 	}
+	c->servers_backoff_us = 0;
 	for (size_t i = 0; i < r->kv_count; i++) {
 		const struct pw_store_kv *kv = &r->kvs[i];
 		struct pw_server_entry *e;
--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -313,6 +313,17 @@
 	}
 }
 
+/* Spares the other members their own reads. */
+static void take_confirmation(struct cluster *c, const struct pw_confirmation *x)
+{
+	bool own_read = x->catalog_us > c->confirmation.catalog_us + CONFIRMATION_STEP_US ||
+			x->servers_us > c->confirmation.servers_us + CONFIRMATION_STEP_US;
+
+	c->confirmation = *x;
+	if (own_read)
+		pulse_send_all(c);
+}
+
 static void cluster_receive(struct pw_task *t, struct pw_msg *m)
 {
 	struct cluster *c = (struct cluster *)t;
@@ -332,7 +343,7 @@
 	} else if (m->ops == &pw_traffic_report_ops) {
 		take_report(c, (struct pw_traffic_report *)m);
 	} else if (m->ops == &pw_confirmation_msg_ops) {
-		c->confirmation = ((struct pw_confirmation_msg *)m)->confirmation;
+		take_confirmation(c, &((struct pw_confirmation_msg *)m)->confirmation);
 	} else if (m->ops == &pw_drain_ops) {
 		member_leave(c);
 	}
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -29,6 +29,8 @@
 #define PULSE_SPREAD_US   (8 * PW_US_PER_MS)
 /* A member that was not heard of for so many pulses counts as silent. */
 #define PULSE_SILENT_COUNT 5
+/* A read of the catalogue or the servers that is newer by this is told to the members at once. */
+#define CONFIRMATION_STEP_US (1000 * PW_US_PER_MS)
 /* Decisions on changes and shares. */
 #define CLUSTER_TICK_US (100 * PW_US_PER_MS)
 /* Times of sent pulses that are remembered, for echoes. */
--- a/daemon/control/store.c
+++ b/daemon/control/store.c
@@ -1,5 +1,7 @@
 #include "control/store.h"
 
+#include <inttypes.h>
+
 #include "pw/core/error.h"
 #include "pw/core/event.h"
 
@@ -317,6 +319,7 @@
 	c->tag = req->tag;
 	c->watch = ops->kind == PW_STORE_WATCH;
 	g_hash_table_add(s->calls, c);
+	pw_event_log(PW_EVENT_STORE_CALL, "call=%s tag=%" PRIu64, ops->base.name, req->tag);
 	rc = ops->start(s->store, req, &c->base);
 	if (rc) {
 		struct pw_store_result *r = pw_store_result_new(ops->kind, rc, pw_error_message());
--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -613,11 +613,12 @@
 void gw_conn_close_idle(struct server *s, bool all)
 {
 	uint64_t now = gateway_now_us(s->group->gateway);
+	uint32_t keep = MAX(share(s) * CONN_KEEP_PERCENT / 100, 1);
 
 	for (guint i = s->conns->len; i-- > 0;) {
 		struct conn *c = g_ptr_array_index(s->conns, i);
 
-		uint64_t limit_us = s->conns->len > share(s) ? CONN_IDLE_EXTRA_US : CONN_IDLE_US;
+		uint64_t limit_us = s->conns->len > keep ? CONN_IDLE_EXTRA_US : CONN_IDLE_US;
 
 		if (c->state == CONN_IDLE && (all || now - c->idle_since_us > limit_us))
 			drop(c);
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -39,20 +39,29 @@
 #define SESSION_CLOSE_LIMIT_US (2 * PW_US_PER_S)
 /* While draining, a session that was idle this long is closed; others after their next answer. */
 #define SESSION_DRAIN_IDLE_US (300 * PW_US_PER_MS)
-/* Part of an operation's target time for which it waits for a server before it is refused. */
-#define WAIT_TARGET_PART 4
+/*
+ * Part of an operation's target time for which it waits for a server before it is refused: an
+ * answer within the target needs most of it, and a caller that is told early can go elsewhere.
+ */
+#define WAIT_TARGET_PART 5
 /* A statement waits at least this long. */
-#define WAIT_MIN_US (100 * PW_US_PER_MS)
+#define WAIT_MIN_US (80 * PW_US_PER_MS)
 /* Time for the network to connect: several round trips between regions. */
 #define CONN_CONNECT_LIMIT_US (200 * PW_US_PER_MS)
 /* Time for a server to accept a connection, which waits for a slot there like a statement. */
 #define CONN_OPEN_LIMIT_US (600 * PW_US_PER_MS)
 /* Time for a rollback, and for statements that prepare a connection. */
 #define CONN_CLEANUP_LIMIT_US (1500 * PW_US_PER_MS)
-/* Idle connections within this VM's share of a server are closed after this time. */
+/* Idle connections that this VM may keep at a server are closed after this time. */
 #define CONN_IDLE_US (20 * PW_US_PER_S)
-/* Those beyond the share are kept for the next statement of a busy account only. */
+/* Those beyond are kept for the next statement of a busy account only. */
 #define CONN_IDLE_EXTRA_US (150 * PW_US_PER_MS)
+/*
+ * Part of a VM's share of the connections that it keeps idle, in percent. A server goes on to count
+ * the connections of VMs that lost power for several seconds, and the VMs in their place need the
+ * rest.
+ */
+#define CONN_KEEP_PERCENT 40
 /*
  * A VM may have so many times its share of a server's connections while it needs them: all VMs
  * seldom do at once, and the server refuses what is too much.
