--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -158,12 +158,13 @@
 	return settled;
 }
 
-static struct pw_demand *demand_of(struct cluster *c, const char *account)
+static struct account_demand *demand_of(struct cluster *c, const char *account)
 {
-	struct pw_demand *d = g_hash_table_lookup(c->demands, account);
+	struct account_demand *d = g_hash_table_lookup(c->demands, account);
 
 	if (!d) {
-		d = g_new0(struct pw_demand, 1);
+		d = g_new0(struct account_demand, 1);
+		d->calm_us = cluster_now_us(c);
 		g_hash_table_insert(c->demands, g_strdup(account), d);
 	}
 	return d;
@@ -177,7 +178,7 @@
 		const struct pw_account_arrivals *a =
 			&g_array_index(r->arrivals, struct pw_account_arrivals, i);
 
-		pw_demand_add(demand_of(c, a->account), a->arrivals, cluster_now_us(c));
+		pw_demand_add(&demand_of(c, a->account)->own, a->arrivals, cluster_now_us(c));
 	}
 	for (guint i = 0; i < r->contacts->len; i++) {
 		const struct pw_primary_contact *x =
@@ -238,11 +239,14 @@
 		heard += pulse_is_live(c, item);
 	for (guint i = 0; i < c->catalog->accounts->len; i++) {
 		const struct pw_catalog_account *a = g_ptr_array_index(c->catalog->accounts, i);
+		struct account_demand *d = demand_of(c, a->name);
+		uint64_t now = cluster_now_us(c);
 		const struct pw_share_input in = {
-			.rate_per_s = a->rate_per_s,
+			.rate_per_s = pw_share_rate_per_s(a->rate_per_s, a->burst,
+							  c->directory->settings->rate_window_us,
+							  now - d->calm_us),
 			.burst = a->burst,
-			.own_demand_per_s =
-				pw_demand_at(demand_of(c, a->name), cluster_now_us(c)),
+			.own_demand_per_s = pw_demand_at(&d->own, now),
 			.others_demand_per_s = others_demand(c, a->name),
 			.heard = heard,
 			.silent = g_hash_table_size(c->members) - heard,
@@ -252,6 +256,8 @@
 			.share = pw_share_compute(&in),
 		};
 
+		if (in.own_demand_per_s + in.others_demand_per_s <= a->rate_per_s)
+			d->calm_us = now;
 		g_array_append_val(shares, s);
 	}
 	return shares;
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -84,6 +84,12 @@
 	GHashTable *contacts; /**< group -> struct pw_primary_contact */
 };
 
+/* Demand of a client account. */
+struct account_demand {
+	struct pw_demand own;
+	uint64_t calm_us; /**< when the demand of the fleet was last inside the rate */
+};
+
 struct cluster {
 	struct pw_task task;
 	const struct pw_directory *directory;
@@ -122,7 +128,7 @@
 	struct pw_timer pulse_timer;
 	int64_t told_confirmed;
 
-	/* Accounts: name -> struct pw_demand. */
+	/* Accounts: name -> struct account_demand. */
 	GHashTable *demands;
 
 	/* Changes of primary. */
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -81,7 +81,8 @@
 
 	g_hash_table_iter_init(&it, c->demands);
 	while (g_hash_table_iter_next(&it, &name, &demand)) {
-		double per_s = pw_demand_at(demand, cluster_now_us(c));
+		double per_s =
+			pw_demand_at(&((struct account_demand *)demand)->own, cluster_now_us(c));
 
 		if (per_s >= least_per_s)
 			pw_pulse_add_account(p, name, (float)per_s);
--- a/daemon/directory.h
+++ b/daemon/directory.h
@@ -33,6 +33,7 @@
 	uint32_t binding;       /**< index in pw_bindings */
 	char *promoter_address; /**< IP:PORT for orders to promote; not used by every binding */
 	char *zone_regions;     /**< ZONE=REGION, separated by commas; may be empty */
+	uint64_t rate_window_us; /**< in which an account may use its rate and its burst */
 	uint32_t gateway_tasks;
 	uint32_t front_tasks;
 	uint32_t group_tasks;
--- a/decide/include/pw/decide/share.h
+++ b/decide/include/pw/decide/share.h
@@ -33,6 +33,16 @@
 
 struct pw_share pw_share_compute(const struct pw_share_input *in);
 
+/**
+ * Rate that an account may have at a time: in any window it may use its rate for the length of the
+ * window and its burst. While the burst of the window may be spent, that leaves the plain rate; an
+ * account whose demand has been above its rate for a whole window gets the burst spread over each.
+ *
+ * @param contended_us for how long the demand has been above the rate without a break
+ */
+double pw_share_rate_per_s(double rate_per_s, double burst, uint64_t window_us,
+			   uint64_t contended_us);
+
 /** Demand of an account at this VM: arrivals weighted by their age. */
 struct pw_demand {
 	double per_s;
--- a/decide/src/share.c
+++ b/decide/src/share.c
@@ -39,6 +39,14 @@
 	return s;
 }
 
+double pw_share_rate_per_s(double rate_per_s, double burst, uint64_t window_us,
+			   uint64_t contended_us)
+{
+	if (!window_us || contended_us < window_us)
+		return rate_per_s;
+	return rate_per_s + burst * 1e6 / (double)window_us;
+}
+
 void pw_demand_add(struct pw_demand *d, uint32_t arrivals, uint64_t now_us)
 {
 	d->per_s = pw_demand_at(d, now_us) + arrivals * 1e6 / (double)PW_DEMAND_TIME_US;
