--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,8 @@
 	@clang-format --dry-run --Werror $(SOURCES)
 	@cppcheck --quiet --error-exitcode=1 --enable=warning,portability,performance --inline-suppr \
 		--std=c11 -j 8 --suppressions-list=.cppcheck-suppressions -I core/include -I codec/include \
-		-I decide/include -I upstream/include -I store/include $(UNITS)
+		-I decide/include -I upstream/include -I store/include -I http/include \
+		-I platform/include $(UNITS)
 	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
 	@printf '%s\n' $(UNITS) | xargs -P 8 -n 4 clang-tidy --quiet -p $(BUILD)
 
--- a/codec/src/pulse.c
+++ b/codec/src/pulse.c
@@ -89,7 +89,8 @@
 	b->accounts = g_new0(Pw__PulseAccount, MAX(p->accounts->len, 1));
 	b->account_list = g_new0(Pw__PulseAccount *, MAX(p->accounts->len, 1));
 	for (guint i = 0; i < p->groups->len; i++) {
-		const struct pw_pulse_group *g = &g_array_index(p->groups, struct pw_pulse_group, i);
+		const struct pw_pulse_group *g =
+			&g_array_index(p->groups, struct pw_pulse_group, i);
 
 		b->groups[i] = (Pw__PulseGroup)PW__PULSE_GROUP__INIT;
 		b->groups[i].name = g->name;
--- a/daemon/control/admin.c
+++ b/daemon/control/admin.c
@@ -55,7 +55,7 @@
 	uint64_t lease_until_us; /**< end of the newest quorum lease or permission; 0: none yet */
 	bool has_catalog;        /**< with a binding that publishes one */
 	bool has_servers;
-	bool draining;           /**< planned stop */
+	bool draining; /**< planned stop */
 };
 
 /* One HTTP request. */
--- a/daemon/control/catalog.c
+++ b/daemon/control/catalog.c
@@ -12,10 +12,10 @@
 #include "store.h"
 
 /*
- * The catalogue and the servers are read again when nobody in the fleet has read them for this long;
- * each call to the store is paid for. A change of the catalogue has to be in force after 4 s, also
- * when the watch misses it. Servers write their entries again about once a second, so that a watch
- * of them would return all the time.
+ * The catalogue and the servers are read again when nobody in the fleet has read them for this
+ * long; each call to the store is paid for. A change of the catalogue has to be in force after 4 s,
+ * also when the watch misses it. Servers write their entries again about once a second, so that a
+ * watch of them would return all the time.
  */
 #define CHECK_US        (1600 * PW_US_PER_MS)
 #define CHECK_SPREAD_US (1300 * PW_US_PER_MS)
@@ -191,8 +191,8 @@
 static void catalog_expire(struct pw_timer *t, uint64_t now)
 {
 	(void)now;
-	ask_catalog((struct catalog_task *)((char *)t -
-					    offsetof(struct catalog_task, catalog_timer)));
+	ask_catalog(
+		(struct catalog_task *)((char *)t - offsetof(struct catalog_task, catalog_timer)));
 }
 
 static const struct pw_timer_ops catalog_timer_ops = { .expire = catalog_expire };
--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -26,6 +26,28 @@
 
 const struct pw_msg_ops pw_shares_msg_ops = { .name = "shares", .destroy = shares_msg_destroy };
 
+static void check_msg_destroy(struct pw_msg *m)
+{
+	g_free(((struct pw_primary_check_msg *)m)->group);
+	g_free(m);
+}
+
+const struct pw_msg_ops pw_primary_check_msg_ops = {
+	.name = "primary_check",
+	.destroy = check_msg_destroy,
+};
+
+void cluster_check_primary(struct cluster *c, const char *group)
+{
+	for (uint32_t i = 0; i < c->directory->gateway_count; i++) {
+		struct pw_primary_check_msg *m = g_new0(struct pw_primary_check_msg, 1);
+
+		m->base.ops = &pw_primary_check_msg_ops;
+		m->group = g_strdup(group);
+		pw_mailbox_send(c->directory->gateways[i], &m->base);
+	}
+}
+
 static void report_destroy(struct pw_msg *m)
 {
 	struct pw_traffic_report *r = (struct pw_traffic_report *)m;
@@ -110,12 +132,12 @@
 		if (old && old->generation == p->generation && old->changing == p->changing)
 			continue;
 		if (old && old->generation != p->generation) {
-			pw_event_log(PW_EVENT_TERM_CHANGED, "database=%s term=%" G_GUINT64_FORMAT
-				     " primary=%s", p->group, p->generation, p->server_id);
+			pw_event_log(PW_EVENT_TERM_CHANGED,
+				     "database=%s term=%" G_GUINT64_FORMAT " primary=%s", p->group,
+				     p->generation, p->server_id);
 			pw_mailbox_send(c->directory->catalog, pw_servers_refresh_msg());
 		}
-		g_hash_table_replace(c->since, g_strdup(p->group),
-				     g_memdup2(&now, sizeof(now)));
+		g_hash_table_replace(c->since, g_strdup(p->group), g_memdup2(&now, sizeof(now)));
 	}
 }
 
--- a/daemon/control/cluster.h
+++ b/daemon/control/cluster.h
@@ -56,6 +56,13 @@
 	GArray *contacts;         /**< struct pw_primary_contact */
 };
 
+/** Another VM cannot reach the primary of the group: can this one? */
+struct pw_primary_check_msg {
+	struct pw_msg base;
+	char *group;
+};
+
+extern const struct pw_msg_ops pw_primary_check_msg_ops;
 extern const struct pw_msg_ops pw_primaries_msg_ops;
 extern const struct pw_msg_ops pw_shares_msg_ops;
 extern const struct pw_msg_ops pw_traffic_report_ops;
--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -69,8 +69,8 @@
 	GPtrArray *reports;       /**< struct report that is awaited for each entry, or NULL */
 	uint64_t next_survey_us;
 	int32_t target; /**< index of the server to promote */
-	bool ordering; /**< the answer to an order is awaited */
-	bool ordered;  /**< an order may have been taken */
+	bool ordering;  /**< the answer to an order is awaited */
+	bool ordered;   /**< an order may have been taken */
 	bool ended;
 };
 
@@ -176,8 +176,8 @@
 		.change_count = 1,
 	};
 
-	cluster_store(c, pw_store_txn_msg_new(c->task.inbox, tag_of(ch, tag), PW_STORE_TIMEOUT_US,
-					      &txn));
+	cluster_store(
+		c, pw_store_txn_msg_new(c->task.inbox, tag_of(ch, tag), PW_STORE_TIMEOUT_US, &txn));
 	g_free(text);
 	pw_primaries_unref(p);
 }
@@ -249,8 +249,7 @@
 
 	p->revision = revision;
 	if (done) {
-		const struct pw_server_entry *e =
-			g_ptr_array_index(ch->entries, (guint)ch->target);
+		const struct pw_server_entry *e = g_ptr_array_index(ch->entries, (guint)ch->target);
 
 		pw_primaries_set(p, ch->group, e->id, ch->fence);
 	} else {
@@ -268,10 +267,9 @@
 	const struct pw_store_range req = { .key = ch->cluster->members_prefix, .prefix = true };
 
 	enter(ch, CHANGE_MEMBERS);
-	cluster_store(ch->cluster,
-		      pw_store_range_msg_new(ch->cluster->task.inbox,
-					     tag_of(ch, TAG_CHANGE_MEMBERS), PW_STORE_TIMEOUT_US,
-					     &req));
+	cluster_store(ch->cluster, pw_store_range_msg_new(ch->cluster->task.inbox,
+							  tag_of(ch, TAG_CHANGE_MEMBERS),
+							  PW_STORE_TIMEOUT_US, &req));
 }
 
 static void take_claim(struct change *ch, const struct pw_store_result *base)
@@ -331,9 +329,9 @@
 {
 	const struct lease *l = &g_array_index(ch->leases, struct lease, index);
 
-	cluster_store(ch->cluster, pw_store_lease_revoke_msg_new(ch->cluster->task.inbox,
-								 lease_tag(ch, index),
-								 PW_STORE_TIMEOUT_US, l->id));
+	cluster_store(ch->cluster,
+		      pw_store_lease_revoke_msg_new(ch->cluster->task.inbox, lease_tag(ch, index),
+						    PW_STORE_TIMEOUT_US, l->id));
 }
 
 /* Ends the leases of the members that have not confirmed: they get no further permission. */
@@ -371,8 +369,7 @@
 		bool primary = strcmp(e->id, p->server_id) == 0;
 		struct pw_change_server s = {
 			.primary = primary,
-			.eligible = !e->leaving &&
-				    (!primary || ch->reason == PW_CHANGE_ABANDONED),
+			.eligible = !e->leaving && (!primary || ch->reason == PW_CHANGE_ABANDONED),
 			.distance = strcmp(e->availability_zone,
 					   c->directory->settings->availability_zone) != 0,
 		};
@@ -421,7 +418,8 @@
 	struct change *ch = owner;
 
 	for (guint i = 0; i < ch->entries->len; i++) {
-		struct pw_change_server *s = &g_array_index(ch->servers, struct pw_change_server, i);
+		struct pw_change_server *s =
+			&g_array_index(ch->servers, struct pw_change_server, i);
 
 		if (ch->reports->pdata[i] != r)
 			continue;
@@ -443,8 +441,8 @@
 	for (guint i = 0; i < ch->entries->len; i++) {
 		if ((target_only && (int32_t)i != ch->target) || ch->reports->pdata[i])
 			continue;
-		ch->reports->pdata[i] = report_start(
-			ch->cluster, g_ptr_array_index(ch->entries, i), 0, &report_ops, ch);
+		ch->reports->pdata[i] = report_start(ch->cluster, g_ptr_array_index(ch->entries, i),
+						     0, &report_ops, ch);
 	}
 	ch->next_survey_us = cluster_now_us(ch->cluster) + SURVEY_PAUSE_US;
 }
@@ -456,9 +454,8 @@
 	ch->ordering = false;
 	if (ch->ended)
 		return;
-	pw_event_log(PW_EVENT_PROMOTE_ANSWERED,
-		     "database=%s term=%" PRIu64 " code=%d text=\"%s\"", ch->group, ch->fence, code,
-		     message);
+	pw_event_log(PW_EVENT_PROMOTE_ANSWERED, "database=%s term=%" PRIu64 " code=%d text=\"%s\"",
+		     ch->group, ch->fence, code, message);
 	if (code == PW_OK || code == PW_ETIMEOUT) {
 		enter(ch, CHANGE_CONFIRM);
 	} else if (code == PW_ECONFLICT) {
@@ -807,6 +804,8 @@
 		if (g_hash_table_contains(c->changes, p->group))
 			continue;
 		make_view(c, p, &v);
+		if (v.votes_lost && !p->changing)
+			cluster_check_primary(c, p->group);
 		reason = pw_change_due(&v, cluster_now_us(c));
 		if (reason != PW_CHANGE_NONE) {
 			start_change(c, p, reason, &v);
--- a/daemon/control/cluster_member.c
+++ b/daemon/control/cluster_member.c
@@ -21,16 +21,16 @@
 	const struct pw_store_range req = { .key = c->primaries_key };
 
 	c->call_sent_us = cluster_now_us(c);
-	cluster_store(c, pw_store_range_msg_new(c->task.inbox, TAG_PRIMARIES, PW_STORE_TIMEOUT_US,
-						&req));
+	cluster_store(
+		c, pw_store_range_msg_new(c->task.inbox, TAG_PRIMARIES, PW_STORE_TIMEOUT_US, &req));
 }
 
 static void ask_members(struct cluster *c)
 {
 	const struct pw_store_range req = { .key = c->members_prefix, .prefix = true };
 
-	cluster_store(c, pw_store_range_msg_new(c->task.inbox, TAG_MEMBERS, PW_STORE_TIMEOUT_US,
-						&req));
+	cluster_store(
+		c, pw_store_range_msg_new(c->task.inbox, TAG_MEMBERS, PW_STORE_TIMEOUT_US, &req));
 }
 
 static void grant(struct cluster *c)
@@ -61,8 +61,8 @@
 	};
 	const struct pw_store_txn txn = { .changes = &put, .change_count = 1 };
 
-	cluster_store(c, pw_store_txn_msg_new(c->task.inbox, TAG_REGISTER, PW_STORE_TIMEOUT_US,
-					      &txn));
+	cluster_store(c,
+		      pw_store_txn_msg_new(c->task.inbox, TAG_REGISTER, PW_STORE_TIMEOUT_US, &txn));
 	g_free(text);
 }
 
@@ -79,8 +79,7 @@
 /* The next step towards a permission, or the next renewal. */
 static void member_expire(struct pw_timer *t, uint64_t now_us)
 {
-	struct cluster *c =
-		(struct cluster *)((char *)t - offsetof(struct cluster, member_timer));
+	struct cluster *c = (struct cluster *)((char *)t - offsetof(struct cluster, member_timer));
 
 	(void)now_us;
 	if (c->leaving)
@@ -99,8 +98,7 @@
 
 static void members_expire(struct pw_timer *t, uint64_t now_us)
 {
-	struct cluster *c =
-		(struct cluster *)((char *)t - offsetof(struct cluster, members_timer));
+	struct cluster *c = (struct cluster *)((char *)t - offsetof(struct cluster, members_timer));
 
 	pw_loop_timer_set(c->task.loop, t, now_us + MEMBERS_INTERVAL_US);
 	ask_members(c);
@@ -139,8 +137,7 @@
 	}
 	c->registered = true;
 	ask_primaries(c);
-	pw_loop_timer_set(c->task.loop, &c->members_timer,
-			  cluster_now_us(c) + MEMBERS_INTERVAL_US);
+	pw_loop_timer_set(c->task.loop, &c->members_timer, cluster_now_us(c) + MEMBERS_INTERVAL_US);
 	ask_members(c);
 }
 
@@ -277,8 +274,8 @@
 	if (c->reading)
 		return;
 	c->reading = true;
-	cluster_store(c, pw_store_range_msg_new(c->task.inbox, TAG_REFRESH, PW_STORE_TIMEOUT_US,
-						&req));
+	cluster_store(
+		c, pw_store_range_msg_new(c->task.inbox, TAG_REFRESH, PW_STORE_TIMEOUT_US, &req));
 }
 
 static void take_refresh(struct cluster *c, const struct pw_store_result *base)
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -1,7 +1,7 @@
 /*
  * Parts of the cluster task: membership and permission (cluster_member.c), datagrams
- * (cluster_pulse.c), and changes of primary (cluster_change.c, cluster_report.c). cluster.c owns the
- * task and hands messages and timers to them.
+ * (cluster_pulse.c), and changes of primary (cluster_change.c, cluster_report.c). cluster.c owns
+ * the task and hands messages and timers to them.
  */
 #ifndef PW_DAEMON_CONTROL_CLUSTER_PRIVATE_H
 #define PW_DAEMON_CONTROL_CLUSTER_PRIVATE_H
@@ -114,7 +114,7 @@
 	bool watching;
 	bool leaving;
 	bool creating;
-	bool reading;    /**< a read of the record is under way */
+	bool reading;          /**< a read of the record is under way */
 	uint64_t call_sent_us; /**< when the last grant, registration or read was sent */
 	uint64_t keep_sent_us;
 	uint64_t permit_until_us; /**< from the store; may be lent */
@@ -153,6 +153,8 @@
 /* cluster.c */
 /** Sends primaries and permission to the gateways. */
 void cluster_publish(struct cluster *c);
+/** Lets the gateways look whether they reach the primary of a group. */
+void cluster_check_primary(struct cluster *c, const char *group);
 /** Takes over a newer record of primaries; takes ownership. */
 void cluster_adopt(struct cluster *c, struct pw_primaries *p);
 /** @return since when the present record of a group is known */
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -67,8 +67,7 @@
 				lost_us = MAX(lost_us, now - MIN(x->lost_since_us, now));
 		}
 		pw_pulse_add_group(p, g->group, g->generation, (uint32_t)(lost_us / PW_US_PER_MS),
-				   !lost_us && reached_us &&
-					   now - reached_us < PW_CHANGE_LOST_US);
+				   !lost_us && reached_us && now - reached_us < PW_CHANGE_LOST_US);
 	}
 }
 
@@ -185,8 +184,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &item))
 		send_pulse(c, item, &p);
 	pw_pulse_dispose(&p);
-	pw_loop_timer_set(c->task.loop, &c->pulse_timer,
-			  cluster_now_us(c) + pulse_interval_us(c));
+	pw_loop_timer_set(c->task.loop, &c->pulse_timer, cluster_now_us(c) + pulse_interval_us(c));
 }
 
 /* A permission that was lent counts from when the pulse that it answers was sent. */
@@ -198,8 +196,7 @@
 	    p->primaries_revision != c->primaries->revision || p->echo_sequence >= m->sequence ||
 	    p->echo_sequence + PULSE_TIMES < m->sequence)
 		return;
-	until_us = m->sent_us[p->echo_sequence % PULSE_TIMES] +
-		   p->permit_left_ms * PW_US_PER_MS;
+	until_us = m->sent_us[p->echo_sequence % PULSE_TIMES] + p->permit_left_ms * PW_US_PER_MS;
 	if (until_us > c->lent_until_us) {
 		c->lent_until_us = until_us;
 		cluster_publish(c);
@@ -288,14 +285,12 @@
 	c->socket.fd = -1;
 	if (rc)
 		return rc;
-	c->socket.fd =
-		socket(at.socket.ss_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	c->socket.fd = socket(at.socket.ss_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (c->socket.fd < 0)
 		return pw_error_set(PW_ESYSTEM, "socket: %s", strerror(errno));
 	if (bind(c->socket.fd, (struct sockaddr *)&at.socket, at.size_bytes) < 0)
 		return pw_error_set(PW_ESYSTEM, "cannot bind %s: %s", address, strerror(errno));
-	pw_loop_timer_set(c->task.loop, &c->pulse_timer,
-			  cluster_now_us(c) + PULSE_INTERVAL_US);
+	pw_loop_timer_set(c->task.loop, &c->pulse_timer, cluster_now_us(c) + PULSE_INTERVAL_US);
 	return pw_loop_watch(c->task.loop, &c->socket, EPOLLIN);
 }
 
--- a/daemon/directory.h
+++ b/daemon/directory.h
@@ -26,13 +26,13 @@
 	char *upstream_password;
 	char *control_user;
 	char *control_password;
-	char *api_token;       /**< operator credential of the administration API */
-	char *tls_certificate; /**< path; NULL without TLS */
-	char *tls_key;         /**< path */
-	bool tls_required;     /**< callers without TLS are refused */
-	uint32_t binding;       /**< index in pw_bindings */
-	char *promoter_address; /**< IP:PORT for orders to promote; not used by every binding */
-	char *zone_regions;     /**< ZONE=REGION, separated by commas; may be empty */
+	char *api_token;         /**< operator credential of the administration API */
+	char *tls_certificate;   /**< path; NULL without TLS */
+	char *tls_key;           /**< path */
+	bool tls_required;       /**< callers without TLS are refused */
+	uint32_t binding;        /**< index in pw_bindings */
+	char *promoter_address;  /**< IP:PORT for orders to promote; not used by every binding */
+	char *zone_regions;      /**< ZONE=REGION, separated by commas; may be empty */
 	uint64_t rate_window_us; /**< in which an account may use its rate and its burst */
 	uint32_t gateway_tasks;
 	uint32_t front_tasks;
--- a/daemon/traffic/gateway.c
+++ b/daemon/traffic/gateway.c
@@ -226,6 +226,8 @@
 		gw_group_take_servers(g);
 	} else if (m->ops == &pw_primaries_msg_ops) {
 		take_primaries(g, (struct pw_primaries_msg *)m);
+	} else if (m->ops == &pw_primary_check_msg_ops) {
+		gw_group_check_primary(gw_group_get(g, ((struct pw_primary_check_msg *)m)->group));
 	} else if (m->ops == &pw_shares_msg_ops) {
 		gw_account_take_shares(g, ((struct pw_shares_msg *)m)->shares);
 	} else if (m->ops == &pw_drain_ops) {
--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -42,6 +42,7 @@
 
 static void send_bytes(struct conn *c, GByteArray *b)
 {
+	gw_group_server_asked(c->server);
 	pw_stream_send(&c->stream, b->data, b->len);
 	g_byte_array_unref(b);
 }
@@ -467,7 +468,7 @@
 	struct conn *c = conn_of(stream);
 	GByteArray *b = g_byte_array_new();
 
-	gw_group_server_heard(c->server);
+	gw_group_server_connected(c->server);
 	enter(c, CONN_OPENING);
 	set_deadline(c, CONN_OPEN_LIMIT_US);
 	dialect(c)->put_open(b, c->server->group->name, c->account->name, c->server->id);
@@ -610,6 +611,27 @@
 	w->conn = c;
 }
 
+bool gw_conn_ping(struct server *s, bool open)
+{
+	struct gateway *g = s->group->gateway;
+	struct conn *c = find_oldest_idle(s);
+	GHashTableIter it;
+	gpointer account;
+	GByteArray *b;
+
+	if (c && c->own_pending)
+		return true;
+	if (!c) {
+		g_hash_table_iter_init(&it, g->accounts);
+		return open && s->conns->len < limit(s) &&
+		       g_hash_table_iter_next(&it, NULL, &account) && open_conn(s, account) != NULL;
+	}
+	b = g_byte_array_new();
+	put_reset(c, b);
+	send_bytes(c, b);
+	return true;
+}
+
 void gw_conn_close_idle(struct server *s, bool all)
 {
 	uint64_t now = gateway_now_us(s->group->gateway);
--- a/daemon/traffic/gateway_group.c
+++ b/daemon/traffic/gateway_group.c
@@ -116,6 +116,7 @@
 		fail_conns(s, is_any, "the server was restarted");
 		s->latency_us = 0;
 		s->pause_until_us = 0;
+		s->asked_us = 0;
 	}
 	s->started_ms = e->started_ms;
 	g_free(s->address);
@@ -291,13 +292,13 @@
 		bool primary = s == g->primary;
 
 		list[i] = (struct pw_place_server){
-			.usable = primary ? primary_is_usable(g, w, now) && s != w->avoid :
-					    is_usable(s, w, now),
+			.usable = primary ? primary_is_usable(g, w, now) && s != w->avoid
+					  : is_usable(s, w, now),
 			.primary = primary,
-			.caught_up = primary ||
-				     (has_floor &&
-				      (pw_position_compare(&s->at, &floor) >= 0 ||
-				       pw_replica_lag_covers(&s->lag, now - seen_us, now))),
+			.caught_up =
+				primary ||
+				(has_floor && (pw_position_compare(&s->at, &floor) >= 0 ||
+					       pw_replica_lag_covers(&s->lag, now - seen_us, now))),
 			.running = s->running,
 			.latency_us = latency_us(s),
 			.distance = s->distance,
@@ -325,13 +326,26 @@
 {
 	struct group *g = s->group;
 
-	s->heard_us = gateway_now_us(g->gateway);
+	s->contact_us = gateway_now_us(g->gateway);
+	s->asked_us = 0;
 	if (s == g->primary) {
-		g->reached_us = s->heard_us;
+		g->reached_us = s->contact_us;
 		g->lost_since_us = 0;
 	}
 }
 
+void gw_group_server_asked(struct server *s)
+{
+	if (!s->asked_us)
+		s->asked_us = gateway_now_us(s->group->gateway);
+}
+
+void gw_group_server_connected(struct server *s)
+{
+	/* Its process may be stuck, so this is no sign of life; it only tells of the network. */
+	s->contact_us = gateway_now_us(s->group->gateway);
+}
+
 void gw_group_server_failed(struct server *s)
 {
 	struct group *g = s->group;
@@ -341,14 +355,14 @@
 		g->lost_since_us = now;
 		pw_event_log(PW_EVENT_UPSTREAM_DOWN, "database=%s server=%s", g->name, s->id);
 	}
-	s->backoff_us = s->backoff_us ? MIN(s->backoff_us * 2, SERVER_BACKOFF_MAX_US) :
-					SERVER_BACKOFF_FIRST_US;
+	s->backoff_us = s->backoff_us ? MIN(s->backoff_us * 2, SERVER_BACKOFF_MAX_US)
+				      : SERVER_BACKOFF_FIRST_US;
 	s->pause_until_us = now + s->backoff_us;
 	pw_mailbox_send(g->gateway->directory->catalog, pw_servers_refresh_msg());
 }
 
 void gw_group_note_answer(struct server *s, const struct conn *c, uint64_t sent_us,
-		       const struct pw_position *at)
+			  const struct pw_position *at)
 {
 	struct group *g = s->group;
 	uint64_t now = gateway_now_us(g->gateway);
@@ -376,7 +390,7 @@
 {
 	struct probe *p = (struct probe *)stream;
 
-	gw_group_server_heard(p->server);
+	gw_group_server_connected(p->server);
 	end_probe(p);
 }
 
@@ -423,6 +437,13 @@
 	pw_loop_timer_set(g->task.loop, &p->timer, gateway_now_us(g) + PROBE_TIMEOUT_US);
 }
 
+void gw_group_check_primary(struct group *g)
+{
+	if (g->primary && g->primary->listed &&
+	    gateway_now_us(g->gateway) - g->reached_us > PROBE_SILENCE_US)
+		(void)gw_conn_ping(g->primary, true);
+}
+
 static bool has_silent(const struct server *s)
 {
 	for (guint i = 0; i < s->conns->len; i++) {
@@ -439,11 +460,18 @@
 	gw_group_check_settled(g);
 	for (guint i = 0; i < g->servers->len; i++) {
 		struct server *s = g_ptr_array_index(g->servers, i);
-		bool unheard = now - s->heard_us > PROBE_SILENCE_US;
+		uint64_t silent_us = now - s->contact_us;
 
-		if (s->listed && unheard &&
-		    (has_silent(s) ||
-		     (s == g->primary && now - s->heard_us > PROBE_IDLE_US)))
+		if (s->listed && s->asked_us && now - s->asked_us > SILENT_LOST_US &&
+		    now >= s->pause_until_us) {
+			gw_group_server_failed(s);
+			fail_conns(s, is_silent, "the server does not answer");
+		}
+
+		if (s->listed && silent_us > PROBE_SILENCE_US && has_silent(s))
+			start_probe(s);
+		else if (s->listed && silent_us > PROBE_IDLE_US && s == g->primary &&
+			 !gw_conn_ping(s, false))
 			start_probe(s);
 		gw_conn_close_idle(s, false);
 	}
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -74,6 +74,11 @@
 #define SERVER_BUSY_US (20 * PW_US_PER_MS)
 /* A running statement or an open that is silent for this long lets its server be probed. */
 #define PROBE_SILENCE_US (300 * PW_US_PER_MS)
+/*
+ * A server that takes connections but sends nothing for this long although it was asked is lost:
+ * several times what a full queue of statements takes.
+ */
+#define SILENT_LOST_US (1200 * PW_US_PER_MS)
 /* A primary without contact for this long is probed. */
 #define PROBE_IDLE_US (500 * PW_US_PER_MS)
 /* A probe without an answer for this long has failed. */
@@ -170,7 +175,7 @@
 	struct conn *conn;
 	struct work *work;
 	const char *statement_id; /**< of the statement that is being looked at, for the log */
-	struct pw_position own; /**< end of the log after the session's last commit */
+	struct pw_position own;   /**< end of the log after the session's last commit */
 	uint64_t own_generation;
 	uint64_t own_us;
 	uint64_t idle_since_us;
@@ -264,7 +269,8 @@
 	uint64_t latency_us;
 	uint64_t pause_until_us; /**< gets no reads until then */
 	uint64_t backoff_us;
-	uint64_t heard_us; /**< last bytes from it */
+	uint64_t contact_us; /**< last bytes from it, or last time that the network connected */
+	uint64_t asked_us;   /**< first message to it that no bytes from it followed; 0: none */
 	uint32_t running;
 	uint64_t leaving_since_us;
 	bool listed;
@@ -340,7 +346,7 @@
 void gw_work_refuse(struct work *w, enum pw_reason reason, const char *text);
 /** The whole answer of the server is there. */
 void gw_work_finished(struct work *w, struct conn *c, enum pw_session_state state,
-		   const struct pw_position *at);
+		      const struct pw_position *at);
 /** The connection was lost, or refused to open. */
 void gw_work_conn_lost(struct work *w, const char *why);
 /** The server did not begin the transaction. */
@@ -355,14 +361,21 @@
 void gw_group_take_primaries(struct gateway *g);
 /** @return server that can take the statement now, or NULL */
 struct server *gw_group_place(const struct work *w);
+/** Asks the primary for a sign of life, since another VM cannot reach it. */
+void gw_group_check_primary(struct group *g);
 /** Probes of silent primaries, end of planned drains, idle connections. */
 void gw_group_tick(struct group *g);
 /** Notes an answer of a server. `sent_us` is when its statement was sent. */
 void gw_group_note_answer(struct server *s, const struct conn *c, uint64_t sent_us,
-		       const struct pw_position *at);
+			  const struct pw_position *at);
 /** A connection could not be opened. */
 void gw_group_server_failed(struct server *s);
+/** Bytes came from the server. */
 void gw_group_server_heard(struct server *s);
+/** A message went to the server that it has to answer. */
+void gw_group_server_asked(struct server *s);
+/** The network has connected to the server; whether its process answers is not known. */
+void gw_group_server_connected(struct server *s);
 /** @return whether an answer of the connection comes from the present primary */
 bool gw_group_is_present(struct conn *c);
 /** Looks whether everything has left the primary that is about to be replaced. */
@@ -380,6 +393,13 @@
 void gw_conn_roll_back(struct conn *c);
 /** Closes a connection; its statement is told. */
 void gw_conn_fail(struct conn *c, const char *why);
+/**
+ * Asks the server for a sign of life that needs no slot there.
+ *
+ * @param open a connection is opened for it if none is idle
+ * @return false if there is no connection to ask on
+ */
+bool gw_conn_ping(struct server *s, bool open);
 /** Closes connections that are idle for too long, or all idle ones. */
 void gw_conn_close_idle(struct server *s, bool all);
 
--- a/daemon/traffic/gateway_session.c
+++ b/daemon/traffic/gateway_session.c
@@ -108,7 +108,8 @@
 			     "id=%s account=%s database=%s reason=%s text=\"%s\" rate=%.1f "
 			     "burst=%.1f contended=%d",
 			     s->statement_id, s->account ? s->account->name : "", s->database,
-			     pw_reason_name(reason), text, s->account ? s->account->share.rate_per_s : 0,
+			     pw_reason_name(reason), text,
+			     s->account ? s->account->share.rate_per_s : 0,
 			     s->account ? s->account->share.burst : 0,
 			     s->account && s->account->share.contended);
 
@@ -272,8 +273,7 @@
 	if (names_full(s, s->prepared))
 		return;
 	if (!s->prepared)
-		s->prepared =
-			g_hash_table_new_full(g_str_hash, g_str_equal, g_free, prepared_free);
+		s->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, prepared_free);
 	p = g_new0(struct prepared, 1);
 	p->shape = g_strdup(call->argument);
 	p->writes = call->writes;
@@ -445,8 +445,7 @@
 		}
 		if (rc) {
 			answer_fatal(s,
-				     rc == PW_EOVERFLOW ? PW_REASON_TOO_LARGE :
-							  PW_REASON_MALFORMED,
+				     rc == PW_EOVERFLOW ? PW_REASON_TOO_LARGE : PW_REASON_MALFORMED,
 				     PW_COUNTER_REFUSED_PROTOCOL, pw_error_message());
 			break;
 		}
--- a/daemon/traffic/gateway_work.c
+++ b/daemon/traffic/gateway_work.c
@@ -35,8 +35,7 @@
 		w->prepared = g_hash_table_lookup(s->prepared, call->name);
 	w->begins = s->transaction == TRANSACTION_BEGUN;
 	w->ends = is_commit(call);
-	w->writes = single &&
-		    (call->verb == PW_VERB_WRITE || (w->prepared && w->prepared->writes));
+	w->writes = single && (call->verb == PW_VERB_WRITE || (w->prepared && w->prepared->writes));
 	w->primary = w->operation.consistency == PW_CONSISTENCY_PRIMARY || w->writes ||
 		     (!single && !s->read_only);
 	w->arrived_us = pw_loop_refresh_us(s->gateway->task.loop);
@@ -102,8 +101,7 @@
 		     w->call->id, w->account->name, g->name, pw_reason_name(reason), text,
 		     (now - w->arrived_us) / PW_US_PER_MS, w->attempts, w->primary,
 		     g->waiting.length, g->changing,
-		     ((int64_t)g->gateway->permit_until_us - (int64_t)now) /
-			     (int64_t)PW_US_PER_MS,
+		     ((int64_t)g->gateway->permit_until_us - (int64_t)now) / (int64_t)PW_US_PER_MS,
 		     g->generation, w->avoid ? w->avoid->id : "");
 }
 
@@ -179,7 +177,8 @@
 		wait(w);
 }
 
-/* Order of waiting statements: the operation's priority, then the account with the least running. */
+/* Order of waiting statements: the operation's priority, then the account with the least running.
+ */
 static struct work *next_waiting(struct group *g, GHashTable *tried)
 {
 	struct work *best = NULL;
@@ -374,7 +373,7 @@
 }
 
 void gw_work_finished(struct work *w, struct conn *c, enum pw_session_state state,
-		   const struct pw_position *at)
+		      const struct pw_position *at)
 {
 	struct session *s = w->session;
 	struct server *server = c->server;
--- a/decide/src/change.c
+++ b/decide/src/change.c
@@ -5,8 +5,8 @@
 const char *pw_change_reason_name(enum pw_change_reason r)
 {
 	static const char *const names[] = {
-		[PW_CHANGE_NONE] = "none",	 [PW_CHANGE_UNREACHABLE] = "unreachable",
-		[PW_CHANGE_GONE] = "gone",	 [PW_CHANGE_LEAVING] = "leaving",
+		[PW_CHANGE_NONE] = "none",       [PW_CHANGE_UNREACHABLE] = "unreachable",
+		[PW_CHANGE_GONE] = "gone",       [PW_CHANGE_LEAVING] = "leaving",
 		[PW_CHANGE_DEMOTED] = "demoted", [PW_CHANGE_ABANDONED] = "abandoned",
 	};
 
--- a/decide/src/share.c
+++ b/decide/src/share.c
@@ -14,8 +14,8 @@
 /* Burst of a VM in a flood: the burst of the account was spent at its start. */
 #define FLOOD_BURST_PART 0.25
 
-/* Fewer tokens than this would refuse a single operation. */
-#define BURST_MIN 1.5
+/* With fewer tokens, some are lost while no operation happens to come to this VM. */
+#define BURST_MIN 2.5
 
 struct pw_share pw_share_compute(const struct pw_share_input *in)
 {
--- a/http/include/pw/http/http.h
+++ b/http/include/pw/http/http.h
@@ -54,10 +54,9 @@
 };
 
 #define PW_HTTP_OPTIONS_VERSION 1
-#define PW_HTTP_OPTIONS_INIT                        \
-	{                                           \
-		.version = PW_HTTP_OPTIONS_VERSION, \
-		.answer_max_bytes = 1 << 21,        \
+#define PW_HTTP_OPTIONS_INIT                                                     \
+	{                                                                        \
+		.version = PW_HTTP_OPTIONS_VERSION, .answer_max_bytes = 1 << 21, \
 	}
 
 struct pw_http_options {
--- a/http/src/http.c
+++ b/http/src/http.c
@@ -17,7 +17,8 @@
 #define IDLE_MAX_S           5L
 #define IDLE_CONNECTIONS_MAX 4L
 
-/* A connection whose far end is gone while an answer is awaited is found after 1 + 2 * 1 seconds. */
+/* A connection whose far end is gone while an answer is awaited is found after 1 + 2 * 1 seconds.
+ */
 #define KEEPALIVE_IDLE_S     1
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES     2
--- /dev/null
+++ b/tests/codec/test_pulse.c
@@ -0,0 +1,106 @@
+/* Suite of the datagrams between VMs. */
+#include "suite.h"
+
+#include <string.h>
+
+#include "pw/codec/pulse.h"
+#include "pw/core/error.h"
+
+static void fill(struct pw_pulse *p, uint32_t accounts)
+{
+	pw_pulse_init(p);
+	p->sender = g_strdup("vm-1");
+	p->address = g_strdup("10.0.0.1:7000");
+	p->incarnation = UINT64_MAX;
+	p->sequence = 7;
+	p->echo_incarnation = 8;
+	p->echo_sequence = 9;
+	p->permit_left_ms = 1200;
+	p->primaries_revision = 412;
+	p->settled_revision = 411;
+	p->confirmed_revision = 410;
+	p->needs_permit = true;
+	p->leaving = true;
+	p->catalog_version = 5;
+	p->catalog_age_ms = 300;
+	p->servers_digest = UINT64_MAX - 1;
+	p->servers_age_ms = 100;
+	pw_pulse_add_group(p, "orders", 3, 250, true);
+	for (uint32_t i = 0; i < accounts; i++)
+		pw_pulse_add_account(p, "an account with a long name", 1.5F);
+}
+
+START_TEST(test_round_trip)
+{
+	uint8_t data[PW_PULSE_MAX_BYTES];
+	struct pw_pulse p, q;
+	size_t size;
+
+	fill(&p, 2);
+	size = pw_pulse_encode(data, &p);
+	ck_assert_uint_gt(size, 0);
+	ck_assert_int_eq(pw_pulse_decode(&q, data, size), PW_OK);
+	ck_assert_str_eq(q.sender, p.sender);
+	ck_assert_str_eq(q.address, p.address);
+	ck_assert_uint_eq(q.incarnation, p.incarnation);
+	ck_assert_uint_eq(q.sequence, p.sequence);
+	ck_assert_uint_eq(q.echo_incarnation, p.echo_incarnation);
+	ck_assert_uint_eq(q.echo_sequence, p.echo_sequence);
+	ck_assert_uint_eq(q.permit_left_ms, p.permit_left_ms);
+	ck_assert_int_eq(q.primaries_revision, p.primaries_revision);
+	ck_assert_int_eq(q.settled_revision, p.settled_revision);
+	ck_assert_int_eq(q.confirmed_revision, p.confirmed_revision);
+	ck_assert(q.needs_permit && q.leaving);
+	ck_assert_uint_eq(q.catalog_version, p.catalog_version);
+	ck_assert_uint_eq(q.catalog_age_ms, p.catalog_age_ms);
+	ck_assert_uint_eq(q.servers_digest, p.servers_digest);
+	ck_assert_uint_eq(q.servers_age_ms, p.servers_age_ms);
+	ck_assert_uint_eq(q.groups->len, 1);
+	ck_assert_str_eq(g_array_index(q.groups, struct pw_pulse_group, 0).name, "orders");
+	ck_assert_uint_eq(g_array_index(q.groups, struct pw_pulse_group, 0).lost_ms, 250);
+	ck_assert_uint_eq(q.accounts->len, 2);
+	pw_pulse_dispose(&p);
+	pw_pulse_dispose(&q);
+}
+END_TEST
+
+/* What concerns the permission fits the datagram, however many accounts there are. */
+START_TEST(test_many_accounts)
+{
+	uint8_t data[PW_PULSE_MAX_BYTES];
+	struct pw_pulse p, q;
+	size_t size;
+
+	fill(&p, 500);
+	size = pw_pulse_encode(data, &p);
+	ck_assert_uint_gt(size, 0);
+	ck_assert_int_eq(pw_pulse_decode(&q, data, size), PW_OK);
+	ck_assert_uint_gt(q.accounts->len, 10);
+	ck_assert_uint_lt(q.accounts->len, 500);
+	ck_assert_uint_eq(q.permit_left_ms, p.permit_left_ms);
+	pw_pulse_dispose(&p);
+	pw_pulse_dispose(&q);
+}
+END_TEST
+
+static const char *const bad[] = { "", "\xff\xff\xff\xff", "\x0a\x7fshort", "\x10\x01" };
+
+START_TEST(test_bad)
+{
+	struct pw_pulse p;
+
+	ck_assert_int_eq(pw_pulse_decode(&p, (const uint8_t *)bad[_i], strlen(bad[_i])),
+			 PW_EINVALID);
+	pw_pulse_dispose(&p);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("pulse");
+
+	tcase_add_test(tc, test_round_trip);
+	tcase_add_test(tc, test_many_accounts);
+	tcase_add_loop_test(tc, test_bad, 0, PW_ARRAY_LEN(bad));
+	return pw_suite_run("pulse", tc);
+}
--- /dev/null
+++ b/tests/decide/test_history.c
@@ -0,0 +1,88 @@
+/* Suite of the positions of a primary by time: floors that cover every commit of an age. */
+#include "suite.h"
+
+#include "pw/decide/history.h"
+
+#define STEPS_MAX 6
+
+static const struct {
+	const char *label;
+	struct {
+		uint32_t sent_ms;
+		uint32_t lsn;
+	} notes[STEPS_MAX]; /* ends with 0 */
+	uint32_t before_ms;
+	uint32_t lsn; /* 0: no floor */
+} cases[] = {
+	{ "nothing known", { { 0 } }, 100, 0 },
+	{ "an answer to an older statement does not cover the time", { { 90, 5 } }, 100, 0 },
+	{ "an answer to a statement of that time does", { { 100, 5 } }, 100, 5 },
+	{ "the oldest that covers it, which replicas have soonest",
+	  { { 90, 5 }, { 120, 6 }, { 150, 7 } },
+	  100,
+	  6 },
+	{ "any position of the primary", { { 90, 5 }, { 120, 6 } }, 0, 5 },
+	{ "answers in another order than their statements", { { 120, 6 }, { 60, 9 } }, 50, 6 },
+	{ "answers close to each other count once", { { 100, 5 }, { 110, 6 } }, 105, 0 },
+};
+
+START_TEST(test_floor)
+{
+	struct pw_history h = { 0 };
+	struct pw_position at = { 0 };
+	bool found;
+
+	for (size_t i = 0; i < STEPS_MAX && cases[_i].notes[i].sent_ms; i++) {
+		const struct pw_position p = { .term = 1, .lsn = cases[_i].notes[i].lsn };
+
+		pw_history_note(&h, cases[_i].notes[i].sent_ms * UINT64_C(1000), &p);
+	}
+	found = pw_history_floor(&h, cases[_i].before_ms * UINT64_C(1000), &at, NULL);
+	ck_assert_msg(found == (cases[_i].lsn != 0), "%s", cases[_i].label);
+	ck_assert_msg(at.lsn == cases[_i].lsn, "%s", cases[_i].label);
+}
+END_TEST
+
+/* A position of a replaced primary must not stand for what its successor has acknowledged. */
+START_TEST(test_generation)
+{
+	struct pw_history h = { 0 };
+	const struct pw_position p = { .term = 1, .lsn = 5 };
+	struct pw_position at;
+
+	pw_history_set_generation(&h, 1);
+	pw_history_note(&h, 100000, &p);
+	pw_history_set_generation(&h, 1);
+	ck_assert(pw_history_floor(&h, 0, &at, NULL));
+	pw_history_set_generation(&h, 2);
+	ck_assert(!pw_history_floor(&h, 0, &at, NULL));
+}
+END_TEST
+
+/* The ring keeps the newest observations. */
+START_TEST(test_ring)
+{
+	struct pw_history h = { 0 };
+	struct pw_position at;
+	uint64_t seen_us;
+
+	for (uint64_t i = 1; i <= 3 * PW_HISTORY_SIZE; i++) {
+		const struct pw_position p = { .term = 1, .lsn = i };
+
+		pw_history_note(&h, i * PW_HISTORY_STEP_US, &p);
+	}
+	ck_assert(pw_history_floor(&h, 0, &at, &seen_us));
+	ck_assert_uint_eq(at.lsn, 2 * PW_HISTORY_SIZE + 1);
+	ck_assert_uint_eq(seen_us, at.lsn * PW_HISTORY_STEP_US);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("history");
+
+	tcase_add_loop_test(tc, test_floor, 0, PW_ARRAY_LEN(cases));
+	tcase_add_test(tc, test_generation);
+	tcase_add_test(tc, test_ring);
+	return pw_suite_run("history", tc);
+}
--- /dev/null
+++ b/tests/decide/test_place.c
@@ -0,0 +1,96 @@
+/* Suite of the choice of a server for a read. */
+#include "suite.h"
+
+#include "pw/decide/place.h"
+
+#define SERVERS_MAX 3
+
+/* A server that can be used, whose log is long enough, with an idle connection, and its latency. */
+#define USABLE  .usable = true
+#define CURRENT .caught_up = true
+#define IDLE    .has_idle = true
+#define FAST    .latency_us = 20000
+#define GOOD    USABLE, CURRENT, IDLE, FAST
+
+static const struct {
+	const char *label;
+	struct pw_place_server servers[SERVERS_MAX];
+	int32_t chosen;
+} cases[] = {
+	{ "no server", { { 0 } }, -1 },
+	{ "the one with less to do", { { GOOD, .running = 2 }, { GOOD, .running = 1 } }, 1 },
+	{ "the faster one",
+	  { { USABLE, CURRENT, IDLE, .latency_us = 90000 },
+	    { USABLE, CURRENT, IDLE, .latency_us = 30000 } },
+	  1 },
+	{ "a replica that is behind is left out",
+	  { { USABLE, IDLE, FAST }, { GOOD, .running = 3 } },
+	  1 },
+	{ "a replica goes before the primary, which writes need",
+	  { { GOOD, .primary = true }, { GOOD, .running = 1 } },
+	  1 },
+	{ "the primary goes before a replica that is far behind in its work",
+	  { { GOOD, .primary = true }, { GOOD, .running = 4 } },
+	  0 },
+	{ "a server of this region goes before a remote one",
+	  { { GOOD, .distance = PW_DISTANCE_REMOTE }, { GOOD, .running = 1 } },
+	  1 },
+	{ "a busy region sends reads to the remote one",
+	  { { GOOD, .distance = PW_DISTANCE_REMOTE }, { GOOD, .running = 6 } },
+	  0 },
+	{ "an idle connection saves the server the work of opening one",
+	  { { USABLE, CURRENT, FAST, .can_open = true }, { GOOD } },
+	  1 },
+	{ "without any connection a server cannot be used",
+	  { { USABLE, CURRENT, FAST }, { CURRENT, IDLE, FAST } },
+	  -1 },
+};
+
+START_TEST(test_place)
+{
+	ck_assert_msg(pw_place_read(cases[_i].servers, SERVERS_MAX) == cases[_i].chosen, "%s",
+		      cases[_i].label);
+}
+END_TEST
+
+#define MS UINT64_C(1000)
+
+/* A replica that lacked a position is not asked again for one as young, but is tried again. */
+START_TEST(test_lag)
+{
+	struct pw_replica_lag l = { 0 };
+
+	ck_assert(pw_replica_lag_covers(&l, 0, 0));
+	pw_replica_lag_behind(&l, 100 * MS, 1000 * MS);
+	ck_assert(!pw_replica_lag_covers(&l, 150 * MS, 1000 * MS));
+	ck_assert(pw_replica_lag_covers(&l, 200 * MS, 1000 * MS));
+	ck_assert(pw_replica_lag_covers(&l, 150 * MS, 1400 * MS));
+	pw_replica_lag_served(&l, 10 * MS, 1400 * MS);
+	ck_assert(pw_replica_lag_covers(&l, 10 * MS, 1400 * MS));
+	ck_assert(!pw_replica_lag_covers(&l, 5 * MS, 1400 * MS));
+	ck_assert(pw_replica_lag_covers(&l, 0, 60 * 1000 * MS));
+}
+END_TEST
+
+START_TEST(test_latency)
+{
+	uint64_t average = 0;
+
+	average = pw_latency_add(average, 8000);
+	ck_assert_uint_eq(average, 8000);
+	for (int i = 0; i < 100; i++)
+		average = pw_latency_add(average, 40000);
+	ck_assert_uint_gt(average, 38000);
+	ck_assert_uint_le(average, 40000);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("place");
+
+	tcase_add_loop_test(tc, test_place, 0, PW_ARRAY_LEN(cases));
+	tcase_add_test(tc, test_lag);
+	tcase_add_test(tc, test_latency);
+	return pw_suite_run("place", tc);
+}
--- /dev/null
+++ b/tests/decide/test_registry.c
@@ -0,0 +1,45 @@
+/* Suite of the servers that are to be used: entries that are missing for a while. */
+#include "suite.h"
+
+#include "pw/decide/registry.h"
+
+#define READS_MAX 6
+
+static const struct {
+	const char *label;
+	struct {
+		uint32_t at_ms;
+		bool listed;
+		bool kept;
+	} reads[READS_MAX]; /* ends with 0 */
+} cases[] = {
+	{ "listed all the time", { { 1, true, true }, { 2500, true, true } } },
+	{ "an entry that is back within 2 s", { { 1, true, true },
+						{ 2500, false, true },
+						{ 4500, true, true },
+						{ 7000, false, true } } },
+	{ "an entry that stays away", { { 1, true, true },
+					{ 2500, false, true },
+					{ 4600, false, true },
+					{ 4800, false, false } } },
+};
+
+START_TEST(test_keep)
+{
+	struct pw_registry_mark m = { 0 };
+
+	for (size_t i = 0; i < READS_MAX && cases[_i].reads[i].at_ms; i++)
+		ck_assert_msg(pw_registry_keep(&m, cases[_i].reads[i].listed,
+					       cases[_i].reads[i].at_ms * UINT64_C(1000)) ==
+				      cases[_i].reads[i].kept,
+			      "%s, read %zu", cases[_i].label, i);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("registry");
+
+	tcase_add_loop_test(tc, test_keep, 0, PW_ARRAY_LEN(cases));
+	return pw_suite_run("registry", tc);
+}
--- /dev/null
+++ b/tests/decide/test_share.c
@@ -0,0 +1,191 @@
+/*
+ * Suite of the shares of a rate: the shares of a fleet against one bucket for all of it, the naive
+ * version, in virtual time.
+ */
+#include "suite.h"
+
+#include <math.h>
+#include <stdbool.h>
+#include <stdio.h>
+
+#include "pw/decide/share.h"
+
+#define S UINT64_C(1000000)
+
+static const struct {
+	const char *label;
+	struct pw_share_input in;
+	double rate_per_s;
+	bool contended;
+} cases[] = {
+	{ "alone and idle", { .rate_per_s = 100, .burst = 100 }, 100, false },
+	{ "half of the demand is here",
+	  { .rate_per_s = 100, .burst = 100, .own_demand_per_s = 30, .others_demand_per_s = 30,
+	    .heard = 1 },
+	  50, false },
+	{ "all demand is here",
+	  { .rate_per_s = 100, .burst = 100, .own_demand_per_s = 60, .heard = 3 },
+	  70, false },
+	{ "a flood is divided by demand",
+	  { .rate_per_s = 100, .burst = 100, .own_demand_per_s = 300,
+	    .others_demand_per_s = 100, .heard = 3 },
+	  75, true },
+	{ "a silent VM keeps its part",
+	  { .rate_per_s = 100, .burst = 100, .own_demand_per_s = 300, .silent = 1 },
+	  50, true },
+	{ "an account without a rate", { .own_demand_per_s = 5 }, 0, true },
+};
+
+START_TEST(test_compute)
+{
+	struct pw_share s = pw_share_compute(&cases[_i].in);
+
+	ck_assert_msg(fabs(s.rate_per_s - cases[_i].rate_per_s) < 0.01, "%s: %f",
+		      cases[_i].label, s.rate_per_s);
+	ck_assert_msg(s.contended == cases[_i].contended, "%s", cases[_i].label);
+}
+END_TEST
+
+START_TEST(test_window)
+{
+	ck_assert(pw_share_rate_per_s(100, 50, 5 * S, 0) == 100);
+	ck_assert(pw_share_rate_per_s(100, 50, 5 * S, 5 * S - 1) == 100);
+	ck_assert(pw_share_rate_per_s(100, 50, 5 * S, 5 * S) == 110);
+	ck_assert(pw_share_rate_per_s(100, 50, 0, 60 * S) == 100);
+}
+END_TEST
+
+#define VMS_MAX     16
+#define STEP_US     UINT64_C(5000)
+#define COMPUTE_US  UINT64_C(100000) /* each VM computes its share anew */
+#define REPORT_US   UINT64_C(250000) /* and hears of the others' demand */
+#define LENGTH_S    30
+#define WINDOW_S    5
+#define WINDOW_STEP 100 /* steps of a counted part of the window */
+
+struct load {
+	const char *label;
+	uint32_t vms;
+	uint32_t silent; /* of the VMs, from the first on: not heard of, but serving */
+	double rate_per_s;
+	double burst;
+	double calm_per_s;  /* demand of the fleet */
+	double flood_per_s; /* the same from second 10 to 20 */
+	double uneven;      /* part of the demand that goes to the first VM */
+	double least;       /* least part of what is inside the rate that is served */
+};
+
+static const struct load loads[] = {
+	{ "inside the rate, spread evenly", 9, 0, 135, 135, 84, 84, 0, 0.995 },
+	{ "inside the rate, most at one VM", 9, 0, 135, 135, 84, 84, 0.7, 0.995 },
+	{ "a small account", 9, 0, 20, 20, 12, 12, 0, 0.97 },
+	{ "several times the rate", 9, 0, 135, 135, 84, 632, 0, 0.9 },
+	{ "several times the rate at one VM", 6, 0, 135, 135, 84, 632, 0.8, 0.9 },
+	{ "two VMs are cut off", 6, 2, 135, 135, 84, 632, 0, 0.75 },
+	{ "above its rate all the time", 9, 0, 27, 27, 50, 50, 0, 0.9 },
+};
+
+struct vm {
+	struct pw_demand demand;
+	double reported;
+	struct pw_share share;
+	struct pw_tokens tokens;
+	uint64_t calm_us;
+};
+
+static uint64_t random_state;
+
+/* Next number of a linear congruential generator, from 0 to 1. */
+static double next_random(void)
+{
+	random_state = random_state * UINT64_C(6364136223846793005) + 1442695040888963407;
+	return (double)(random_state >> 11) / (double)(UINT64_C(1) << 53);
+}
+
+static void compute_shares(const struct load *l, struct vm *vms, uint64_t now_us)
+{
+	for (uint32_t i = 0; i < l->vms && now_us % REPORT_US < COMPUTE_US; i++)
+		vms[i].reported = pw_demand_at(&vms[i].demand, now_us);
+	for (uint32_t i = 0; i < l->vms; i++) {
+		struct vm *v = &vms[i];
+		bool cut = i < l->silent;
+		struct pw_share_input in = {
+			.rate_per_s = pw_share_rate_per_s(l->rate_per_s, l->burst, WINDOW_S * S,
+							  now_us - v->calm_us),
+			.burst = l->burst,
+			.own_demand_per_s = pw_demand_at(&v->demand, now_us),
+			.silent = cut ? l->vms - 1 : l->silent,
+			.heard = cut ? 0 : l->vms - l->silent - 1,
+		};
+
+		for (uint32_t k = l->silent; !cut && k < l->vms; k++)
+			in.others_demand_per_s += k == i ? 0 : vms[k].reported;
+		if (in.own_demand_per_s + in.others_demand_per_s <= l->rate_per_s)
+			v->calm_us = now_us;
+		v->share = pw_share_compute(&in);
+		if (now_us == 0)
+			pw_tokens_init(&v->tokens, &v->share, now_us);
+	}
+}
+
+/*
+ * Plays a load. No window may hold more than the rate, the burst, a tenth and 20 operations; what
+ * one bucket for all VMs would have served is served up to the least part.
+ */
+START_TEST(test_fleet)
+{
+	const struct load *l = &loads[_i];
+	struct vm vms[VMS_MAX] = { 0 };
+	uint32_t steps = LENGTH_S * S / STEP_US, window = WINDOW_S * S / STEP_US;
+	uint32_t *served = calloc(steps, sizeof(*served));
+	double bucket = l->burst, naive = 0, total = 0;
+
+	random_state = (uint64_t)_i + 1;
+	for (uint32_t step = 0; step < steps; step++) {
+		uint64_t now = step * STEP_US;
+		double t = (double)now / 1e6;
+		double per_s = t >= 10 && t < 20 ? l->flood_per_s : l->calm_per_s;
+
+		if (now % COMPUTE_US == 0)
+			compute_shares(l, vms, now);
+		bucket = fmin(bucket + l->rate_per_s * (double)STEP_US / 1e6, l->burst);
+		for (double due = per_s * (double)STEP_US / 1e6; due > 0; due -= 1) {
+			struct vm *v = &vms[next_random() < l->uneven ?
+						    0 :
+						    (uint32_t)(next_random() * l->vms)];
+
+			if (due < 1 && next_random() >= due)
+				break;
+			pw_demand_add(&v->demand, 1, now);
+			if (bucket >= 1) {
+				bucket -= 1;
+				naive += 1;
+			}
+			if (pw_tokens_take(&v->tokens, &v->share, now)) {
+				served[step]++;
+				total += 1;
+			}
+		}
+	}
+	for (uint32_t from = 0; from + window <= steps; from += WINDOW_STEP) {
+		double sum = 0, limit = (l->rate_per_s * WINDOW_S + l->burst) * 1.1 + 20;
+
+		for (uint32_t k = from; k < from + window; k++)
+			sum += served[k];
+		ck_assert_msg(sum <= limit, "%s: %f of %f from %f s", l->label, sum, limit,
+			      (double)from * (double)STEP_US / 1e6);
+	}
+	ck_assert_msg(total >= naive * l->least, "%s: %f of %f", l->label, total, naive);
+	free(served);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("share");
+
+	tcase_add_loop_test(tc, test_compute, 0, PW_ARRAY_LEN(cases));
+	tcase_add_test(tc, test_window);
+	tcase_add_loop_test(tc, test_fleet, 0, PW_ARRAY_LEN(loads));
+	return pw_suite_run("share", tc);
+}
--- /dev/null
+++ b/tests/platform/test_line.c
@@ -0,0 +1,272 @@
+/* Suite of the platform's protocol of callers and servers: lines, good and bad ones. */
+#include "suite.h"
+
+#include <string.h>
+
+#include "pw/core/error.h"
+#include "pw/platform/platform.h"
+
+static const struct {
+	const char *line;
+	int result;
+	enum pw_call_kind kind;
+	enum pw_verb verb;
+	const char *id, *name, *argument;
+	bool writes;
+} calls[] = {
+	{ "STARTUP lepu270 u3f1\r\n", PW_OK, PW_CALL_OPEN, 0, "lepu270", "u3f1", NULL, false },
+	{ "STARTUP lepu270\r\n", PW_OK, PW_CALL_OPEN, 0, "lepu270", "", NULL, false },
+	{ "STARTUP\r\n", PW_EINVALID, 0, 0, NULL, NULL, NULL, false },
+	{ "TERMINATE\r\n", PW_OK, PW_CALL_END, 0, NULL, NULL, NULL, false },
+	{ "TERMINATE\n", PW_OK, PW_CALL_END, 0, NULL, NULL, NULL, false },
+	{ "QUERY 5c BEGIN\r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_BEGIN, "5c", NULL, "", false },
+	{ "QUERY 5c BEGIN READ\r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_BEGIN_READ, "5c", NULL,
+	  NULL, false },
+	{ "QUERY 5c BEGIN WRITE\r\n", PW_OK, PW_CALL_MALFORMED, 0, "5c", NULL, NULL, false },
+	{ "QUERY 5c COMMIT\r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_COMMIT, "5c", NULL, "", false },
+	{ "QUERY 5c COMMIT now\r\n", PW_OK, PW_CALL_MALFORMED, 0, "5c", NULL, NULL, false },
+	{ "QUERY 5c ROLLBACK\r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_ROLLBACK, "5c", NULL, "",
+	  false },
+	{ "QUERY 5c READ 1a4\r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_READ, "5c", NULL, "1a4",
+	  false },
+	{ "QUERY 5c READ\r\n", PW_OK, PW_CALL_MALFORMED, 0, "5c", NULL, NULL, false },
+	{ "QUERY 5c WRITE 1a4  two blanks \r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_WRITE, "5c",
+	  NULL, "1a4  two blanks ", false },
+	{ "QUERY 5c SET zone north west\r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_SET, "5c", "zone",
+	  "north west", false },
+	{ "QUERY 5c SET\r\n", PW_OK, PW_CALL_MALFORMED, 0, "5c", NULL, NULL, false },
+	{ "QUERY 5c PREPARE s1 WRITE q2c\r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_PREPARE, "5c",
+	  "s1", "q2c", true },
+	{ "QUERY 5c PREPARE s1 READ q2c\r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_PREPARE, "5c",
+	  "s1", "q2c", false },
+	{ "QUERY 5c PREPARE s1 DROP q2c\r\n", PW_OK, PW_CALL_MALFORMED, 0, "5c", NULL, NULL,
+	  false },
+	{ "QUERY 5c EXECUTE s1 1a4 xkq\r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_EXECUTE, "5c",
+	  "s1", "1a4 xkq", false },
+	{ "QUERY 5c CLOSE s1\r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_FORGET, "5c", "s1", "",
+	  false },
+	{ "QUERY 5c WAITLSN 3.1 READ 1a4\r\n", PW_OK, PW_CALL_MALFORMED, 0, "5c", NULL, NULL,
+	  false },
+	{ "QUERY 5c\r\n", PW_OK, PW_CALL_MALFORMED, 0, "5c", NULL, NULL, false },
+	{ "QUERY\r\n", PW_EINVALID, 0, 0, NULL, NULL, NULL, false },
+	{ "GET / HTTP/1.1\r\n", PW_EINVALID, 0, 0, NULL, NULL, NULL, false },
+	{ "\r\n", PW_EINVALID, 0, 0, NULL, NULL, NULL, false },
+	{ "QUERY 5c READ 1a4", PW_EAGAIN, 0, 0, NULL, NULL, NULL, false },
+	{ "", PW_EAGAIN, 0, 0, NULL, NULL, NULL, false },
+};
+
+static void check_text(const char *line, const char *found, const char *wanted)
+{
+	ck_assert_msg(g_strcmp0(found, wanted) == 0, "%s: %s", line, found);
+}
+
+START_TEST(test_call)
+{
+	const char *line = calls[_i].line;
+	struct pw_call c;
+	uint32_t used = 0;
+	int rc = pw_platform_caller_dialect.ops->next(&c, (const uint8_t *)line,
+						      (uint32_t)strlen(line), &used);
+
+	ck_assert_msg(rc == calls[_i].result, "%s: %d", line, rc);
+	if (!rc) {
+		ck_assert_uint_eq(used, strlen(line));
+		ck_assert_msg(c.kind == calls[_i].kind, "%s: %d", line, c.kind);
+	}
+	if (!rc && c.kind == PW_CALL_OPEN) {
+		check_text(line, c.database, calls[_i].id);
+		check_text(line, c.key, calls[_i].name);
+	} else if (!rc && c.kind != PW_CALL_END) {
+		check_text(line, c.statement->id, calls[_i].id);
+	}
+	if (!rc && c.kind == PW_CALL_STATEMENT) {
+		ck_assert_msg(c.statement->verb == calls[_i].verb, "%s", line);
+		check_text(line, c.statement->name, calls[_i].name);
+		check_text(line, c.statement->argument, calls[_i].argument);
+		ck_assert(c.statement->writes == calls[_i].writes);
+	}
+	pw_call_dispose(&c);
+}
+END_TEST
+
+/* A message above the limit is refused before its end has come. */
+START_TEST(test_oversized)
+{
+	uint32_t size = PW_DIALECT_MESSAGE_MAX_BYTES + 2, used;
+	uint8_t *data = g_malloc(size);
+	struct pw_call c;
+
+	memset(data, 'x', size);
+	ck_assert_int_eq(pw_platform_caller_dialect.ops->next(&c, data, size, &used),
+			 PW_EOVERFLOW);
+	ck_assert_int_eq(pw_platform_caller_dialect.ops->next(
+				 &c, data, PW_DIALECT_MESSAGE_MAX_BYTES, &used),
+			 PW_EAGAIN);
+	g_free(data);
+}
+END_TEST
+
+static const struct {
+	const char *line;
+	int result;
+	enum pw_reply_kind kind;
+	const char *text;
+	enum pw_reason reason;
+	enum pw_session_state state;
+	uint64_t term, number; /* 0: no position */
+} replies[] = {
+	{ "DATAROW qhz kwm\r\n", PW_OK, PW_REPLY_ROW, "qhz kwm", 0, 0, 0, 0 },
+	{ "COMPLETE 7.1f3.c\r\n", PW_OK, PW_REPLY_COMPLETE, "7.1f3.c", 0, 0, 0, 0 },
+	{ "ERROR READONLY i-7f3a91c2\r\n", PW_OK, PW_REPLY_ERROR, "i-7f3a91c2",
+	  PW_REASON_NOT_PRIMARY, 0, 0, 0 },
+	{ "ERROR BUSY\r\n", PW_OK, PW_REPLY_ERROR, "", PW_REASON_BUSY, 0, 0, 0 },
+	{ "ERROR NEWCODE why\r\n", PW_OK, PW_REPLY_ERROR, "NEWCODE why", PW_REASON_OTHER, 0, 0,
+	  0 },
+	{ "READY I 3.1207\r\n", PW_OK, PW_REPLY_READY, NULL, 0, PW_SESSION_IDLE, 3, 1207 },
+	{ "READY T -\r\n", PW_OK, PW_REPLY_READY, NULL, 0, PW_SESSION_IN_TRANSACTION, 0, 0 },
+	{ "READY E 3.1\r\n", PW_OK, PW_REPLY_READY, NULL, 0, PW_SESSION_FAILED, 3, 1 },
+	{ "READY I 3.x\r\n", PW_EINVALID, 0, NULL, 0, 0, 0, 0 },
+	{ "READY Z -\r\n", PW_EINVALID, 0, NULL, 0, 0, 0, 0 },
+	{ "\x01\x02\r\n", PW_EINVALID, 0, NULL, 0, 0, 0, 0 },
+	{ "COMPLETE", PW_EAGAIN, 0, NULL, 0, 0, 0, 0 },
+};
+
+START_TEST(test_reply)
+{
+	const char *line = replies[_i].line;
+	struct pw_reply r;
+	uint32_t used;
+	int rc = pw_platform_server_dialect.ops->next(&r, (const uint8_t *)line,
+						      (uint32_t)strlen(line), &used);
+
+	ck_assert_msg(rc == replies[_i].result, "%s: %d", line, rc);
+	if (!rc) {
+		ck_assert_msg(r.kind == replies[_i].kind, "%s", line);
+		check_text(line, r.text, replies[_i].text);
+		ck_assert_msg(r.reason == replies[_i].reason, "%s", line);
+		ck_assert_msg(r.state == replies[_i].state, "%s", line);
+		ck_assert(r.has_position == (replies[_i].term != 0));
+		ck_assert_uint_eq(r.at.term, replies[_i].term);
+		ck_assert_uint_eq(r.at.lsn, replies[_i].number);
+	}
+	pw_reply_dispose(&r);
+}
+END_TEST
+
+static const struct {
+	const char *row;
+	int result;
+	bool primary;
+	uint64_t term, log_term, log_number;
+} reports[] = {
+	{ "replica 3 3.1209 0 12 2 17", PW_OK, false, 3, 3, 1209 },
+	{ "primary 4 3.1209 4 0 2 17 more", PW_OK, true, 4, 3, 1209 },
+	{ "leader 4 3.1209 4 0 2 17", PW_EINVALID, false, 0, 0, 0 },
+	{ "primary x 3.1209 4 0 2 17", PW_EINVALID, false, 0, 0, 0 },
+	{ "primary 4 3 4 0 2 17", PW_EINVALID, false, 0, 0, 0 },
+	{ "primary", PW_EINVALID, false, 0, 0, 0 },
+	{ "", PW_EINVALID, false, 0, 0, 0 },
+};
+
+START_TEST(test_report)
+{
+	struct pw_server_report r = { 0 };
+
+	ck_assert_msg(pw_platform_server_dialect.ops->report(&r, reports[_i].row) ==
+			      reports[_i].result,
+		      "%s", reports[_i].row);
+	ck_assert(r.primary == reports[_i].primary);
+	ck_assert_uint_eq(r.term, reports[_i].term);
+	ck_assert_uint_eq(r.log.term, reports[_i].log_term);
+	ck_assert_uint_eq(r.log.lsn, reports[_i].log_number);
+}
+END_TEST
+
+static void check_bytes(GByteArray *b, const char *wanted)
+{
+	g_byte_array_append(b, (const guint8 *)"", 1);
+	ck_assert_str_eq((const char *)b->data, wanted);
+	g_byte_array_set_size(b, 0);
+}
+
+/* A statement reaches the server as its caller sent it, but for the name of a prepared one. */
+START_TEST(test_requests)
+{
+	const struct pw_server_dialect_ops *ops = pw_platform_server_dialect.ops;
+	const struct pw_position floor = { .term = 3, .lsn = 1207 };
+	GByteArray *b = g_byte_array_new();
+	struct pw_statement_call s = {
+		.verb = PW_VERB_WRITE,
+		.id = (char *)(uintptr_t)"5c0e",
+		.argument = (char *)(uintptr_t)"1a4  two blanks ",
+	};
+
+	ops->put_statement(b, &s, NULL, NULL);
+	check_bytes(b, "QUERY 5c0e WRITE 1a4  two blanks \r\n");
+	s.verb = PW_VERB_READ;
+	s.argument = (char *)(uintptr_t)"1a4";
+	ops->put_statement(b, &s, NULL, &floor);
+	check_bytes(b, "QUERY 5c0e WAITLSN 3.1207 READ 1a4\r\n");
+	s.verb = PW_VERB_EXECUTE;
+	ops->put_statement(b, &s, "p1", NULL);
+	check_bytes(b, "QUERY 5c0e EXECUTE p1 1a4\r\n");
+	s.verb = PW_VERB_COMMIT;
+	s.argument = NULL;
+	ops->put_statement(b, &s, NULL, NULL);
+	check_bytes(b, "QUERY 5c0e COMMIT\r\n");
+	ops->put_open(b, "huvo11a", "tenant", "i-7f3a91c2");
+	check_bytes(b, "STARTUP huvo11a tenant i-7f3a91c2\r\n");
+	ops->put_begin(b, true, &floor);
+	check_bytes(b, "QUERY - WAITLSN 3.1207 BEGIN READ\r\n");
+	ops->put_begin(b, false, NULL);
+	check_bytes(b, "QUERY - BEGIN\r\n");
+	ops->put_rollback(b);
+	check_bytes(b, "QUERY - ROLLBACK\r\n");
+	ops->put_reset(b);
+	check_bytes(b, "QUERY - RESET\r\n");
+	ops->put_set(b, "zone", "north west");
+	check_bytes(b, "QUERY - SET zone north west\r\n");
+	ops->put_prepare(b, "p1", true, "q2c");
+	check_bytes(b, "QUERY - PREPARE p1 WRITE q2c\r\n");
+	ops->put_report(b);
+	check_bytes(b, "QUERY - STATUS\r\n");
+	ops->put_step_down(b, 4);
+	check_bytes(b, "QUERY - STEPDOWN 4\r\n");
+	g_byte_array_unref(b);
+}
+END_TEST
+
+START_TEST(test_answers)
+{
+	const struct pw_caller_dialect_ops *ops = pw_platform_caller_dialect.ops;
+	const struct pw_position at = { .term = 3, .lsn = 1209 };
+	GByteArray *b = g_byte_array_new();
+
+	ops->put_row(b, "qhz kwm");
+	ops->put_complete(b, "7.1f3");
+	ops->put_ready(b, PW_SESSION_IDLE, &at);
+	check_bytes(b, "DATAROW qhz kwm\r\nCOMPLETE 7.1f3\r\nREADY I 3.1209\r\n");
+	ops->put_complete(b, NULL);
+	ops->put_ready(b, PW_SESSION_IN_TRANSACTION, NULL);
+	check_bytes(b, "COMPLETE -\r\nREADY T -\r\n");
+	ops->put_error(b, PW_REASON_OUTCOME_UNKNOWN, "why");
+	ops->put_ready(b, PW_SESSION_FAILED, NULL);
+	check_bytes(b, "ERROR INDOUBT why\r\nREADY E -\r\n");
+	ops->put_error(b, PW_REASON_BAD_KEY, NULL);
+	check_bytes(b, "ERROR AUTHFAIL\r\n");
+	g_byte_array_unref(b);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("line");
+
+	tcase_add_loop_test(tc, test_call, 0, PW_ARRAY_LEN(calls));
+	tcase_add_test(tc, test_oversized);
+	tcase_add_loop_test(tc, test_reply, 0, PW_ARRAY_LEN(replies));
+	tcase_add_loop_test(tc, test_report, 0, PW_ARRAY_LEN(reports));
+	tcase_add_test(tc, test_requests);
+	tcase_add_test(tc, test_answers);
+	return pw_suite_run("line", tc);
+}
--- a/tests/process/test_store.c
+++ b/tests/process/test_store.c
@@ -20,6 +20,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "binding.h"
 #include "control/store.h"
 #include "pw/core/clock.h"
 #include "pw/core/counter.h"
@@ -420,6 +421,7 @@
 
 	s->base.ops = &task_store_ops;
 	s->loop = loop;
+	s->args.store_new = pw_bindings[0]->store_new;
 	s->args.endpoints = endpoints;
 	s->calls = g_hash_table_new(NULL, NULL);
 	ck_assert_int_eq(pw_mailbox_new(&s->inbox), PW_OK);
--- a/upstream/include/pw/upstream/promoter.h
+++ b/upstream/include/pw/upstream/promoter.h
@@ -15,8 +15,8 @@
 struct pw_promotion_ops {
 	/**
 	 * @param code PW_OK when the order was taken; PW_ECONFLICT when the server cannot become
-	 *             primary; PW_EUNAVAILABLE when nothing was done; PW_ETIMEOUT when the order may
-	 *             have been taken; PW_EINVALID when it was refused as malformed
+	 *             primary; PW_EUNAVAILABLE when nothing was done; PW_ETIMEOUT when the order
+	 * may have been taken; PW_EINVALID when it was refused as malformed
 	 */
 	void (*done)(struct pw_promotion *p, int32_t code, const char *message);
 };
