--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -402,8 +402,10 @@
 	struct work *w = c->work;
 
 	if (c->state == CONN_OPENING) {
-		/* It was refused, mostly for the number of connections. */
-		c->server->pause_until_us = gateway_now_us(gateway_of(c)) + SERVER_BUSY_US;
+		if (r->reason == PW_REASON_CONNECTION_LIMIT)
+			c->server->full_until_us = gateway_now_us(gateway_of(c)) + SERVER_FULL_US;
+		else
+			c->server->pause_until_us = gateway_now_us(gateway_of(c)) + SERVER_BUSY_US;
 		gw_conn_fail(c, "the server refused the connection");
 		return;
 	}
@@ -560,7 +562,10 @@
 		if (c->account == a)
 			*has_idle = true;
 	}
-	return any_idle || s->conns->len < limit(s);
+	if (*has_idle)
+		return true;
+	return gateway_now_us(s->group->gateway) >= s->full_until_us &&
+	       (any_idle || s->conns->len < limit(s));
 }
 
 static struct conn *open_conn(struct server *s, struct account *a)
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -43,7 +43,7 @@
  * Part of an operation's target time for which it waits for a server before it is refused: an
  * answer within the target needs most of it, and a caller that is told early can go elsewhere.
  */
-#define WAIT_TARGET_PART 5
+#define WAIT_TARGET_PART 2
 /* A statement waits at least this long. */
 #define WAIT_MIN_US (80 * PW_US_PER_MS)
 /* Time for the network to connect: several round trips between regions. */
@@ -70,6 +70,11 @@
 /* Pause after a failed connect; doubles up to the greatest. */
 #define SERVER_BACKOFF_FIRST_US (50 * PW_US_PER_MS)
 #define SERVER_BACKOFF_MAX_US   (1 * PW_US_PER_S)
+/*
+ * Pause in opening connections to a server that has too many, which others have to close first; what
+ * is open there is used on.
+ */
+#define SERVER_FULL_US (20 * PW_US_PER_MS)
 /* Pause after a server refused work because its queue was full: about one statement. */
 #define SERVER_BUSY_US (20 * PW_US_PER_MS)
 /* A running statement or an open that is silent for this long lets its server be probed. */
@@ -268,6 +273,7 @@
 	struct pw_position at; /**< greatest position that it gave */
 	uint64_t latency_us;
 	uint64_t pause_until_us; /**< gets no reads until then */
+	uint64_t full_until_us;  /**< no connection is opened until then */
 	uint64_t backoff_us;
 	uint64_t contact_us; /**< last bytes from it, or last time that the network connected */
 	uint64_t asked_us;   /**< first message to it that no bytes from it followed; 0: none */
