--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -18,8 +18,11 @@
 #include "pw/decide/change.h"
 #include "store.h"
 
-/* Lease of the member's entry: longer than a permission, so that an entry outlasts it. */
-#define MEMBER_TTL_US (4000 * PW_US_PER_MS)
+/*
+ * Lease of the member's entry: longer than a permission, so that an entry outlasts it. A change of
+ * primary need not wait for a VM whose entry is gone, so it is hardly longer.
+ */
+#define MEMBER_TTL_US (2400 * PW_US_PER_MS)
 /* Members are read again this often; new ones announce themselves by datagrams. */
 #define MEMBERS_INTERVAL_US (10 * PW_US_PER_S)
 /* Pause after a failed call to the store. */
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -128,7 +128,12 @@
 {
 	uint64_t now = cluster_now_us(c);
 
+	/*
+	 * One that is not heard of, or has not the present record in force, gets nothing: this VM
+	 * could confirm no mark until the permission is over.
+	 */
 	if (!m->needs_permit || !pw_permit_holds(c->permit_until_us, now) || !c->primaries ||
+	    !pulse_is_live(c, m) || m->settled_revision < c->primaries->revision ||
 	    cluster_settled_revision(c) < c->primaries->revision)
 		return 0;
 	m->lent_until_us = MAX(m->lent_until_us, c->permit_until_us);
--- a/daemon/traffic/gateway_account.c
+++ b/daemon/traffic/gateway_account.c
@@ -37,6 +37,13 @@
 	return false;
 }
 
+void gw_account_refund(struct account *a)
+{
+	pw_tokens_give(&a->tokens);
+	if (a->arrivals)
+		a->arrivals--;
+}
+
 void gw_account_take_shares(struct gateway *g, const GArray *shares)
 {
 	for (guint i = 0; i < shares->len; i++) {
--- a/daemon/traffic/gateway_group.c
+++ b/daemon/traffic/gateway_group.c
@@ -272,6 +272,15 @@
 	       (w->primary || !p->leaving) && gateway_is_permitted(g->gateway);
 }
 
+bool gw_group_is_out(const struct group *g)
+{
+	uint64_t now = gateway_now_us(g->gateway);
+
+	if (g->changing)
+		return !g->planned;
+	return g->lost_since_us && now - g->lost_since_us > PROBE_SILENCE_US;
+}
+
 static uint64_t latency_us(const struct server *s)
 {
 	return s->latency_us ? s->latency_us : PW_LATENCY_FIRST_US;
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -40,10 +40,11 @@
 /* While draining, a session that was idle this long is closed; others after their next answer. */
 #define SESSION_DRAIN_IDLE_US (300 * PW_US_PER_MS)
 /*
- * Part of an operation's target time for which it waits for a server before it is refused: an
- * answer within the target needs most of it, and a caller that is told early can go elsewhere.
+ * Parts, in percent, of an operation's target time and of its statement's time limit for which it
+ * waits for a server before it is refused: an answer in time needs the rest.
  */
-#define WAIT_TARGET_PART 2
+#define WAIT_TARGET_PERCENT  50
+#define WAIT_TIMEOUT_PERCENT 45
 /* A statement waits at least this long. */
 #define WAIT_MIN_US (80 * PW_US_PER_MS)
 /* Time for the network to connect: several round trips between regions. */
@@ -71,8 +72,8 @@
 #define SERVER_BACKOFF_FIRST_US (50 * PW_US_PER_MS)
 #define SERVER_BACKOFF_MAX_US   (1 * PW_US_PER_S)
 /*
- * Pause in opening connections to a server that has too many, which others have to close first; what
- * is open there is used on.
+ * Pause in opening connections to a server that has too many, which others have to close first;
+ * what is open there is used on.
  */
 #define SERVER_FULL_US (20 * PW_US_PER_MS)
 /* Pause after a server refused work because its queue was full: about one statement. */
@@ -229,6 +230,8 @@
 	bool writes;  /**< must run at the primary and must not be repeated */
 	bool primary; /**< must run at the primary */
 	bool sent;
+	bool offered;   /**< an earlier attempt was sent */
+	bool admitted;  /**< its account was charged for an operation */
 	bool passed_on; /**< parts of the answer went to the caller */
 };
 
@@ -336,6 +339,8 @@
 /* gateway_account.c */
 struct account *gw_account_get(struct gateway *g, const char *name);
 void gw_account_free(gpointer data);
+/** Takes an operation back that was refused before a server got it. */
+void gw_account_refund(struct account *a);
 /** Counts an operation. @return whether it is inside the rate; `wait_us` says when it will be */
 bool gw_account_admit(struct gateway *g, struct account *a, uint64_t *wait_us);
 void gw_account_take_shares(struct gateway *g, const GArray *shares);
@@ -365,6 +370,8 @@
 void gw_group_free(gpointer data);
 void gw_group_take_servers(struct gateway *g);
 void gw_group_take_primaries(struct gateway *g);
+/** @return whether the primary is known to be out of use for longer than a statement waits */
+bool gw_group_is_out(const struct group *g);
 /** @return server that can take the statement now, or NULL */
 struct server *gw_group_place(const struct work *w);
 /** Asks the primary for a sign of life, since another VM cannot reach it. */
--- a/daemon/traffic/gateway_work.c
+++ b/daemon/traffic/gateway_work.c
@@ -40,7 +40,10 @@
 		     (!single && !s->read_only);
 	w->arrived_us = pw_loop_refresh_us(s->gateway->task.loop);
 	w->wait_until_us =
-		w->arrived_us + MAX(w->operation.target_us / WAIT_TARGET_PART, WAIT_MIN_US);
+		w->arrived_us + MAX(MIN(w->operation.target_us * WAIT_TARGET_PERCENT / 100,
+					w->operation.timeout_us * WAIT_TIMEOUT_PERCENT / 100),
+				    WAIT_MIN_US);
+	w->admitted = single || w->begins;
 	w->state = WORK_RUNNING;
 	return w;
 }
@@ -125,6 +128,8 @@
 	g_snprintf(text, sizeof(text), "retry_after_ms=%d %s",
 		   lost ? RETRY_CHANGE_MS : RETRY_BUSY_MS,
 		   lost ? "the primary is being changed" : "no server could take the statement");
+	if (w->admitted && !w->offered)
+		gw_account_refund(w->account);
 	/* The transaction has not begun at any server, so the caller's is over. */
 	if (w->session && w->begins)
 		w->session->transaction = TRANSACTION_LOST;
@@ -146,6 +151,11 @@
 {
 	struct gateway *g = gateway_of(w);
 
+	/* What cannot be served in time is refused at once, with a time to come back. */
+	if (w->primary && gw_group_is_out(w->group)) {
+		refuse_waiting(w);
+		return;
+	}
 	w->state = WORK_WAITING;
 	w->timer.ops = &wait_timer_ops;
 	g_queue_push_tail_link(&w->group->waiting, &w->link);
@@ -239,6 +249,7 @@
 		return;
 	}
 	/* A statement that was offered to a server has the rest of its time. */
+	w->offered = w->offered || w->sent;
 	if (w->sent)
 		w->wait_until_us = MAX(w->wait_until_us, w->arrived_us + w->operation.timeout_us);
 	w->sent = false;
--- a/decide/include/pw/decide/share.h
+++ b/decide/include/pw/decide/share.h
@@ -65,6 +65,8 @@
 void pw_tokens_init(struct pw_tokens *t, const struct pw_share *s, uint64_t now_us);
 /** Takes a token. @return false if there is none */
 bool pw_tokens_take(struct pw_tokens *t, const struct pw_share *s, uint64_t now_us);
+/** Gives a token back. */
+void pw_tokens_give(struct pw_tokens *t);
 /** @return time until there is a token */
 uint64_t pw_tokens_wait_us(const struct pw_tokens *t, const struct pw_share *s);
 
--- a/decide/src/share.c
+++ b/decide/src/share.c
@@ -96,6 +96,12 @@
 	return true;
 }
 
+void pw_tokens_give(struct pw_tokens *t)
+{
+	/* The next take cuts the level to the burst. */
+	t->level += 1;
+}
+
 uint64_t pw_tokens_wait_us(const struct pw_tokens *t, const struct pw_share *s)
 {
 	double missing = 1 - t->level;
--- a/standins/platform/database.c
+++ b/standins/platform/database.c
@@ -133,9 +133,9 @@
 	const struct server *s = c->server;
 
 	reply(c, "READY %s %" PRIu64 ".%u\r\n",
-	      c->failed	       ? "E" :
-	      c->in_transaction ? "T" :
-				  "I",
+	      c->failed           ? "E"
+	      : c->in_transaction ? "T"
+				  : "I",
 	      log_term(s), s->log->len);
 }
 
@@ -149,8 +149,7 @@
 
 static void complete(struct conn *c)
 {
-	reply(c, "COMPLETE sig.%s.%" PRIu64 "\r\n", c->server->id,
-	      ++c->server->fleet->signature);
+	reply(c, "COMPLETE sig.%s.%" PRIu64 "\r\n", c->server->id, ++c->server->fleet->signature);
 	ready(c);
 }
 
@@ -603,12 +602,12 @@
 {
 	char *key = g_strdup_printf("servers/%s", s->id);
 	char *address = g_strdup_printf("127.0.0.1:%u", s->port);
-	json_t *j = json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:s,s:I,s:I}", "Service",
-			      s->group->name, "Address", address, "Zone", "zone-1", "Version",
-			      "v1", "Slots", 3, "State", s->leaving ? "draining" : "ready",
-			      "WarmupLeftMs", 0, "DbRole", s->primary ? "primary" : "replica",
-			      "Sequence", (json_int_t)++s->sequence, "born",
-			      (json_int_t)s->started_ms);
+	json_t *j =
+		json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:s,s:I,s:I}", "Service", s->group->name,
+			  "Address", address, "Zone", "zone-1", "Version", "v1", "Slots", 3,
+			  "State", s->leaving ? "draining" : "ready", "WarmupLeftMs", 0, "DbRole",
+			  s->primary ? "primary" : "replica", "Sequence", (json_int_t)++s->sequence,
+			  "born", (json_int_t)s->started_ms);
 	char *text = json_dumps(j, JSON_COMPACT);
 
 	kv_put(s->fleet->kv, key, text, 0);
@@ -734,11 +733,10 @@
 			const struct server *s = &g->servers[i];
 
 			json_array_append_new(
-				servers,
-				json_pack("{s:s,s:b,s:b,s:I,s:i,s:i}", "id", s->id, "up", s->up,
-					  "primary", s->primary, "term", (json_int_t)s->term, "log",
-					  (int)s->log->len, "conns",
-					  (int)g_hash_table_size(s->conns)));
+				servers, json_pack("{s:s,s:b,s:b,s:I,s:i,s:i}", "id", s->id, "up",
+						   s->up, "primary", s->primary, "term",
+						   (json_int_t)s->term, "log", (int)s->log->len,
+						   "conns", (int)g_hash_table_size(s->conns)));
 		}
 	}
 	return json_pack("{s:o,s:O}", "servers", servers, "orders", f->orders);
--- a/standins/platform/database.h
+++ b/standins/platform/database.h
@@ -23,8 +23,8 @@
 void fleet_tick(struct fleet *f, uint64_t now_us);
 
 /**
- * Carries out a fault: "crash", "start", "dark", "light", "leave", "gone" with the id of a server, "lag" and
- * "work" with milliseconds.
+ * Carries out a fault: "crash", "start", "dark", "light", "leave", "gone" with the id of a server,
+ * "lag" and "work" with milliseconds.
  *
  * @return false if the name or the argument is unknown
  */
--- a/standins/platform/kv.c
+++ b/standins/platform/kv.c
@@ -258,8 +258,7 @@
 		json_decref(events);
 		return 0;
 	}
-	*body = json_pack("{s:o,s:I}", "events", events, "StoreRevision",
-			  (json_int_t)kv->revision);
+	*body = json_pack("{s:o,s:I}", "events", events, "StoreRevision", (json_int_t)kv->revision);
 	return 200;
 }
 
--- a/standins/platform/main.c
+++ b/standins/platform/main.c
@@ -4,9 +4,9 @@
  *
  * Usage: standin-platform PORT NAME=PORT,PORT,PORT...
  *
- * HTTP is at the first port; each group has three servers. `POST /fault?name=NAME&value=VALUE` steers
- * it: the faults of database.h; "store" with "up", "down" (503) or "silent"; "compact"; "config"
- * with the catalogue in the body. `GET /state` shows the servers and orders.
+ * HTTP is at the first port; each group has three servers. `POST /fault?name=NAME&value=VALUE`
+ * steers it: the faults of database.h; "store" with "up", "down" (503) or "silent"; "compact";
+ * "config" with the catalogue in the body. `GET /state` shows the servers and orders.
  */
 #include <glib.h>
 #include <microhttpd.h>
@@ -116,9 +116,9 @@
 	if (!name || !value)
 		return respond(x->connection, MHD_HTTP_BAD_REQUEST, "{}");
 	if (strcmp(name, "store") == 0) {
-		p->mode = strcmp(value, "down") == 0   ? STORE_DOWN :
-			  strcmp(value, "silent") == 0 ? STORE_SILENT :
-							 STORE_UP;
+		p->mode = strcmp(value, "down") == 0     ? STORE_DOWN
+			  : strcmp(value, "silent") == 0 ? STORE_SILENT
+							 : STORE_UP;
 	} else if (strcmp(name, "compact") == 0) {
 		kv_compact(p->kv);
 	} else if (strcmp(name, "config") == 0) {
@@ -134,8 +134,8 @@
 
 static enum MHD_Result promote(struct exchange *x, const json_t *request)
 {
-	const char *fence = MHD_lookup_connection_value(x->connection, MHD_HEADER_KIND,
-							"Fencing-Token");
+	const char *fence =
+		MHD_lookup_connection_value(x->connection, MHD_HEADER_KIND, "Fencing-Token");
 	unsigned status = fleet_promote(
 		x->platform->fleet, json_string_value(json_object_get(request, "Service")),
 		json_string_value(json_object_get(request, "Id")),
@@ -173,8 +173,8 @@
 		status = kv_keep(kv, &body, g_ascii_strtoll(path + strlen("/kv-keep/"), NULL, 10),
 				 now);
 	else if (g_str_has_prefix(path, "/kv-lease-end/"))
-		status = kv_lease_end(
-			kv, &body, g_ascii_strtoll(path + strlen("/kv-lease-end/"), NULL, 10));
+		status = kv_lease_end(kv, &body,
+				      g_ascii_strtoll(path + strlen("/kv-lease-end/"), NULL, 10));
 	else
 		return respond(x->connection, MHD_HTTP_NOT_FOUND, "{}");
 	return respond_json(x->connection, status, body);
--- a/tests/codec/test_primaries.c
+++ b/tests/codec/test_primaries.c
@@ -65,9 +65,9 @@
 START_TEST(test_member)
 {
 	const struct pw_fleet_member m = {
-		.name = (char *)(uintptr_t)"vm-1",
-		.address = (char *)(uintptr_t)"10.0.0.1:7000",
-		.availability_zone = (char *)(uintptr_t)"zone-1",
+		.name = (char *)(uintptr_t) "vm-1",
+		.address = (char *)(uintptr_t) "10.0.0.1:7000",
+		.availability_zone = (char *)(uintptr_t) "zone-1",
 		.incarnation = INT64_MAX,
 	};
 	struct pw_fleet_member *q = NULL;
--- a/tests/decide/test_registry.c
+++ b/tests/decide/test_registry.c
@@ -14,14 +14,16 @@
 	} reads[READS_MAX]; /* ends with 0 */
 } cases[] = {
 	{ "listed all the time", { { 1, true, true }, { 2500, true, true } } },
-	{ "an entry that is back within 2 s", { { 1, true, true },
-						{ 2500, false, true },
-						{ 4500, true, true },
-						{ 7000, false, true } } },
-	{ "an entry that stays away", { { 1, true, true },
-					{ 2500, false, true },
-					{ 4600, false, true },
-					{ 4800, false, false } } },
+	{ "an entry that is back within 2 s",
+	  { { 1, true, true },
+	    { 2500, false, true },
+	    { 4500, true, true },
+	    { 7000, false, true } } },
+	{ "an entry that stays away",
+	  { { 1, true, true },
+	    { 2500, false, true },
+	    { 4600, false, true },
+	    { 4800, false, false } } },
 };
 
 START_TEST(test_keep)
--- a/tests/decide/test_share.c
+++ b/tests/decide/test_share.c
@@ -20,19 +20,29 @@
 } cases[] = {
 	{ "alone and idle", { .rate_per_s = 100, .burst = 100 }, 100, false },
 	{ "half of the demand is here",
-	  { .rate_per_s = 100, .burst = 100, .own_demand_per_s = 30, .others_demand_per_s = 30,
+	  { .rate_per_s = 100,
+	    .burst = 100,
+	    .own_demand_per_s = 30,
+	    .others_demand_per_s = 30,
 	    .heard = 1 },
-	  50, false },
+	  50,
+	  false },
 	{ "all demand is here",
 	  { .rate_per_s = 100, .burst = 100, .own_demand_per_s = 60, .heard = 3 },
-	  70, false },
+	  70,
+	  false },
 	{ "a flood is divided by demand",
-	  { .rate_per_s = 100, .burst = 100, .own_demand_per_s = 300,
-	    .others_demand_per_s = 100, .heard = 3 },
-	  75, true },
+	  { .rate_per_s = 100,
+	    .burst = 100,
+	    .own_demand_per_s = 300,
+	    .others_demand_per_s = 100,
+	    .heard = 3 },
+	  75,
+	  true },
 	{ "a silent VM keeps its part",
 	  { .rate_per_s = 100, .burst = 100, .own_demand_per_s = 300, .silent = 1 },
-	  50, true },
+	  50,
+	  true },
 	{ "an account without a rate", { .own_demand_per_s = 5 }, 0, true },
 };
 
@@ -40,8 +50,8 @@
 {
 	struct pw_share s = pw_share_compute(&cases[_i].in);
 
-	ck_assert_msg(fabs(s.rate_per_s - cases[_i].rate_per_s) < 0.01, "%s: %f",
-		      cases[_i].label, s.rate_per_s);
+	ck_assert_msg(fabs(s.rate_per_s - cases[_i].rate_per_s) < 0.01, "%s: %f", cases[_i].label,
+		      s.rate_per_s);
 	ck_assert_msg(s.contended == cases[_i].contended, "%s", cases[_i].label);
 }
 END_TEST
@@ -150,9 +160,9 @@
 			compute_shares(l, vms, now);
 		bucket = fmin(bucket + l->rate_per_s * (double)STEP_US / 1e6, l->burst);
 		for (double due = per_s * (double)STEP_US / 1e6; due > 0; due -= 1) {
-			struct vm *v = &vms[next_random() < l->uneven ?
-						    0 :
-						    (uint32_t)(next_random() * l->vms)];
+			struct vm *v = &vms[next_random() < l->uneven
+						    ? 0
+						    : (uint32_t)(next_random() * l->vms)];
 
 			if (due < 1 && next_random() >= due)
 				break;
--- a/tests/platform/test_line.c
+++ b/tests/platform/test_line.c
@@ -20,8 +20,8 @@
 	{ "TERMINATE\r\n", PW_OK, PW_CALL_END, 0, NULL, NULL, NULL, false },
 	{ "TERMINATE\n", PW_OK, PW_CALL_END, 0, NULL, NULL, NULL, false },
 	{ "QUERY 5c BEGIN\r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_BEGIN, "5c", NULL, "", false },
-	{ "QUERY 5c BEGIN READ\r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_BEGIN_READ, "5c", NULL,
-	  NULL, false },
+	{ "QUERY 5c BEGIN READ\r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_BEGIN_READ, "5c", NULL, NULL,
+	  false },
 	{ "QUERY 5c BEGIN WRITE\r\n", PW_OK, PW_CALL_MALFORMED, 0, "5c", NULL, NULL, false },
 	{ "QUERY 5c COMMIT\r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_COMMIT, "5c", NULL, "", false },
 	{ "QUERY 5c COMMIT now\r\n", PW_OK, PW_CALL_MALFORMED, 0, "5c", NULL, NULL, false },
@@ -37,12 +37,12 @@
 	{ "QUERY 5c SET\r\n", PW_OK, PW_CALL_MALFORMED, 0, "5c", NULL, NULL, false },
 	{ "QUERY 5c PREPARE s1 WRITE q2c\r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_PREPARE, "5c",
 	  "s1", "q2c", true },
-	{ "QUERY 5c PREPARE s1 READ q2c\r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_PREPARE, "5c",
-	  "s1", "q2c", false },
+	{ "QUERY 5c PREPARE s1 READ q2c\r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_PREPARE, "5c", "s1",
+	  "q2c", false },
 	{ "QUERY 5c PREPARE s1 DROP q2c\r\n", PW_OK, PW_CALL_MALFORMED, 0, "5c", NULL, NULL,
 	  false },
-	{ "QUERY 5c EXECUTE s1 1a4 xkq\r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_EXECUTE, "5c",
-	  "s1", "1a4 xkq", false },
+	{ "QUERY 5c EXECUTE s1 1a4 xkq\r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_EXECUTE, "5c", "s1",
+	  "1a4 xkq", false },
 	{ "QUERY 5c CLOSE s1\r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_FORGET, "5c", "s1", "",
 	  false },
 	{ "QUERY 5c WAITLSN 3.1 READ 1a4\r\n", PW_OK, PW_CALL_MALFORMED, 0, "5c", NULL, NULL,
@@ -97,11 +97,10 @@
 	struct pw_call c;
 
 	memset(data, 'x', size);
-	ck_assert_int_eq(pw_platform_caller_dialect.ops->next(&c, data, size, &used),
-			 PW_EOVERFLOW);
-	ck_assert_int_eq(pw_platform_caller_dialect.ops->next(
-				 &c, data, PW_DIALECT_MESSAGE_MAX_BYTES, &used),
-			 PW_EAGAIN);
+	ck_assert_int_eq(pw_platform_caller_dialect.ops->next(&c, data, size, &used), PW_EOVERFLOW);
+	ck_assert_int_eq(
+		pw_platform_caller_dialect.ops->next(&c, data, PW_DIALECT_MESSAGE_MAX_BYTES, &used),
+		PW_EAGAIN);
 	g_free(data);
 }
 END_TEST
@@ -120,8 +119,7 @@
 	{ "ERROR READONLY i-7f3a91c2\r\n", PW_OK, PW_REPLY_ERROR, "i-7f3a91c2",
 	  PW_REASON_NOT_PRIMARY, 0, 0, 0 },
 	{ "ERROR BUSY\r\n", PW_OK, PW_REPLY_ERROR, "", PW_REASON_BUSY, 0, 0, 0 },
-	{ "ERROR NEWCODE why\r\n", PW_OK, PW_REPLY_ERROR, "NEWCODE why", PW_REASON_OTHER, 0, 0,
-	  0 },
+	{ "ERROR NEWCODE why\r\n", PW_OK, PW_REPLY_ERROR, "NEWCODE why", PW_REASON_OTHER, 0, 0, 0 },
 	{ "READY I 3.1207\r\n", PW_OK, PW_REPLY_READY, NULL, 0, PW_SESSION_IDLE, 3, 1207 },
 	{ "READY T -\r\n", PW_OK, PW_REPLY_READY, NULL, 0, PW_SESSION_IN_TRANSACTION, 0, 0 },
 	{ "READY E 3.1\r\n", PW_OK, PW_REPLY_READY, NULL, 0, PW_SESSION_FAILED, 3, 1 },
@@ -197,14 +195,14 @@
 	GByteArray *b = g_byte_array_new();
 	struct pw_statement_call s = {
 		.verb = PW_VERB_WRITE,
-		.id = (char *)(uintptr_t)"5c0e",
-		.argument = (char *)(uintptr_t)"1a4  two blanks ",
+		.id = (char *)(uintptr_t) "5c0e",
+		.argument = (char *)(uintptr_t) "1a4  two blanks ",
 	};
 
 	ops->put_statement(b, &s, NULL, NULL);
 	check_bytes(b, "QUERY 5c0e WRITE 1a4  two blanks \r\n");
 	s.verb = PW_VERB_READ;
-	s.argument = (char *)(uintptr_t)"1a4";
+	s.argument = (char *)(uintptr_t) "1a4";
 	ops->put_statement(b, &s, NULL, &floor);
 	check_bytes(b, "QUERY 5c0e WAITLSN 3.1207 READ 1a4\r\n");
 	s.verb = PW_VERB_EXECUTE;
--- a/tests/platform/test_platform_fleet.c
+++ b/tests/platform/test_platform_fleet.c
@@ -1,6 +1,6 @@
 /*
- * Suite of a fleet of proxies on the platform's stand-in, as real processes: sessions, transactions,
- * consistency, and the faults that the bench of the users has shown to matter.
+ * Suite of a fleet of proxies on the platform's stand-in, as real processes: sessions,
+ * transactions, consistency, and the faults that the bench of the users has shown to matter.
  */
 #include "suite.h"
 
@@ -114,11 +114,33 @@
 	char *peer = g_strdup_printf("127.0.0.1:%u", v->peer);
 	char *store = g_strdup_printf("127.0.0.1:%u", platform->port);
 	const char *const args[] = {
-		"--binding", "platform", "--service", "fleet", "--name", name,
-		"--availability-zone", "zone-1", "--zone-regions", "zone-1=region-1",
-		"--caller-address", caller, "--api-address", api, "--peer-address", peer,
-		"--store", store, "--promoter", store, "--drain-grace", "300ms",
-		"--drain-timeout", "2s", "--log-level", "info", NULL,
+		"--binding",
+		"platform",
+		"--service",
+		"fleet",
+		"--name",
+		name,
+		"--availability-zone",
+		"zone-1",
+		"--zone-regions",
+		"zone-1=region-1",
+		"--caller-address",
+		caller,
+		"--api-address",
+		api,
+		"--peer-address",
+		peer,
+		"--store",
+		store,
+		"--promoter",
+		store,
+		"--drain-grace",
+		"300ms",
+		"--drain-timeout",
+		"2s",
+		"--log-level",
+		"info",
+		NULL,
 	};
 
 	v->process = pw_harness_start(harness, "daemon/pimentowingd", v->port, args, NULL);
@@ -391,8 +413,7 @@
 
 			ck_assert_msg(strcmp(got, sessions[i].steps[k].wanted) == 0,
 				      "%s: %s: %s, not %s", sessions[i].label,
-				      sessions[i].steps[k].text, got,
-				      sessions[i].steps[k].wanted);
+				      sessions[i].steps[k].text, got, sessions[i].steps[k].wanted);
 			g_free(got);
 		}
 		client_free(c);
@@ -445,8 +466,7 @@
 END_TEST
 
 /* Repeats a write until it is acknowledged; @return how long that took in ms */
-static uint32_t write_until_ok(struct client **c, uint32_t vm, const char *text,
-			       uint32_t limit_ms)
+static uint32_t write_until_ok(struct client **c, uint32_t vm, const char *text, uint32_t limit_ms)
 {
 	gint64 start = g_get_monotonic_time();
 
--- a/tests/platform/test_publish.c
+++ b/tests/platform/test_publish.c
@@ -6,12 +6,12 @@
 #include "pw/core/error.h"
 #include "pw/platform/platform.h"
 
-#define CATALOG                                                                                  \
-	"{\"Version\":7,\"Routes\":[{\"Name\":\"r\",\"Host\":\"lepu270\",\"Prefix\":\"/\","      \
-	"\"Type\":\"bounded_staleness\",\"TimeoutMs\":2000,\"TargetLatencyMs\":1200,"            \
-	"\"Priority\":2,\"Service\":\"huvo11a\",\"MaxStalenessMs\":1500,\"Public\":false}],"     \
-	"\"Services\":[{\"Name\":\"huvo11a\",\"MaxConns\":22,\"SyncReplicas\":1,\"New\":{}}],"   \
-	"\"Limits\":{\"TxIdleMs\":2500},\"Tenants\":[{\"Name\":\"nypu920\",\"ApiKeys\":"         \
+#define CATALOG                                                                                \
+	"{\"Version\":7,\"Routes\":[{\"Name\":\"r\",\"Host\":\"lepu270\",\"Prefix\":\"/\","    \
+	"\"Type\":\"bounded_staleness\",\"TimeoutMs\":2000,\"TargetLatencyMs\":1200,"          \
+	"\"Priority\":2,\"Service\":\"huvo11a\",\"MaxStalenessMs\":1500,\"Public\":false}],"   \
+	"\"Services\":[{\"Name\":\"huvo11a\",\"MaxConns\":22,\"SyncReplicas\":1,\"New\":{}}]," \
+	"\"Limits\":{\"TxIdleMs\":2500},\"Tenants\":[{\"Name\":\"nypu920\",\"ApiKeys\":"       \
 	"[\"key-a\",\"key-b\",5],\"Priority\":1,\"RatePerS\":135,\"Burst\":140}]}"
 
 START_TEST(test_catalog)
@@ -86,8 +86,8 @@
 }
 END_TEST
 
-#define ENTRY_WITH(more)                                                                        \
-	"{\"Service\":\"huvo11a\",\"Address\":\"10.128.0.9:8080\",\"Zone\":\"navrangpura\","    \
+#define ENTRY_WITH(more)                                                                     \
+	"{\"Service\":\"huvo11a\",\"Address\":\"10.128.0.9:8080\",\"Zone\":\"navrangpura\"," \
 	"\"Version\":\"v1\",\"WarmupLeftMs\":0,\"Sequence\":4" more "}"
 
 static const struct {
@@ -100,9 +100,8 @@
 	{ "servers/i-1",
 	  ENTRY_WITH(",\"Slots\":3,\"State\":\"ready\",\"DbRole\":\"replica\",\"born\":17"), PW_OK,
 	  false, false, 17 },
-	{ "servers/i-1",
-	  ENTRY_WITH(",\"Slots\":3,\"State\":\"draining\",\"DbRole\":\"primary\""), PW_OK, true,
-	  true, 0 },
+	{ "servers/i-1", ENTRY_WITH(",\"Slots\":3,\"State\":\"draining\",\"DbRole\":\"primary\""),
+	  PW_OK, true, true, 0 },
 	{ "servers/i-1",
 	  ENTRY_WITH(",\"Slots\":3,\"State\":\"ready\",\"DbRole\":\"replica\",\"born\":\"x\""),
 	  PW_OK, false, false, 0 },
@@ -110,9 +109,8 @@
 	  PW_EINVALID, false, false, 0 },
 	{ "servers/i-1", ENTRY_WITH(",\"Slots\":3,\"State\":\"ready\",\"DbRole\":\"witness\""),
 	  PW_EINVALID, false, false, 0 },
-	{ "servers/i-1",
-	  ENTRY_WITH(",\"Slots\":\"3\",\"State\":\"ready\",\"DbRole\":\"replica\""), PW_EINVALID,
-	  false, false, 0 },
+	{ "servers/i-1", ENTRY_WITH(",\"Slots\":\"3\",\"State\":\"ready\",\"DbRole\":\"replica\""),
+	  PW_EINVALID, false, false, 0 },
 	{ "servers/i-1", ENTRY_WITH(""), PW_EINVALID, false, false, 0 },
 	{ "servers/i-1", "{\"Service\":7}", PW_EINVALID, false, false, 0 },
 	{ "servers/i-1", "[1,2]", PW_EINVALID, false, false, 0 },
--- a/tests/platform/test_store_calls.c
+++ b/tests/platform/test_store_calls.c
@@ -116,12 +116,12 @@
 }
 
 /* Runs one call to its result. */
-#define RUN(call, start)                                        \
-	do {                                                    \
-		ck_assert_int_eq((start), PW_OK);               \
-		wait_ms(3000);                                  \
-		ck_assert_uint_eq((call)->results->len, 1);     \
-		restart();                                      \
+#define RUN(call, start)                                    \
+	do {                                                \
+		ck_assert_int_eq((start), PW_OK);           \
+		wait_ms(3000);                              \
+		ck_assert_uint_eq((call)->results->len, 1); \
+		restart();                                  \
 	} while (0)
 
 static void restart(void)
@@ -169,7 +169,8 @@
 	return revision;
 }
 
-/* A value comes back as written, at the revision of its change; a wrong condition changes nothing. */
+/* A value comes back as written, at the revision of its change; a wrong condition changes nothing.
+ */
 START_TEST(test_txn)
 {
 	const struct pw_store_range req = { .key = "my/a" };
