--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -640,7 +640,7 @@
 void gw_conn_close_idle(struct server *s, bool all)
 {
 	uint64_t now = gateway_now_us(s->group->gateway);
-	uint32_t keep = MAX(share(s) * CONN_KEEP_PERCENT / 100, 1);
+	uint32_t keep = share(s) * CONN_KEEP_PERCENT / 100;
 
 	for (guint i = s->conns->len; i-- > 0;) {
 		struct conn *c = g_ptr_array_index(s->conns, i);
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -56,7 +56,7 @@
 /* Idle connections that this VM may keep at a server are closed after this time. */
 #define CONN_IDLE_US (20 * PW_US_PER_S)
 /* Those beyond are kept for the next statement of a busy account only. */
-#define CONN_IDLE_EXTRA_US (150 * PW_US_PER_MS)
+#define CONN_IDLE_EXTRA_US (100 * PW_US_PER_MS)
 /*
  * Part of a VM's share of the connections that it keeps idle, in percent. A server goes on to count
  * the connections of VMs that lost power for several seconds, and the VMs in their place need the
