--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -20,7 +20,9 @@
 
 /* Members that have not confirmed after this time lose their lease: two pulses' time. */
 #define CONFIRM_WAIT_US (300 * PW_US_PER_MS)
-/* As above while statements may end first. */
+/* One that was not heard of for this long is not waited for: two pulses' time. */
+#define SILENT_US (600 * PW_US_PER_MS)
+/* As CONFIRM_WAIT_US while statements may end first. */
 #define PLANNED_WAIT_US (1500 * PW_US_PER_MS)
 /* Pause between two surveys. */
 #define SURVEY_PAUSE_US (50 * PW_US_PER_MS)
@@ -46,6 +48,7 @@
 struct lease {
 	char *member;
 	int64_t id;
+	bool ending;
 	bool ended;
 };
 
@@ -62,7 +65,6 @@
 	int64_t revision; /**< of the record that this VM has marked */
 	uint64_t fence;
 	GArray *leases;
-	bool ending_leases;
 	uint64_t leases_ended_us; /**< 0: not all yet */
 	GPtrArray *entries;       /**< struct pw_server_entry */
 	GArray *servers;          /**< struct pw_change_server of the entries */
@@ -334,15 +336,27 @@
 						    PW_STORE_TIMEOUT_US, l->id));
 }
 
-/* Ends the leases of the members that have not confirmed: they get no further permission. */
-static void end_leases(struct change *ch)
+static bool is_silent(const struct cluster *c, const char *name)
+{
+	const struct member *m = g_hash_table_lookup(c->members, name);
+
+	return !m || cluster_now_us(c) - m->heard_us > SILENT_US;
+}
+
+/*
+ * Ends the leases of members that have not confirmed: they get no further permission.
+ *
+ * @param silent_only only of those that were not heard of for a while
+ */
+static void end_leases(struct change *ch, bool silent_only)
 {
-	ch->ending_leases = true;
 	for (guint i = 0; i < ch->leases->len; i++) {
-		const struct lease *l = &g_array_index(ch->leases, struct lease, i);
+		struct lease *l = &g_array_index(ch->leases, struct lease, i);
 
-		if (has_confirmed(ch->cluster, l->member, ch->revision))
+		if (l->ending || has_confirmed(ch->cluster, l->member, ch->revision) ||
+		    (silent_only && !is_silent(ch->cluster, l->member)))
 			continue;
+		l->ending = true;
 		pw_event_log(PW_EVENT_PERMIT_REVOKED, "database=%s peer=%s lease=%" PRId64,
 			     ch->group, l->member, l->id);
 		end_lease(ch, i);
@@ -403,9 +417,7 @@
 	}
 	if (confirmed)
 		return true;
-	if (!ch->ending_leases &&
-	    now - ch->phase_us >= (ch->planned ? PLANNED_WAIT_US : CONFIRM_WAIT_US))
-		end_leases(ch);
+	end_leases(ch, now - ch->phase_us < (ch->planned ? PLANNED_WAIT_US : CONFIRM_WAIT_US));
 	if (!ended)
 		return false;
 	if (!ch->leases_ended_us)
--- a/daemon/control/cluster_member.c
+++ b/daemon/control/cluster_member.c
@@ -72,8 +72,8 @@
 		return;
 	c->keeping = true;
 	c->keep_sent_us = cluster_now_us(c);
-	cluster_store(c, pw_store_lease_keep_alive_msg_new(c->task.inbox, TAG_KEEP,
-							   PW_STORE_TIMEOUT_US, c->lease_id));
+	cluster_store(c, pw_store_lease_keep_alive_msg_new(c->task.inbox, TAG_KEEP, KEEP_TIMEOUT_US,
+							   c->lease_id));
 }
 
 /* The next step towards a permission, or the next renewal. */
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -25,6 +25,8 @@
 #define MEMBER_TTL_US (2400 * PW_US_PER_MS)
 /* Members are read again this often; new ones announce themselves by datagrams. */
 #define MEMBERS_INTERVAL_US (10 * PW_US_PER_S)
+/* Time limit of a renewal: one whose answer is lost is made again before the permission ends. */
+#define KEEP_TIMEOUT_US (600 * PW_US_PER_MS)
 /* Pause after a failed call to the store. */
 #define CLUSTER_RETRY_US (250 * PW_US_PER_MS)
 /* Datagrams to each member; with many members the pause grows, see pulse_interval_us(). */
--- a/daemon/traffic/gateway_group.c
+++ b/daemon/traffic/gateway_group.c
@@ -7,6 +7,10 @@
 
 /* Servers that are weighed for one read. */
 #define CANDIDATES_MAX 16
+/* A change of a lost primary usually takes this long from its mark on. */
+#define CHANGE_USUAL_US (1300 * PW_US_PER_MS)
+/* Callers of a VM without a way to the store are asked to come back after this time. */
+#define OUTAGE_USUAL_US (1000 * PW_US_PER_MS)
 /* A primary that is about to stop gets no new work after this time, change or not. */
 #define LEAVING_PRIMARY_US (4 * PW_US_PER_S)
 
@@ -272,13 +276,18 @@
 	       (w->primary || !p->leaving) && gateway_is_permitted(g->gateway);
 }
 
-bool gw_group_is_out(const struct group *g)
+uint64_t gw_group_back_us(const struct group *g)
 {
 	uint64_t now = gateway_now_us(g->gateway);
 
+	/* Without the permission for that long, the way to the store is lost; see PW_PERMIT_US. */
+	if (g->gateway->permit_until_us && !gateway_is_permitted(g->gateway))
+		return now + OUTAGE_USUAL_US;
 	if (g->changing)
-		return !g->planned;
-	return g->lost_since_us && now - g->lost_since_us > PROBE_SILENCE_US;
+		return MAX(g->changing_since_us + (g->planned ? 0 : CHANGE_USUAL_US), now);
+	if (g->lost_since_us && now - g->lost_since_us > PROBE_SILENCE_US)
+		return MAX(g->lost_since_us + PW_CHANGE_LOST_US + CHANGE_USUAL_US, now);
+	return now;
 }
 
 static uint64_t latency_us(const struct server *s)
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -370,8 +370,8 @@
 void gw_group_free(gpointer data);
 void gw_group_take_servers(struct gateway *g);
 void gw_group_take_primaries(struct gateway *g);
-/** @return whether the primary is known to be out of use for longer than a statement waits */
-bool gw_group_is_out(const struct group *g);
+/** @return when the primary is expected to take work; the present time when it does */
+uint64_t gw_group_back_us(const struct group *g);
 /** @return server that can take the statement now, or NULL */
 struct server *gw_group_place(const struct work *w);
 /** Asks the primary for a sign of life, since another VM cannot reach it. */
--- a/daemon/traffic/gateway_work.c
+++ b/daemon/traffic/gateway_work.c
@@ -7,8 +7,6 @@
 
 /* Time after which a caller is asked to come back when a server is full. */
 #define RETRY_BUSY_MS 100
-/* The same while a primary is lost or being changed: about the time of a change. */
-#define RETRY_CHANGE_MS 1000
 
 static struct gateway *gateway_of(const struct work *w)
 {
@@ -121,13 +119,17 @@
 /* No server could take the statement in time: nothing of it has run. */
 static void refuse_waiting(struct work *w)
 {
-	const struct group *g = w->group;
-	bool lost = w->primary && (g->changing || !g->primary || g->lost_since_us);
+	uint64_t now = gateway_now_us(gateway_of(w));
+	uint64_t back_us = gw_group_back_us(w->group) - now;
 	char text[96];
 
-	g_snprintf(text, sizeof(text), "retry_after_ms=%d %s",
-		   lost ? RETRY_CHANGE_MS : RETRY_BUSY_MS,
-		   lost ? "the primary is being changed" : "no server could take the statement");
+	if (back_us)
+		g_snprintf(text, sizeof(text),
+			   "retry_after_ms=%" PRIu64 " the primary is out of use",
+			   back_us / PW_US_PER_MS);
+	else
+		g_snprintf(text, sizeof(text),
+			   "retry_after_ms=%d no server could take the statement", RETRY_BUSY_MS);
 	if (w->admitted && !w->offered)
 		gw_account_refund(w->account);
 	/* The transaction has not begun at any server, so the caller's is over. */
@@ -147,12 +149,21 @@
 
 static const struct pw_timer_ops wait_timer_ops = { .expire = wait_expire };
 
+/* Whether only the primary will do, and it is out of use for longer than the statement waits. */
+static bool is_hopeless(const struct work *w)
+{
+	struct pw_position floor;
+	uint64_t seen_us;
+
+	return gw_group_back_us(w->group) > w->wait_until_us && !gw_work_floor(w, &floor, &seen_us);
+}
+
 static void wait(struct work *w)
 {
 	struct gateway *g = gateway_of(w);
 
 	/* What cannot be served in time is refused at once, with a time to come back. */
-	if (w->primary && gw_group_is_out(w->group)) {
+	if (is_hopeless(w)) {
 		refuse_waiting(w);
 		return;
 	}
--- a/decide/include/pw/decide/change.h
+++ b/decide/include/pw/decide/change.h
@@ -60,7 +60,7 @@
 };
 
 /** Time without contact after which a primary counts as lost. */
-#define PW_CHANGE_LOST_US UINT64_C(700000)
+#define PW_CHANGE_LOST_US UINT64_C(500000)
 /** Pause for each place in the rank, so that one VM acts at a time. */
 #define PW_CHANGE_RANK_US UINT64_C(600000)
 /** The entry of a new primary may say "replica" until it is written and read again. */
