--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -39,6 +39,12 @@
 
 void cluster_check_primary(struct cluster *c, const char *group)
 {
+	const uint64_t *last = g_hash_table_lookup(c->checked, group);
+	uint64_t now = cluster_now_us(c);
+
+	if (last && now - *last < CHECK_PRIMARY_US)
+		return;
+	g_hash_table_replace(c->checked, g_strdup(group), g_memdup2(&now, sizeof(now)));
 	for (uint32_t i = 0; i < c->directory->gateway_count; i++) {
 		struct pw_primary_check_msg *m = g_new0(struct pw_primary_check_msg, 1);
 
@@ -280,6 +286,7 @@
 
 		if (in.own_demand_per_s + in.others_demand_per_s <= a->rate_per_s)
 			d->calm_us = now;
+		d->rate_per_s = a->rate_per_s;
 		g_array_append_val(shares, s);
 	}
 	return shares;
@@ -321,6 +328,7 @@
 	pw_loop_timer_set(c->task.loop, t, now_us + CLUSTER_TICK_US);
 	change_tick(c);
 	publish_shares(c);
+	pulse_demand(c);
 	if (lacks_primary(c))
 		member_create_primaries(c);
 }
@@ -391,6 +399,7 @@
 	g_free(c->gateways);
 	g_hash_table_unref(c->demands);
 	g_hash_table_unref(c->since);
+	g_hash_table_unref(c->checked);
 	pw_catalog_unref(c->catalog);
 	pw_server_list_unref(c->servers);
 	pw_primaries_unref(c->primaries);
@@ -408,6 +417,7 @@
 			g_hash_table_new_full(g_str_hash, g_str_equal, NULL, contact_free);
 	c->demands = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->since = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	c->checked = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->tick.ops = &tick_ops;
 	change_start(c);
 	rc = pulse_start(c);
--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -340,7 +340,7 @@
 {
 	const struct member *m = g_hash_table_lookup(c->members, name);
 
-	return !m || cluster_now_us(c) - m->heard_us > SILENT_US;
+	return !m || cluster_now_us(c) - m->heard_us > MAX(SILENT_US, 2 * pulse_pair_us(c));
 }
 
 /*
@@ -691,6 +691,7 @@
 
 		if (!pulse_is_live(c, m) || !m->pulse.groups)
 			continue;
+		v->live++;
 		for (guint i = 0; i < m->pulse.groups->len; i++) {
 			const struct pw_pulse_group *g =
 				&g_array_index(m->pulse.groups, struct pw_pulse_group, i);
@@ -736,6 +737,7 @@
 		.changing = p->changing,
 		.record_since_us = cluster_since_us(c, p->group),
 		.rank = rank(c, p->group),
+		.live = 1,
 	};
 	v->demoted_since_us = demoted_since_us(c, p, v->demoted);
 	for (guint i = 0; i < c->servers->entries->len; i++) {
--- a/daemon/control/cluster_member.c
+++ b/daemon/control/cluster_member.c
@@ -100,7 +100,8 @@
 {
 	struct cluster *c = (struct cluster *)((char *)t - offsetof(struct cluster, members_timer));
 
-	pw_loop_timer_set(c->task.loop, t, now_us + MEMBERS_INTERVAL_US);
+	pw_loop_timer_set(c->task.loop, t,
+			  now_us + MAX(MEMBERS_INTERVAL_US, 10 * pulse_pair_us(c)));
 	ask_members(c);
 }
 
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -29,9 +29,19 @@
 #define KEEP_TIMEOUT_US (600 * PW_US_PER_MS)
 /* Pause after a failed call to the store. */
 #define CLUSTER_RETRY_US (250 * PW_US_PER_MS)
-/* Datagrams to each member; with many members the pause grows, see pulse_interval_us(). */
+/*
+ * Datagrams go out this often. Up to PULSE_MESH members each gets every one; of more members each
+ * time PULSE_PART get one in turn, so that the cost for a VM does not grow with the fleet.
+ */
 #define PULSE_INTERVAL_US (250 * PW_US_PER_MS)
-#define PULSE_SPREAD_US   (8 * PW_US_PER_MS)
+#define PULSE_MESH        16
+#define PULSE_PART        8
+/* Demand for an account that has grown by this factor is told to all members at once. */
+#define PULSE_DEMAND_GROWTH 1.5
+/* Shortest time between two pulses to all members that only tell of demand. */
+#define PULSE_ALL_US (500 * PW_US_PER_MS)
+/* A group is checked for others that have lost its primary at most this often. */
+#define CHECK_PRIMARY_US (400 * PW_US_PER_MS)
 /* A member that was not heard of for so many pulses counts as silent. */
 #define PULSE_SILENT_COUNT 5
 /* A read of the catalogue or the servers that is newer by this is told to the members at once. */
@@ -92,7 +102,9 @@
 /* Demand of a client account. */
 struct account_demand {
 	struct pw_demand own;
-	uint64_t calm_us; /**< when the demand of the fleet was last inside the rate */
+	double rate_per_s; /**< of the catalogue */
+	double told_per_s; /**< when all members were told */
+	uint64_t calm_us;  /**< when the demand of the fleet was last inside the rate */
 };
 
 struct cluster {
@@ -131,6 +143,8 @@
 	struct pw_source socket;
 	GHashTable *members; /**< name -> struct member */
 	struct pw_timer pulse_timer;
+	uint32_t pulse_turn;   /**< member that gets the next pulse, of many */
+	uint64_t pulse_all_us; /**< when all members got one */
 	int64_t told_confirmed;
 
 	/* Accounts: name -> struct account_demand. */
@@ -139,6 +153,7 @@
 	/* Changes of primary. */
 	struct pw_promoter *promoter;
 	GHashTable *changes; /**< group -> struct change */
+	GHashTable *checked; /**< group -> time of the last check for others */
 	GHashTable *demoted; /**< group -> time since when its primary says "replica" */
 	uint64_t next_change;
 	GPtrArray *ended_changes; /**< whose memory the tick releases */
@@ -187,6 +202,10 @@
 void pulse_stop(struct cluster *c);
 /** Sends a pulse to every member now. */
 void pulse_send_all(struct cluster *c);
+/** @return time between two pulses from one member to another */
+uint64_t pulse_pair_us(const struct cluster *c);
+/** Tells all members of demand that has grown. */
+void pulse_demand(struct cluster *c);
 struct member *pulse_member(struct cluster *c, const char *name);
 /** @return whether the member was heard of recently */
 bool pulse_is_live(const struct cluster *c, const struct member *m);
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -34,16 +34,19 @@
 	return m;
 }
 
-/* With many members the pause grows, so that the cost for a VM grows with them, not faster. */
-static uint64_t pulse_interval_us(const struct cluster *c)
+uint64_t pulse_pair_us(const struct cluster *c)
 {
-	return MAX(PULSE_INTERVAL_US, g_hash_table_size(c->members) * PULSE_SPREAD_US);
+	uint32_t members = g_hash_table_size(c->members);
+
+	if (members <= PULSE_MESH)
+		return PULSE_INTERVAL_US;
+	return (members + PULSE_PART - 1) / PULSE_PART * PULSE_INTERVAL_US;
 }
 
 bool pulse_is_live(const struct cluster *c, const struct member *m)
 {
 	return m->heard_us && !m->leaving &&
-	       cluster_now_us(c) - m->heard_us < PULSE_SILENT_COUNT * pulse_interval_us(c);
+	       cluster_now_us(c) - m->heard_us < PULSE_SILENT_COUNT * pulse_pair_us(c);
 }
 
 static void add_groups(const struct cluster *c, struct pw_pulse *p)
@@ -165,31 +168,83 @@
 	pw_counter_add(PW_COUNTER_PEER_BYTES_SENT, size_bytes);
 }
 
-void pulse_send_all(struct cluster *c)
+/* A pulse without what differs from receiver to receiver. */
+static void make_pulse(struct cluster *c, struct pw_pulse *p)
 {
 	const struct pw_process_settings *s = c->directory->settings;
+
+	pw_pulse_init(p);
+	p->sender = g_strdup(s->name);
+	p->address = g_strdup(s->peer_address);
+	p->incarnation = c->incarnation;
+	p->primaries_revision = c->primaries ? c->primaries->revision : 0;
+	p->settled_revision = cluster_settled_revision(c);
+	p->confirmed_revision = cluster_confirmed_revision(c);
+	p->needs_permit = !c->renewing;
+	p->leaving = c->leaving;
+	add_confirmation(c, p);
+	add_groups(c, p);
+	add_accounts(c, p);
+}
+
+void pulse_send_all(struct cluster *c)
+{
 	struct pw_pulse p;
 	GHashTableIter it;
-	gpointer item;
+	gpointer item, demand;
 
-	pw_pulse_init(&p);
-	p.sender = g_strdup(s->name);
-	p.address = g_strdup(s->peer_address);
-	p.incarnation = c->incarnation;
-	p.primaries_revision = c->primaries ? c->primaries->revision : 0;
-	p.settled_revision = cluster_settled_revision(c);
-	p.confirmed_revision = cluster_confirmed_revision(c);
-	p.needs_permit = !c->renewing;
-	p.leaving = c->leaving;
+	make_pulse(c, &p);
 	c->told_confirmed = p.confirmed_revision;
-	add_confirmation(c, &p);
-	add_groups(c, &p);
-	add_accounts(c, &p);
+	c->pulse_all_us = cluster_now_us(c);
+	g_hash_table_iter_init(&it, c->demands);
+	while (g_hash_table_iter_next(&it, NULL, &demand)) {
+		struct account_demand *d = demand;
+
+		d->told_per_s = pw_demand_at(&d->own, cluster_now_us(c));
+	}
 	g_hash_table_iter_init(&it, c->members);
 	while (g_hash_table_iter_next(&it, NULL, &item))
 		send_pulse(c, item, &p);
 	pw_pulse_dispose(&p);
-	pw_loop_timer_set(c->task.loop, &c->pulse_timer, cluster_now_us(c) + pulse_interval_us(c));
+	pw_loop_timer_set(c->task.loop, &c->pulse_timer, cluster_now_us(c) + PULSE_INTERVAL_US);
+}
+
+/* Sends a pulse to the members whose turn it is. */
+static void send_in_turn(struct cluster *c)
+{
+	GList *members = g_hash_table_get_values(c->members);
+	guint count = g_list_length(members);
+	struct pw_pulse p;
+
+	make_pulse(c, &p);
+	for (guint i = 0; i < PULSE_PART; i++)
+		send_pulse(c, g_list_nth_data(members, (c->pulse_turn + i) % count), &p);
+	c->pulse_turn = (c->pulse_turn + PULSE_PART) % count;
+	pw_pulse_dispose(&p);
+	g_list_free(members);
+	pw_loop_timer_set(c->task.loop, &c->pulse_timer, cluster_now_us(c) + PULSE_INTERVAL_US);
+}
+
+void pulse_demand(struct cluster *c)
+{
+	uint64_t now = cluster_now_us(c);
+	GHashTableIter it;
+	gpointer item;
+
+	/* In a small fleet the next pulse follows soon. */
+	if (g_hash_table_size(c->members) <= PULSE_MESH || now - c->pulse_all_us < PULSE_ALL_US)
+		return;
+	g_hash_table_iter_init(&it, c->demands);
+	while (g_hash_table_iter_next(&it, NULL, &item)) {
+		const struct account_demand *d = item;
+		double per_s = pw_demand_at(&d->own, now);
+
+		if (per_s > d->told_per_s * PULSE_DEMAND_GROWTH + 1.0 &&
+		    per_s * (g_hash_table_size(c->members) + 1) > d->rate_per_s) {
+			pulse_send_all(c);
+			return;
+		}
+	}
 }
 
 /* A permission that was lent counts from when the pulse that it answers was sent. */
@@ -242,7 +297,8 @@
 	pw_pulse_dispose(&m->pulse);
 	m->pulse = *p;
 	pw_pulse_init(p);
-	if (is_new)
+	/* So that it learns of this VM at once; in a small fleet so do the others. */
+	if (is_new && g_hash_table_size(c->members) <= PULSE_MESH)
 		pulse_send_all(c);
 }
 
@@ -272,8 +328,13 @@
 
 static void pulse_expire(struct pw_timer *t, uint64_t now_us)
 {
+	struct cluster *c = (struct cluster *)((char *)t - offsetof(struct cluster, pulse_timer));
+
 	(void)now_us;
-	pulse_send_all((struct cluster *)((char *)t - offsetof(struct cluster, pulse_timer)));
+	if (g_hash_table_size(c->members) <= PULSE_MESH)
+		pulse_send_all(c);
+	else
+		send_in_turn(c);
 }
 
 static const struct pw_timer_ops pulse_timer_ops = { .expire = pulse_expire };
--- a/daemon/traffic/gateway_group.c
+++ b/daemon/traffic/gateway_group.c
@@ -457,7 +457,7 @@
 
 void gw_group_check_primary(struct group *g)
 {
-	if (g->primary && g->primary->listed &&
+	if (g->primary && g->primary->listed && !g->primary->asked_us &&
 	    gateway_now_us(g->gateway) - g->reached_us > PROBE_SILENCE_US)
 		(void)gw_conn_ping(g->primary, true);
 }
--- a/decide/include/pw/decide/change.h
+++ b/decide/include/pw/decide/change.h
@@ -54,6 +54,7 @@
 	uint64_t demoted_since_us; /**< since when the entry says so; 0: not */
 	uint32_t votes_lost;       /**< VMs that cannot reach the primary */
 	uint32_t votes_reached;    /**< VMs that reached it recently */
+	uint32_t live;             /**< VMs that are heard of, this one included */
 	uint64_t lost_since_us;    /**< longest time of those that cannot; 0: none */
 	uint32_t rank;             /**< place of this VM among the live ones for this group */
 	uint32_t candidates;       /**< registered servers that stay, without the primary */
@@ -72,6 +73,13 @@
 /** Another VM takes a change over after this time. */
 #define PW_CHANGE_TAKEOVER_US UINT64_C(6500000)
 
+/**
+ * Votes that are needed to give a primary up. The trouble of a single VM is no reason, unless there
+ * are hardly any others to ask.
+ */
+#define PW_CHANGE_VOTES_MIN 2
+#define PW_CHANGE_VOTES_OF  3
+
 /** @return why this VM should change the primary now, or PW_CHANGE_NONE */
 enum pw_change_reason pw_change_due(const struct pw_change_view *v, uint64_t now_us);
 
--- a/decide/src/change.c
+++ b/decide/src/change.c
@@ -13,6 +13,13 @@
 	return names[r];
 }
 
+static bool is_lost(const struct pw_change_view *v)
+{
+	if (v->live >= PW_CHANGE_VOTES_OF && v->votes_lost < PW_CHANGE_VOTES_MIN)
+		return false;
+	return v->votes_lost > v->votes_reached && v->lost_since_us;
+}
+
 /* Since when a reason holds; UINT64_MAX when it does not. */
 static uint64_t reason_since_us(const struct pw_change_view *v, enum pw_change_reason *reason)
 {
@@ -20,7 +27,7 @@
 		*reason = PW_CHANGE_ABANDONED;
 		return v->record_since_us + PW_CHANGE_TAKEOVER_US;
 	}
-	if (v->votes_lost > v->votes_reached && v->lost_since_us) {
+	if (is_lost(v)) {
 		*reason = PW_CHANGE_UNREACHABLE;
 		return v->lost_since_us + PW_CHANGE_LOST_US;
 	}
