--- a/core/include/pw/core/event.h
+++ b/core/include/pw/core/event.h
@@ -14,6 +14,8 @@
  * refusals together stay below a thousandth of a core.
  */
 #define PW_EVENT_LINES_PER_SECOND 40
+/** The same for statements that were served: a sample. */
+#define PW_EVENT_SERVED_PER_SECOND 5
 
 /** The events: identifier, number, level of GLib, name in the log. */
 #define PW_EVENTS(X)                                                          \
@@ -55,6 +57,7 @@
 	X(SERVER_GONE, 4020, G_LOG_LEVEL_WARNING, "server_gone")              \
 	X(REQUEST_REFUSED, 4030, G_LOG_LEVEL_INFO, "request_refused")         \
 	X(REQUEST_RETRIED, 4031, G_LOG_LEVEL_INFO, "request_retried")         \
+	X(REQUEST_SERVED, 4032, G_LOG_LEVEL_INFO, "request_served")           \
 	X(KEY_WITHDRAWN, 5001, G_LOG_LEVEL_MESSAGE, "key_withdrawn")          \
 	X(ISOLATED, 5002, G_LOG_LEVEL_WARNING, "isolated")                    \
 	X(ADMIN_CHANGE, 6001, G_LOG_LEVEL_MESSAGE, "admin_change")
@@ -74,7 +77,7 @@
 
 const struct pw_event_info *pw_event_info(enum pw_event e);
 
-/** Sends GLib's structured logs to standard error, one line an event, from `level` upwards. */
+/** Sends GLib's structured logs to standard output, one line an event, from `level` upwards. */
 void pw_event_log_init(GLogLevelFlags level);
 
 /** @return whether events of this kind are logged; saves the work for their fields */
--- a/core/src/event.c
+++ b/core/src/event.c
@@ -62,7 +62,6 @@
 
 static pthread_mutex_t write_lock = PTHREAD_MUTEX_INITIALIZER;
 static struct budget budgets[PW_EVENT_COUNT];
-static uint32_t lines_per_second = PW_EVENT_LINES_PER_SECOND;
 static uint64_t unwritten; /**< lines that the reader of the log did not take */
 
 /*
@@ -71,11 +70,18 @@
  */
 static bool write_ready(const char *line, size_t size_bytes)
 {
-	struct pollfd p = { .fd = STDERR_FILENO, .events = POLLOUT };
+	struct pollfd p = { .fd = STDOUT_FILENO, .events = POLLOUT };
 
 	if (poll(&p, 1, 0) != 1 || !(p.revents & POLLOUT))
 		return false;
-	return write(STDERR_FILENO, line, size_bytes) == (ssize_t)size_bytes;
+	return write(STDOUT_FILENO, line, size_bytes) == (ssize_t)size_bytes;
+}
+
+/* Successes leave the room of the log to what went wrong. */
+static uint32_t lines_per_second(enum pw_event e)
+{
+	return e == PW_EVENT_REQUEST_SERVED ? PW_EVENT_SERVED_PER_SECOND
+					    : PW_EVENT_LINES_PER_SECOND;
 }
 
 /* Whether the event may log another line now; `left_out` receives the lines missing before it. */
@@ -90,7 +96,7 @@
 		b->second = second;
 		b->used = 0;
 	}
-	ok = b->used < lines_per_second;
+	ok = b->used < lines_per_second(e);
 	*left_out = ok ? b->left_out : 0;
 	if (ok) {
 		b->used++;
--- a/daemon/traffic/gateway_work.c
+++ b/daemon/traffic/gateway_work.c
@@ -363,6 +363,25 @@
 		c->tainted = true;
 }
 
+/* What decided about a statement that was answered by a server. */
+static void log_served(const struct work *w, const struct conn *c, const struct pw_position *at)
+{
+	uint64_t now = gateway_now_us(gateway_of(w));
+
+	if (!pw_event_is_logged(PW_EVENT_REQUEST_SERVED))
+		return;
+	pw_event_log(PW_EVENT_REQUEST_SERVED,
+		     "id=%s account=%s database=%s server=%s primary=%d term=%" PRIu64
+		     " reason=%s position=%" PRIu64 ".%" PRIu64 " floor_age_ms=%" PRIu64
+		     " total_ms=%" PRIu64 " server_ms=%" PRIu64 " attempts=%u",
+		     w->call->id, w->account->name, w->group->name, c->server->id,
+		     c->generation != 0, w->group->generation, pw_reason_name(w->reason),
+		     at ? at->term : 0, at ? at->lsn : 0,
+		     c->floor_seen_us ? (now - c->floor_seen_us) / PW_US_PER_MS : 0,
+		     (now - w->arrived_us) / PW_US_PER_MS, (now - c->sent_us) / PW_US_PER_MS,
+		     w->attempts);
+}
+
 static void count_read(const struct work *w, const struct conn *c)
 {
 	if (w->reason != PW_REASON_NONE || w->writes || w->ends)
@@ -418,6 +437,7 @@
 	count_read(w, c);
 	if (w->reason == PW_REASON_NONE)
 		note_success(w, c, at);
+	log_served(w, c, at);
 	if (in_transaction)
 		finish_in_transaction(w, c, state, at);
 	else
--- a/tests/decide/test_share.c
+++ b/tests/decide/test_share.c
@@ -190,12 +190,33 @@
 }
 END_TEST
 
+/* An operation that no server got gives its token back, up to the burst. */
+START_TEST(test_give)
+{
+	const struct pw_share s = { .rate_per_s = 1, .burst = 2, .contended = true };
+	struct pw_tokens t = { .level = 2, .filled_us = 5 };
+
+	ck_assert(pw_tokens_take(&t, &s, 5));
+	ck_assert(pw_tokens_take(&t, &s, 5));
+	ck_assert(!pw_tokens_take(&t, &s, 5));
+	ck_assert_uint_eq(pw_tokens_wait_us(&t, &s), S);
+	pw_tokens_give(&t);
+	ck_assert(pw_tokens_take(&t, &s, 5));
+	for (int i = 0; i < 5; i++)
+		pw_tokens_give(&t);
+	ck_assert(pw_tokens_take(&t, &s, 5));
+	ck_assert(pw_tokens_take(&t, &s, 5));
+	ck_assert(!pw_tokens_take(&t, &s, 5));
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("share");
 
 	tcase_add_loop_test(tc, test_compute, 0, PW_ARRAY_LEN(cases));
 	tcase_add_test(tc, test_window);
+	tcase_add_test(tc, test_give);
 	tcase_add_loop_test(tc, test_fleet, 0, PW_ARRAY_LEN(loads));
 	return pw_suite_run("share", tc);
 }
--- a/tests/platform/test_platform_fleet.c
+++ b/tests/platform/test_platform_fleet.c
@@ -16,6 +16,7 @@
 #include <unistd.h>
 
 #include "harness.h"
+#include "harness_relay.h"
 
 #define VMS       3
 #define ANSWER_MS 3000
@@ -105,14 +106,14 @@
 	return ready;
 }
 
-static void start_vm(uint32_t i)
+static void start_vm_at(uint32_t i, uint16_t store_port)
 {
 	struct vm *v = &vms[i];
 	char *name = g_strdup_printf("vm-%u", i + 1);
 	char *caller = g_strdup_printf("127.0.0.1:%u", v->port);
 	char *api = g_strdup_printf("127.0.0.1:%u", v->api);
 	char *peer = g_strdup_printf("127.0.0.1:%u", v->peer);
-	char *store = g_strdup_printf("127.0.0.1:%u", platform->port);
+	char *store = g_strdup_printf("127.0.0.1:%u", store_port);
 	const char *const args[] = {
 		"--binding",
 		"platform",
@@ -151,6 +152,11 @@
 	g_free(store);
 }
 
+static void start_vm(uint32_t i)
+{
+	start_vm_at(i, platform->port);
+}
+
 /* A platform with one group, and a fleet that is ready. */
 static void start_fleet(void)
 {
@@ -820,6 +826,41 @@
 }
 END_TEST
 
+/*
+ * A VM without a way to the store lives on the permission that others lend it. When it dies, the
+ * others must not go on lending, or they never confirm the mark of a change. Seen as changes that
+ * were given up for 10 s.
+ */
+START_TEST(test_lender)
+{
+	struct pw_harness_relay *relay;
+	struct client *c, *lent;
+	char *old;
+
+	start_fleet();
+	relay = pw_harness_relay_new(platform->port);
+	pw_harness_kill(vms[0].process);
+	start_vm_at(0, pw_harness_relay_port(relay));
+	ck_assert(PW_HARNESS_UNTIL(is_ready(&vms[0]), READY_MS));
+	lent = session(0, "desk");
+	expect(lent, "WRITE a v", "ok I");
+	pw_harness_relay_set(relay, PW_RELAY_CUT);
+	g_usleep(3000000);
+	/* Its own permission is long over. */
+	expect(lent, "WRITE b v", "ok I");
+	pw_harness_signal(vms[0].process, SIGSTOP);
+	c = session(1, "desk");
+	old = leader();
+	fault("crash", old);
+	g_free(old);
+	(void)write_until_ok(&c, 1, "WRITE c v", 6000);
+	client_free(c);
+	client_free(lent);
+	pw_harness_relay_free(relay);
+	stop_fleet();
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("platform fleet");
@@ -837,5 +878,6 @@
 	tcase_add_test(tc, test_join);
 	tcase_add_test(tc, test_stop);
 	tcase_add_test(tc, test_suspended);
+	tcase_add_test(tc, test_lender);
 	return pw_suite_run("platform fleet", tc);
 }
