--- a/codec/include/pw/codec/pulse.h
+++ b/codec/include/pw/codec/pulse.h
@@ -33,6 +33,7 @@
 	uint64_t echo_incarnation; /**< of the receiver, in the newest pulse from it */
 	uint64_t echo_sequence;
 	uint32_t permit_left_ms; /**< lent to the receiver */
+	uint32_t promise_ms;     /**< for which the sender claims no change of primary */
 	int64_t primaries_revision;
 	int64_t settled_revision;
 	int64_t confirmed_revision;
--- a/codec/src/pulse.c
+++ b/codec/src/pulse.c
@@ -75,6 +75,7 @@
 	b->message.echo_incarnation = p->echo_incarnation;
 	b->message.echo_sequence = p->echo_sequence;
 	b->message.permit_left_ms = p->permit_left_ms;
+	b->message.promise_ms = p->promise_ms;
 	b->message.primaries_revision = p->primaries_revision;
 	b->message.confirmed_revision = p->confirmed_revision;
 	b->message.settled_revision = p->settled_revision;
@@ -151,6 +152,7 @@
 	out->echo_incarnation = m->echo_incarnation;
 	out->echo_sequence = m->echo_sequence;
 	out->permit_left_ms = m->permit_left_ms;
+	out->promise_ms = m->promise_ms;
 	out->primaries_revision = m->primaries_revision;
 	out->confirmed_revision = m->confirmed_revision;
 	out->settled_revision = m->settled_revision;
--- a/daemon/control/admin.c
+++ b/daemon/control/admin.c
@@ -55,6 +55,7 @@
 	uint64_t lease_until_us; /**< end of the newest quorum lease or permission; 0: none yet */
 	bool has_catalog;        /**< with a binding that publishes one */
 	bool has_servers;
+	bool has_primaries;
 	bool draining; /**< planned stop */
 };
 
@@ -150,7 +151,8 @@
 
 	if (is_draining(a))
 		return respond_text(x->connection, MHD_HTTP_SERVICE_UNAVAILABLE, "draining\n");
-	if (a->directory->binding->catalog ? !a->has_catalog || !a->has_servers : !a->document)
+	if (a->directory->binding->catalog ? !a->has_catalog || !a->has_servers || !a->has_primaries
+					   : !a->document)
 		return respond_text(x->connection, MHD_HTTP_SERVICE_UNAVAILABLE,
 				    "no configuration\n");
 	if (pw_loop_now_us(a->task.loop) >= a->lease_until_us + LEASE_GRACE_US)
@@ -461,6 +463,7 @@
 	} else if (m->ops == &pw_servers_msg_ops) {
 		a->has_servers = true;
 	} else if (m->ops == &pw_primaries_msg_ops) {
+		a->has_primaries = ((struct pw_primaries_msg *)m)->primaries != NULL;
 		a->lease_until_us =
 			MAX(a->lease_until_us, ((struct pw_primaries_msg *)m)->permit_until_us);
 	} else if (m->ops == &pw_drain_ops) {
--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -101,13 +101,33 @@
 	return 1 + g_hash_table_size(c->members);
 }
 
+uint64_t cluster_promises_until_us(const struct cluster *c)
+{
+	uint64_t until_us = UINT64_MAX;
+	GHashTableIter it;
+	gpointer item;
+
+	/* With nobody to ask, another VM could be unknown here. */
+	if (!c->primaries || c->renewing || !g_hash_table_size(c->members))
+		return 0;
+	g_hash_table_iter_init(&it, c->members);
+	while (g_hash_table_iter_next(&it, NULL, &item)) {
+		const struct member *m = item;
+
+		if (!m->leaving)
+			until_us = MIN(until_us, m->promise_until_us);
+	}
+	return until_us == UINT64_MAX ? 0 : until_us;
+}
+
 static void send_primaries(const struct cluster *c, struct pw_mailbox *to)
 {
 	struct pw_primaries_msg *m = g_new0(struct pw_primaries_msg, 1);
 
 	m->base.ops = &pw_primaries_msg_ops;
 	m->primaries = c->primaries ? pw_primaries_ref(c->primaries) : NULL;
-	m->permit_until_us = MAX(c->permit_until_us, c->lent_until_us);
+	m->permit_until_us =
+		MAX(MAX(c->permit_until_us, c->lent_until_us), cluster_promises_until_us(c));
 	m->member_count = member_count(c);
 	pw_mailbox_send(to, &m->base);
 }
@@ -176,6 +196,9 @@
 	GHashTableIter it;
 	gpointer item;
 
+	/* An earlier process of this VM may have lent a permission. */
+	if (pw_permit_holds(c->started_us + PW_PERMIT_US, cluster_now_us(c)))
+		return 0;
 	g_hash_table_iter_init(&it, c->members);
 	while (g_hash_table_iter_next(&it, NULL, &item)) {
 		const struct member *m = item;
@@ -419,6 +442,7 @@
 	c->since = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->checked = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->tick.ops = &tick_ops;
+	c->started_us = cluster_now_us(c);
 	change_start(c);
 	rc = pulse_start(c);
 	if (!rc)
--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -795,6 +795,14 @@
 	c->ended_reports = g_ptr_array_new_with_free_func(g_free);
 }
 
+/* Whether no promise of this VM, or of an earlier process of it, stands against a claim. */
+static bool may_claim(const struct cluster *c)
+{
+	uint64_t now = cluster_now_us(c);
+
+	return now >= c->promised_until_us && now >= c->started_us + PW_PERMIT_US;
+}
+
 void change_tick(struct cluster *c)
 {
 	GList *open;
@@ -808,7 +816,7 @@
 		continue_change(l->data);
 	g_list_free(open);
 	/* Without the store no record can be marked; the members decide without this VM. */
-	if (!c->renewing || c->leaving)
+	if (!c->renewing || c->leaving || !may_claim(c))
 		return;
 	for (guint i = 0; i < c->primaries->list->len; i++) {
 		const struct pw_primary *p = g_ptr_array_index(c->primaries->list, i);
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -87,7 +87,8 @@
 	uint64_t heard_sequence;
 	uint64_t sequence; /**< of the next pulse to it */
 	uint64_t sent_us[PULSE_TIMES];
-	uint64_t lent_until_us; /**< end of the last permission that was lent to it */
+	uint64_t lent_until_us;    /**< end of the last permission that was lent to it */
+	uint64_t promise_until_us; /**< it claims no change of primary until then */
 	int64_t settled_revision;
 	int64_t confirmed_revision;
 	struct pw_pulse pulse; /**< the last one; `groups` is NULL before it */
@@ -117,6 +118,7 @@
 	GHashTable *since; /**< group -> time since when its present record is known */
 	struct gateway_view *gateways;
 	struct pw_timer tick;
+	uint64_t started_us;
 
 	/* Membership. */
 	char *member_key;
@@ -134,8 +136,9 @@
 	bool reading;          /**< a read of the record is under way */
 	uint64_t call_sent_us; /**< when the last grant, registration or read was sent */
 	uint64_t keep_sent_us;
-	uint64_t permit_until_us; /**< from the store; may be lent */
-	uint64_t lent_until_us;   /**< from another member */
+	uint64_t permit_until_us;   /**< from the store; may be lent */
+	uint64_t lent_until_us;     /**< from another member */
+	uint64_t promised_until_us; /**< this VM claims no change of primary until then */
 	struct pw_timer member_timer;
 	struct pw_timer members_timer;
 
@@ -171,6 +174,8 @@
 }
 
 /* cluster.c */
+/** @return end of the permission that all other members' promises make up; 0 for none */
+uint64_t cluster_promises_until_us(const struct cluster *c);
 /** Sends primaries and permission to the gateways. */
 void cluster_publish(struct cluster *c);
 /** Lets the gateways look whether they reach the primary of a group. */
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -159,6 +159,21 @@
 	return (uint32_t)((c->permit_until_us - now) / PW_US_PER_MS);
 }
 
+/*
+ * Promises a member that cannot renew its permission to claim no change, if this VM cannot either.
+ * It must not know a newer record than the member.
+ */
+static uint32_t promise(struct cluster *c, const struct member *m)
+{
+	int64_t revision = c->primaries ? c->primaries->revision : 0;
+
+	if (!m->needs_permit || c->renewing || !pulse_is_live(c, m) ||
+	    g_hash_table_size(c->changes) || m->settled_revision < revision)
+		return 0;
+	c->promised_until_us = cluster_now_us(c) + PW_PROMISE_US;
+	return PW_PROMISE_US / PW_US_PER_MS;
+}
+
 static void send_pulse(struct cluster *c, struct member *m, struct pw_pulse *p)
 {
 	uint8_t data[PW_PULSE_MAX_BYTES];
@@ -170,6 +185,7 @@
 	p->echo_incarnation = m->incarnation;
 	p->echo_sequence = m->heard_sequence;
 	p->permit_left_ms = lend(c, m);
+	p->promise_ms = promise(c, m);
 	m->sent_us[p->sequence % PULSE_TIMES] = cluster_now_us(c);
 	size_bytes = pw_pulse_encode(data, p);
 	if (!size_bytes)
@@ -279,6 +295,21 @@
 	}
 }
 
+/* As above. A sender with a newer record has nothing to promise for the one that is known here. */
+static void take_promise(struct cluster *c, struct member *m, const struct pw_pulse *p)
+{
+	uint64_t before_us = cluster_promises_until_us(c);
+
+	if (!p->promise_ms || !c->primaries || p->echo_incarnation != c->incarnation ||
+	    p->primaries_revision > c->primaries->revision || p->echo_sequence >= m->sequence ||
+	    p->echo_sequence + PULSE_TIMES < m->sequence)
+		return;
+	m->promise_until_us = MAX(m->promise_until_us, m->sent_us[p->echo_sequence % PULSE_TIMES] +
+							       p->promise_ms * PW_US_PER_MS);
+	if (cluster_promises_until_us(c) > before_us)
+		cluster_publish(c);
+}
+
 static void take_pulse(struct cluster *c, struct pw_pulse *p)
 {
 	struct member *m;
@@ -294,6 +325,7 @@
 		m->heard_sequence = 0;
 		m->settled_revision = 0;
 		m->confirmed_revision = 0;
+		m->promise_until_us = 0;
 		m->has_address = pw_address_parse(&m->address, p->address) == PW_OK;
 		pw_event_log(PW_EVENT_MEMBER_JOINED, "peer=%s address=%s incarnation=%" PRIu64,
 			     p->sender, p->address, p->incarnation);
@@ -307,6 +339,7 @@
 	m->settled_revision = p->settled_revision;
 	m->confirmed_revision = p->confirmed_revision;
 	take_lent(c, m, p);
+	take_promise(c, m, p);
 	take_confirmation(c, p);
 	if (c->primaries && p->primaries_revision > c->primaries->revision)
 		member_refresh(c);
--- a/daemon/traffic/gateway_work.c
+++ b/daemon/traffic/gateway_work.c
@@ -473,12 +473,12 @@
 			gw_work_refuse(w, PW_REASON_TIMEOUT, why);
 		else
 			retry(w, server, PW_COUNTER_RETRY_READ);
-	} else if (!in_transaction || w->ends) {
+	} else if (!in_transaction || (w->ends && w->sent)) {
 		s->transaction = TRANSACTION_NONE;
 		gw_work_refuse(w, PW_REASON_OUTCOME_UNKNOWN, why);
 	} else {
 		/* The server rolls back what was not committed. */
-		s->transaction = TRANSACTION_LOST;
+		s->transaction = w->ends ? TRANSACTION_NONE : TRANSACTION_LOST;
 		gw_work_refuse(w, PW_REASON_ABORTED, why);
 	}
 }
--- a/decide/include/pw/decide/change.h
+++ b/decide/include/pw/decide/change.h
@@ -26,6 +26,13 @@
 /** Renewals: a third of the permission, so that one may be lost. */
 #define PW_PERMIT_RENEW_US UINT64_C(500000)
 
+/**
+ * While nobody reaches the store, nobody can claim a change. A VM that all others have promised to
+ * claim none for this time may go on with the primaries that it knows; each of them keeps its
+ * promise when the store is back.
+ */
+#define PW_PROMISE_US UINT64_C(1200000)
+
 /** @return whether a permission holds */
 static inline bool pw_permit_holds(uint64_t until_us, uint64_t now_us)
 {
--- a/tests/codec/test_pulse.c
+++ b/tests/codec/test_pulse.c
@@ -16,6 +16,7 @@
 	p->echo_incarnation = 8;
 	p->echo_sequence = 9;
 	p->permit_left_ms = 1200;
+	p->promise_ms = 800;
 	p->primaries_revision = 412;
 	p->settled_revision = 411;
 	p->confirmed_revision = 410;
@@ -47,6 +48,7 @@
 	ck_assert_uint_eq(q.echo_incarnation, p.echo_incarnation);
 	ck_assert_uint_eq(q.echo_sequence, p.echo_sequence);
 	ck_assert_uint_eq(q.permit_left_ms, p.permit_left_ms);
+	ck_assert_uint_eq(q.promise_ms, p.promise_ms);
 	ck_assert_int_eq(q.primaries_revision, p.primaries_revision);
 	ck_assert_int_eq(q.settled_revision, p.settled_revision);
 	ck_assert_int_eq(q.confirmed_revision, p.confirmed_revision);
