--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -836,6 +836,19 @@
 	}
 }
 
+void change_leave(struct cluster *c)
+{
+	GList *open = g_hash_table_get_values(c->changes);
+
+	for (GList *l = open; l; l = l->next) {
+		struct change *ch = l->data;
+
+		if (!ch->ordered)
+			give_up(ch, "the VM leaves");
+	}
+	g_list_free(open);
+}
+
 void change_stop_all(struct cluster *c)
 {
 	GList *open = g_hash_table_get_values(c->changes);
--- a/daemon/control/cluster_member.c
+++ b/daemon/control/cluster_member.c
@@ -342,6 +342,7 @@
 void member_leave(struct cluster *c)
 {
 	c->leaving = true;
+	change_leave(c);
 	pw_loop_timer_clear(c->task.loop, &c->member_timer);
 	pulse_send_all(c);
 	if (c->lease_id)
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -220,6 +220,8 @@
 /** Starts, continues and ends changes. */
 void change_tick(struct cluster *c);
 void change_result(struct cluster *c, uint64_t tag, struct pw_store_result *r);
+/** Gives up what is open: the others no longer count on this VM's promises. */
+void change_leave(struct cluster *c);
 void change_stop_all(struct cluster *c);
 
 /* cluster_report.c: the status of one server, by a connection of its own. */
--- a/http/include/pw/http/http.h
+++ b/http/include/pw/http/http.h
@@ -6,6 +6,7 @@
 #ifndef PW_HTTP_HTTP_H
 #define PW_HTTP_HTTP_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -32,6 +33,11 @@
 struct pw_http_call_ops {
 	/** Called once, never from inside pw_http_start(). It may start and cancel calls. */
 	void (*done)(struct pw_http_call *c, const struct pw_http_answer *a);
+	/**
+	 * Bytes of the answer have come. The handler may remove what it has used from the start of
+	 * `bytes`, and may cancel the call. NULL: only the whole answer matters.
+	 */
+	void (*received)(struct pw_http_call *c, uint32_t status, GByteArray *bytes);
 };
 
 /** First member of what waits for an answer. It stays valid until `done` or a cancel. */
@@ -43,9 +49,10 @@
 struct pw_http_request {
 	const char *method;
 	const char *url;
-	const char *body;           /**< NULL: none; else sent as JSON */
-	const char *const *headers; /**< further lines `Name: value`, ended by NULL; may be NULL */
-	uint64_t timeout_us;
+	const char *body;            /**< NULL: none; else sent as JSON */
+	const char *const *headers;  /**< further lines `Name: value`, ended by NULL; may be NULL */
+	uint64_t timeout_us;         /**< of the whole call; 0: none */
+	uint64_t connect_timeout_us; /**< of the connection; 0: that of the call */
 	/**
 	 * The request may be sent again by the library when a kept connection ends without an
 	 * answer. Others take a new connection.
@@ -73,6 +80,9 @@
 /** Starts a call; the request is copied. @return 0, or PW_ESYSTEM and `done` is not called */
 int pw_http_start(struct pw_http *h, const struct pw_http_request *req, struct pw_http_call *c);
 
+/** @return whether a byte of the request was sent */
+bool pw_http_is_sent(const struct pw_http_call *c);
+
 /** Ends a call without an answer; a request that was sent may still be carried out. */
 void pw_http_cancel(struct pw_http *h, struct pw_http_call *c);
 
--- a/http/src/http.c
+++ b/http/src/http.c
@@ -30,6 +30,7 @@
 	struct pw_timer timer;
 	GHashTable *sockets;   /**< set of struct http_socket */
 	GHashTable *transfers; /**< set of struct transfer */
+	GQueue readable;       /**< transfers with bytes that their owner wants to see */
 	GQueue ended;          /**< transfers whose memory is still in use */
 	size_t answer_max_bytes;
 	uint64_t fresh_until_us; /**< kept connections are not used until then */
@@ -48,6 +49,7 @@
 	char *body;
 	GByteArray *answer;
 	bool overflow;
+	bool queued; /**< in `readable` */
 	char error_text[CURL_ERROR_SIZE];
 };
 
@@ -61,12 +63,20 @@
 		return 0;
 	}
 	g_byte_array_append(t->answer, (const guint8 *)data, (guint)n);
+	/* Not delivered here: libcurl refuses calls from inside its callbacks. */
+	if (t->call->ops->received && !t->queued) {
+		t->queued = true;
+		g_queue_push_tail(&t->owner->readable, t);
+	}
 	return n;
 }
 
 /* The memory is freed by free_ended(), since an answer may cancel the call that is worked on. */
 static void end_transfer(struct transfer *t)
 {
+	if (t->queued)
+		g_queue_remove(&t->owner->readable, t);
+	t->queued = false;
 	curl_multi_remove_handle(t->owner->multi, t->easy);
 	curl_easy_cleanup(t->easy);
 	t->easy = NULL;
@@ -115,12 +125,24 @@
 	c->ops->done(c, &a);
 }
 
-/* Delivers what libcurl has finished, after it has returned. */
+static void show_bytes(struct transfer *t)
+{
+	long status = 0;
+
+	t->queued = false;
+	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
+	t->call->ops->received(t->call, (uint32_t)status, t->answer);
+}
+
+/* Delivers what libcurl has received and finished, after it has returned. */
 static void deliver_all(struct pw_http *h)
 {
+	struct transfer *readable;
 	CURLMsg *msg;
 	int left;
 
+	while ((readable = g_queue_pop_head(&h->readable)))
+		show_bytes(readable);
 	while ((msg = curl_multi_info_read(h->multi, &left))) {
 		struct transfer *t = NULL;
 
@@ -242,11 +264,15 @@
 	curl_easy_setopt(t->easy, CURLOPT_HTTPHEADER, t->headers);
 }
 
+static long to_ms(uint64_t us)
+{
+	return (long)MIN(MAX(us / PW_US_PER_MS, 1), INT32_MAX);
+}
+
 static void set_options(struct transfer *t, const struct pw_http_request *req)
 {
 	CURL *e = t->easy;
 	bool fresh = !req->repeatable || pw_clock_now_us() < t->owner->fresh_until_us;
-	long timeout_ms = (long)MAX(req->timeout_us / PW_US_PER_MS, 1);
 
 	curl_easy_setopt(e, CURLOPT_URL, req->url);
 	curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, req->method);
@@ -262,7 +288,10 @@
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, t);
 	curl_easy_setopt(e, CURLOPT_PRIVATE, t);
 	curl_easy_setopt(e, CURLOPT_ERRORBUFFER, t->error_text);
-	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, timeout_ms);
+	if (req->timeout_us)
+		curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, to_ms(req->timeout_us));
+	if (req->connect_timeout_us)
+		curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, to_ms(req->connect_timeout_us));
 	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, IDLE_MAX_S);
 	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
 	curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, tune_socket);
@@ -290,6 +319,16 @@
 	return PW_OK;
 }
 
+bool pw_http_is_sent(const struct pw_http_call *c)
+{
+	const struct transfer *t = c->transfer;
+	long request_size_bytes = 0;
+
+	if (t)
+		curl_easy_getinfo(t->easy, CURLINFO_REQUEST_SIZE, &request_size_bytes);
+	return request_size_bytes > 0;
+}
+
 void pw_http_cancel(struct pw_http *h, struct pw_http_call *c)
 {
 	(void)h;
@@ -318,6 +357,7 @@
 	h->timer.ops = &timer_ops;
 	h->sockets = g_hash_table_new(NULL, NULL);
 	h->transfers = g_hash_table_new(NULL, NULL);
+	g_queue_init(&h->readable);
 	g_queue_init(&h->ended);
 	h->multi = curl_multi_init();
 	curl_multi_setopt(h->multi, CURLMOPT_SOCKETFUNCTION, set_socket);
