--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 BUILD ?= build
 PACKAGES = build-essential cmake ninja-build pkg-config libck-dev libzmq3-dev libglib2.0-dev check \
-	libpq-dev libcurl4-openssl-dev libjansson-dev libprotobuf-c-dev libmicrohttpd-dev libssl-dev jq curl \
+	libpq-dev libcurl4-openssl-dev libjansson-dev libprotobuf-c-dev libmicrohttpd-dev libssl-dev libgsl-dev jq curl \
 	postgresql-client clang-format clang-tidy cppcheck
 SOURCES = $(shell git ls-files '*.c' '*.h' | grep -v generated/)
 UNITS = $(filter-out tests/% bench/% standins/%,$(filter %.c,$(SOURCES)))
--- a/daemon/control/admin.c
+++ b/daemon/control/admin.c
@@ -11,10 +11,10 @@
 #include "../traffic/request.h"
 #include "catalog.h"
 #include "cluster.h"
+#include "metrics.h"
 #include "peers.h"
 #include "pw/core/address.h"
 #include "pw/core/clock.h"
-#include "pw/core/counter.h"
 #include "pw/core/error.h"
 #include "pw/core/event.h"
 #include "pw/core/tls.h"
@@ -163,20 +163,10 @@
 
 static enum MHD_Result get_metrics(struct exchange *x)
 {
-	GString *s = g_string_new(NULL);
-	enum MHD_Result rc;
-
-	for (int i = 0; i < PW_COUNTER_COUNT; i++) {
-		const struct pw_counter_info *info = pw_counter_info(i);
+	char *text = pw_metrics_text();
+	enum MHD_Result rc = respond(x->connection, MHD_HTTP_OK, PW_METRICS_TYPE, text, 0);
 
-		g_string_append_printf(s,
-				       "# HELP pimentowing_%s %s\n# TYPE pimentowing_%s counter\n"
-				       "pimentowing_%s %" PRIu64 "\n",
-				       info->name, info->help, info->name, info->name,
-				       pw_counter_get(i));
-	}
-	rc = respond(x->connection, MHD_HTTP_OK, "text/plain; version=0.0.4", s->str, 0);
-	g_string_free(s, TRUE);
+	g_free(text);
 	return rc;
 }
 
--- a/daemon/control/catalog.c
+++ b/daemon/control/catalog.c
@@ -8,6 +8,7 @@
 #include "pw/core/counter.h"
 #include "pw/core/error.h"
 #include "pw/core/event.h"
+#include "pw/core/histogram.h"
 #include "pw/decide/registry.h"
 #include "store.h"
 
@@ -332,6 +333,8 @@
 		return;
 	}
 	c->catalog_backoff_us = 0;
+	if (c->confirmed.catalog_us)
+		pw_histogram_add(PW_HISTOGRAM_CATALOG_AGE, now_us(c) - c->confirmed.catalog_us);
 	adopt_catalog(c, &r->kvs[0]);
 	confirm_catalog(c, c->catalog_asked_us);
 	if (!c->watching)
--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -17,6 +17,7 @@
 #include "pw/core/counter.h"
 #include "pw/core/error.h"
 #include "pw/core/event.h"
+#include "pw/core/histogram.h"
 
 /* Members that have not confirmed after this time lose their lease: two pulses' time. */
 #define CONFIRM_WAIT_US (300 * PW_US_PER_MS)
@@ -499,6 +500,7 @@
 	}
 	drop_reports(ch);
 	enter(ch, CHANGE_ORDER);
+	pw_histogram_add(PW_HISTOGRAM_CHANGE_SETTLE, cluster_now_us(c) - ch->started_us);
 	ch->ordering = true;
 	ch->ordered = true;
 	ch->promotion.ops = &promotion_ops;
@@ -570,6 +572,7 @@
 		adopt_own(ch, base->revision, true);
 		step_down(ch);
 		pw_counter_inc(PW_COUNTER_FAILOVERS_WON);
+		pw_histogram_add(PW_HISTOGRAM_CHANGE, cluster_now_us(ch->cluster) - ch->started_us);
 		end_change(ch, PW_EVENT_FAILOVER_DONE, pw_change_reason_name(ch->reason));
 		return;
 	}
--- a/daemon/control/control.c
+++ b/daemon/control/control.c
@@ -4,6 +4,7 @@
 #include "catalog.h"
 #include "cluster.h"
 #include "config.h"
+#include "metrics.h"
 #include "monitor.h"
 #include "peers.h"
 #include "store.h"
@@ -25,8 +26,16 @@
 		{ .ops = &pw_admin_ops, .inbox = d->admin, .args = args },
 	};
 
+	const struct pw_child_spec metrics = {
+		.ops = &pw_metrics_ops,
+		.inbox = d->metrics,
+		.args = args,
+	};
+
 	if (d->binding->catalog)
 		g_array_append_vals(children, published, G_N_ELEMENTS(published));
 	else
 		g_array_append_vals(children, specs, G_N_ELEMENTS(specs));
+	if (d->settings->metrics_address)
+		g_array_append_val(children, metrics);
 }
--- /dev/null
+++ b/daemon/control/metrics.c
@@ -0,0 +1,148 @@
+#include "metrics.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <microhttpd.h>
+#include <string.h>
+
+#include "../directory.h"
+#include "pw/core/address.h"
+#include "pw/core/clock.h"
+#include "pw/core/counter.h"
+#include "pw/core/error.h"
+#include "pw/core/event.h"
+#include "pw/core/histogram.h"
+
+/* Readers at once, and the time after which an idle one is closed. */
+#define CONNECTION_LIMIT     8
+#define CONNECTION_TIMEOUT_S 10
+
+struct metrics {
+	struct pw_task task;
+	struct MHD_Daemon *daemon;
+	struct pw_source source; /**< epoll descriptor of the library */
+	struct pw_timer timer;
+};
+
+char *pw_metrics_text(void)
+{
+	GString *s = g_string_new(NULL);
+
+	for (int i = 0; i < PW_COUNTER_COUNT; i++) {
+		const struct pw_counter_info *info = pw_counter_info(i);
+
+		g_string_append_printf(s,
+				       "# HELP pimentowing_%s %s\n# TYPE pimentowing_%s counter\n"
+				       "pimentowing_%s %" PRIu64 "\n",
+				       info->name, info->help, info->name, info->name,
+				       pw_counter_get(i));
+	}
+	g_string_append_printf(s,
+			       "# HELP pimentowing_log_lines_dropped_total lines that the reader of "
+			       "the log did not take\n"
+			       "# TYPE pimentowing_log_lines_dropped_total counter\n"
+			       "pimentowing_log_lines_dropped_total %" PRIu64 "\n",
+			       pw_event_unwritten());
+	pw_histogram_write(s);
+	return g_string_free(s, FALSE);
+}
+
+static enum MHD_Result handle(void *data, struct MHD_Connection *c, const char *url,
+			      const char *method, const char *version, const char *upload,
+			      size_t *upload_size, void **state)
+{
+	bool known = strcmp(method, "GET") == 0 && strcmp(url, "/metrics") == 0;
+	char *text;
+	struct MHD_Response *r;
+	enum MHD_Result rc;
+
+	(void)data;
+	(void)version;
+	(void)upload;
+	(void)state;
+	*upload_size = 0;
+	text = known ? pw_metrics_text() : g_strdup("no such path\n");
+	r = MHD_create_response_from_buffer(strlen(text), text, MHD_RESPMEM_MUST_COPY);
+	MHD_add_response_header(r, MHD_HTTP_HEADER_CONTENT_TYPE, PW_METRICS_TYPE);
+	rc = MHD_queue_response(c, known ? MHD_HTTP_OK : MHD_HTTP_NOT_FOUND, r);
+	MHD_destroy_response(r);
+	g_free(text);
+	return rc;
+}
+
+/* Lets the library work, then sets the timer to its next time limit. */
+static void run_daemon(struct metrics *m)
+{
+	MHD_UNSIGNED_LONG_LONG timeout_ms;
+
+	MHD_run(m->daemon);
+	if (MHD_get_timeout(m->daemon, &timeout_ms) == MHD_YES)
+		pw_loop_timer_set(m->task.loop, &m->timer,
+				  pw_loop_now_us(m->task.loop) + timeout_ms * PW_US_PER_MS);
+	else
+		pw_loop_timer_clear(m->task.loop, &m->timer);
+}
+
+static void source_ready(struct pw_source *s, uint32_t events)
+{
+	(void)events;
+	run_daemon((struct metrics *)((char *)s - offsetof(struct metrics, source)));
+}
+
+static void timer_expire(struct pw_timer *t, uint64_t now_us)
+{
+	(void)now_us;
+	run_daemon((struct metrics *)((char *)t - offsetof(struct metrics, timer)));
+}
+
+static const struct pw_source_ops source_ops = { .ready = source_ready };
+static const struct pw_timer_ops timer_ops = { .expire = timer_expire };
+
+static int metrics_start(struct pw_task *t)
+{
+	struct metrics *m = (struct metrics *)t;
+	const char *address =
+		((const struct pw_task_args *)t->args)->directory->settings->metrics_address;
+	const union MHD_DaemonInfo *info;
+	struct pw_address at;
+	int rc = pw_address_parse(&at, address);
+
+	if (rc)
+		return rc;
+	m->timer.ops = &timer_ops;
+	m->daemon = MHD_start_daemon(
+		MHD_USE_EPOLL | (at.socket.ss_family == AF_INET6 ? MHD_USE_IPv6 : 0), 0, NULL,
+		NULL, handle, m, MHD_OPTION_SOCK_ADDR, &at.socket,
+		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_CONNECTION_LIMIT,
+		(unsigned int)CONNECTION_LIMIT, MHD_OPTION_CONNECTION_TIMEOUT,
+		(unsigned int)CONNECTION_TIMEOUT_S, MHD_OPTION_END);
+	if (!m->daemon)
+		return pw_error_set(PW_ESYSTEM, "cannot listen on %s for metrics", address);
+	info = MHD_get_daemon_info(m->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	m->source = (struct pw_source){ .ops = &source_ops, .fd = info->epoll_fd };
+	pw_event_log(PW_EVENT_LISTENING, "task=metrics address=%s", address);
+	return pw_loop_watch(t->loop, &m->source, EPOLLIN);
+}
+
+static void metrics_receive(struct pw_task *t, struct pw_msg *m)
+{
+	(void)t;
+	pw_msg_free(m);
+}
+
+static void metrics_stop(struct pw_task *t)
+{
+	struct metrics *m = (struct metrics *)t;
+
+	pw_loop_timer_clear(t->loop, &m->timer);
+	pw_loop_unwatch(t->loop, &m->source);
+	MHD_stop_daemon(m->daemon);
+}
+
+const struct pw_task_ops pw_metrics_ops = {
+	.name = "metrics",
+	.size_bytes = sizeof(struct metrics),
+	.start = metrics_start,
+	.receive = metrics_receive,
+	.stop = metrics_stop,
+};
--- a/daemon/directory.h
+++ b/daemon/directory.h
@@ -16,10 +16,11 @@
 struct pw_process_settings {
 	char *name; /**< of this VM, unique in the fleet */
 	char *availability_zone;
-	char *service;        /**< name of the service; prefix of its keys in the store */
-	char *caller_address; /**< IP:PORT for callers */
-	char *peer_address;   /**< IP:PORT for other VMs */
-	char *api_address;    /**< IP:PORT of the administration API */
+	char *service;         /**< name of the service; prefix of its keys in the store */
+	char *caller_address;  /**< IP:PORT for callers */
+	char *peer_address;    /**< IP:PORT for other VMs */
+	char *api_address;     /**< IP:PORT of the administration API */
+	char *metrics_address; /**< IP:PORT for metrics without credentials; NULL: none */
 	char **store_addresses;
 	char **seed_peers; /**< peers to ask during an outage of the store; may be NULL */
 	char *upstream_user;
@@ -55,6 +56,7 @@
 	struct pw_mailbox *ledger;
 	struct pw_mailbox *catalog;
 	struct pw_mailbox *cluster;
+	struct pw_mailbox *metrics;
 	struct pw_mailbox **fronts;
 	struct pw_mailbox **groups;
 	struct pw_mailbox **gateways;
--- a/daemon/root.c
+++ b/daemon/root.c
@@ -75,6 +75,7 @@
 		.ledger = new_mailbox(r),
 		.catalog = new_mailbox(r),
 		.cluster = new_mailbox(r),
+		.metrics = new_mailbox(r),
 		.fronts = new_mailboxes(r, s->front_tasks),
 		.groups = new_mailboxes(r, s->group_tasks),
 		.gateways = new_mailboxes(r, s->gateway_tasks),
--- a/daemon/traffic/gateway_work.c
+++ b/daemon/traffic/gateway_work.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "pw/core/event.h"
+#include "pw/core/histogram.h"
 
 /* Time after which a caller is asked to come back when a server is full. */
 #define RETRY_BUSY_MS 100
@@ -437,6 +438,9 @@
 	count_read(w, c);
 	if (w->reason == PW_REASON_NONE)
 		note_success(w, c, at);
+	pw_histogram_add(PW_HISTOGRAM_REQUEST, gateway_now_us(gateway_of(w)) - w->arrived_us);
+	pw_histogram_add(PW_HISTOGRAM_WAIT, c->sent_us - MIN(w->arrived_us, c->sent_us));
+	pw_histogram_add(PW_HISTOGRAM_SERVER, gateway_now_us(gateway_of(w)) - c->sent_us);
 	log_served(w, c, at);
 	if (in_transaction)
 		finish_in_transaction(w, c, state, at);
--- a/store/src/http.c
+++ b/store/src/http.c
@@ -33,7 +33,6 @@
 	struct http_store *owner;
 	struct pw_store_call *call;
 	enum pw_store_kind kind;
-	uint32_t refs; /**< the store's, and one for each handler on the stack */
 	const char *path;
 	char *body;
 	size_t compare_count; /**< transactions only */
@@ -64,14 +63,18 @@
 	t->opened = false;
 }
 
-/* A result may cancel a call that is being worked on, so its memory is counted. */
-static void release(struct transfer *t)
+static void transfer_clear(gpointer data)
 {
-	if (--t->refs)
-		return;
+	struct transfer *t = data;
+
 	free(t->body);
 	g_free(t->key);
-	g_free(t);
+}
+
+/* References are counted, since a result may cancel a call that is being worked on. */
+static void release(struct transfer *t)
+{
+	g_rc_box_release_full(t, transfer_clear);
 }
 
 static void end_transfer(struct transfer *t)
@@ -259,7 +262,7 @@
 
 	if (status != HTTP_OK) /* The text of an error, read when the answer has ended. */
 		return;
-	t->refs++;
+	g_rc_box_acquire(t);
 	g_byte_array_ref(bytes);
 	/* A result may cancel the watch and a message may close the attempt. */
 	while (t->http.transfer) {
@@ -377,11 +380,10 @@
 				   struct pw_store_call *c)
 {
 	struct http_store *s = (struct http_store *)store;
-	struct transfer *t = g_new0(struct transfer, 1);
+	struct transfer *t = g_rc_box_new0(struct transfer);
 
 	t->http.ops = kind == PW_STORE_WATCH ? &watch_ops : &call_ops;
 	t->timer.ops = &watch_timer_ops;
-	t->refs = 1;
 	t->owner = s;
 	t->call = c;
 	t->kind = kind;
--- a/tests/core/test_catalogue.c
+++ b/tests/core/test_catalogue.c
@@ -7,6 +7,7 @@
 
 #include "pw/core/counter.h"
 #include "pw/core/event.h"
+#include "pw/core/histogram.h"
 
 #define EVENT_CELLS   6
 #define COUNTER_CELLS 2
@@ -108,6 +109,23 @@
 }
 END_TEST
 
+START_TEST(test_histograms)
+{
+	GPtrArray *rows = read_table("Histograms");
+
+	for (guint i = 0; i < MAX(rows->len, (guint)PW_HISTOGRAM_COUNT); i++) {
+		char **cells;
+
+		ck_assert_msg(i < rows->len, "no row for %s", pw_histogram_info(i)->name);
+		cells = g_ptr_array_index(rows, i);
+		ck_assert_msg(i < PW_HISTOGRAM_COUNT, "no histogram for the row of %s", cells[0]);
+		check_cells(cells, COUNTER_CELLS);
+		ck_assert_str_eq(cells[0], pw_histogram_info(i)->name);
+	}
+	g_ptr_array_unref(rows);
+}
+END_TEST
+
 /* Guards against a number or name that stands for two things. */
 START_TEST(test_unique)
 {
@@ -130,6 +148,7 @@
 
 	tcase_add_test(tc, test_events);
 	tcase_add_test(tc, test_counters);
+	tcase_add_test(tc, test_histograms);
 	tcase_add_test(tc, test_unique);
 	return pw_suite_run("catalogue", tc);
 }
--- a/tests/platform/test_platform_fleet.c
+++ b/tests/platform/test_platform_fleet.c
@@ -41,7 +41,7 @@
 
 struct vm {
 	struct pw_harness_process *process;
-	uint16_t port, api, peer;
+	uint16_t port, api, peer, metrics;
 };
 
 static struct pw_harness *harness;
@@ -113,6 +113,7 @@
 	char *caller = g_strdup_printf("127.0.0.1:%u", v->port);
 	char *api = g_strdup_printf("127.0.0.1:%u", v->api);
 	char *peer = g_strdup_printf("127.0.0.1:%u", v->peer);
+	char *metrics = g_strdup_printf("127.0.0.1:%u", v->metrics);
 	char *store = g_strdup_printf("127.0.0.1:%u", store_port);
 	const char *const args[] = {
 		"--binding",
@@ -131,6 +132,8 @@
 		api,
 		"--peer-address",
 		peer,
+		"--metrics-address",
+		metrics,
 		"--store",
 		store,
 		"--promoter",
@@ -149,6 +152,7 @@
 	g_free(caller);
 	g_free(api);
 	g_free(peer);
+	g_free(metrics);
 	g_free(store);
 }
 
@@ -179,7 +183,8 @@
 	for (uint32_t i = 0; i < VMS; i++) {
 		vms[i] = (struct vm){ .port = pw_harness_port(),
 				      .api = pw_harness_port(),
-				      .peer = pw_harness_port() };
+				      .peer = pw_harness_port(),
+				      .metrics = pw_harness_port() };
 		start_vm(i);
 	}
 	for (uint32_t i = 0; i < VMS; i++)
@@ -816,6 +821,44 @@
 }
 END_TEST
 
+/* Whether the metrics of a VM have a line that starts with the text. */
+static bool has_metric(const struct vm *v, const char *start)
+{
+	char *text = http(v->metrics, "/metrics", NULL);
+	char *line = g_strdup_printf("\n%s", start);
+	bool found = text && strstr(text, line);
+
+	g_free(line);
+	g_free(text);
+	return found;
+}
+
+/* Counters and histograms are served without credentials, and hold no key. */
+START_TEST(test_metrics)
+{
+	struct client *c;
+	char *text;
+
+	start_fleet();
+	c = session(0, "desk");
+	expect(c, "WRITE a v", "ok I");
+	expect(c, "READ a", "v ok I");
+	ck_assert(has_metric(&vms[0], "pimentowing_writes_total 1"));
+	ck_assert(has_metric(&vms[0], "pimentowing_request_seconds_count 2"));
+	ck_assert(has_metric(&vms[0], "pimentowing_server_seconds_bucket{le=\"+Inf\"} 2"));
+	ck_assert(has_metric(&vms[1], "pimentowing_request_seconds_count 0"));
+	text = http(vms[0].metrics, "/metrics", NULL);
+	ck_assert_ptr_null(strstr(text, "amber-key"));
+	g_free(text);
+	text = pw_harness_stderr(vms[0].process);
+	ck_assert_ptr_nonnull(strstr(text, "name=request_served"));
+	ck_assert_ptr_null(strstr(text, "amber-key"));
+	g_free(text);
+	client_free(c);
+	stop_fleet();
+}
+END_TEST
+
 /* A planned stop: an open transaction ends, its session is closed between operations. */
 START_TEST(test_stop)
 {
@@ -930,6 +973,7 @@
 	tcase_add_test(tc, test_commit_without_permission);
 	tcase_add_test(tc, test_rate);
 	tcase_add_test(tc, test_join);
+	tcase_add_test(tc, test_metrics);
 	tcase_add_test(tc, test_stop);
 	tcase_add_test(tc, test_suspended);
 	tcase_add_test(tc, test_lender);
