--- a/core/src/histogram.c
+++ b/core/src/histogram.c
@@ -5,8 +5,8 @@
 #include <pthread.h>
 
 /* Upper bounds of the buckets in seconds; from a round trip in a zone to a long outage. */
-static const double bounds_s[] = { 0,	0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
-				   0.1, 0.2,   0.5,   1,     2,	   5,	 60 };
+static const double bounds_s[] = { 0,   0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
+				   0.1, 0.2,   0.5,   1,     2,    5,    60 };
 
 #define BUCKETS (G_N_ELEMENTS(bounds_s) - 1)
 
@@ -53,8 +53,7 @@
 	const char *name = infos[h].name;
 	double count = 0;
 
-	g_string_append_printf(out,
-			       "# HELP pimentowing_%s %s\n# TYPE pimentowing_%s histogram\n",
+	g_string_append_printf(out, "# HELP pimentowing_%s %s\n# TYPE pimentowing_%s histogram\n",
 			       name, infos[h].help, name);
 	for (size_t i = 0; i < BUCKETS; i++) {
 		count += gsl_histogram_get(get(h), i);
--- a/daemon/control/metrics.c
+++ b/daemon/control/metrics.c
@@ -37,12 +37,13 @@
 				       info->name, info->help, info->name, info->name,
 				       pw_counter_get(i));
 	}
-	g_string_append_printf(s,
-			       "# HELP pimentowing_log_lines_dropped_total lines that the reader of "
-			       "the log did not take\n"
-			       "# TYPE pimentowing_log_lines_dropped_total counter\n"
-			       "pimentowing_log_lines_dropped_total %" PRIu64 "\n",
-			       pw_event_unwritten());
+	g_string_append_printf(
+		s,
+		"# HELP pimentowing_log_lines_dropped_total lines that the reader of "
+		"the log did not take\n"
+		"# TYPE pimentowing_log_lines_dropped_total counter\n"
+		"pimentowing_log_lines_dropped_total %" PRIu64 "\n",
+		pw_event_unwritten());
 	pw_histogram_write(s);
 	return g_string_free(s, FALSE);
 }
@@ -111,11 +112,10 @@
 		return rc;
 	m->timer.ops = &timer_ops;
 	m->daemon = MHD_start_daemon(
-		MHD_USE_EPOLL | (at.socket.ss_family == AF_INET6 ? MHD_USE_IPv6 : 0), 0, NULL,
-		NULL, handle, m, MHD_OPTION_SOCK_ADDR, &at.socket,
-		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_CONNECTION_LIMIT,
-		(unsigned int)CONNECTION_LIMIT, MHD_OPTION_CONNECTION_TIMEOUT,
-		(unsigned int)CONNECTION_TIMEOUT_S, MHD_OPTION_END);
+		MHD_USE_EPOLL | (at.socket.ss_family == AF_INET6 ? MHD_USE_IPv6 : 0), 0, NULL, NULL,
+		handle, m, MHD_OPTION_SOCK_ADDR, &at.socket, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CONNECTION_LIMIT,
+		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)CONNECTION_TIMEOUT_S, MHD_OPTION_END);
 	if (!m->daemon)
 		return pw_error_set(PW_ESYSTEM, "cannot listen on %s for metrics", address);
 	info = MHD_get_daemon_info(m->daemon, MHD_DAEMON_INFO_EPOLL_FD);
