--- /dev/null
+++ b/tests/fuzz/fuzz_line.c
@@ -0,0 +1,128 @@
+/* Fuzzing of the platform's lines: a statement that can be read reaches a server unchanged. */
+#include "fuzz.h"
+
+#include "pw/core/error.h"
+#include "pw/platform/platform.h"
+
+const uint32_t fuzz_rounds = 300000;
+
+static void check_used(int rc, uint32_t used, size_t size_bytes)
+{
+	FUZZ_CHECK(rc == PW_OK || rc == PW_EAGAIN || rc == PW_EINVALID || rc == PW_EOVERFLOW);
+	FUZZ_CHECK(rc != PW_OK || (used > 0 && used <= size_bytes));
+}
+
+static void check_one_line(const GByteArray *b)
+{
+	FUZZ_CHECK(b->len > 2 && b->data[b->len - 2] == '\r');
+	FUZZ_CHECK((size_t)((const uint8_t *)memchr(b->data, '\n', b->len) - b->data) + 1 ==
+		   b->len);
+	FUZZ_CHECK(!memchr(b->data, '\0', b->len));
+}
+
+/* Appends the line without its end, and with the end that the proxy writes. */
+static GByteArray *normalised(const uint8_t *data, uint32_t used)
+{
+	GByteArray *line = g_byte_array_new();
+
+	used -= used > 1 && data[used - 2] == '\r' ? 2 : 1;
+	g_byte_array_append(line, data, used);
+	g_byte_array_append(line, (const guint8 *)"\r\n", 2);
+	return line;
+}
+
+static void check_statement(const struct pw_statement_call *s, const uint8_t *data, uint32_t used)
+{
+	const struct pw_server_dialect_ops *ops = pw_platform_server_dialect.ops;
+	GByteArray *b = g_byte_array_new(), *wanted = normalised(data, used);
+
+	switch (s->verb) {
+	case PW_VERB_READ:
+	case PW_VERB_WRITE:
+		ops->put_statement(b, s, NULL, NULL);
+		FUZZ_CHECK(b->len == wanted->len && !memcmp(b->data, wanted->data, b->len));
+		break;
+	case PW_VERB_EXECUTE:
+		ops->put_statement(b, s, s->name, NULL);
+		FUZZ_CHECK(b->len == wanted->len && !memcmp(b->data, wanted->data, b->len));
+		break;
+	case PW_VERB_SET:
+		ops->put_set(b, s->name, s->argument);
+		check_one_line(b);
+		break;
+	case PW_VERB_PREPARE:
+		ops->put_prepare(b, "p1", s->writes, s->argument);
+		check_one_line(b);
+		break;
+	default:
+		break;
+	}
+	g_byte_array_unref(b);
+	g_byte_array_unref(wanted);
+}
+
+static void check_call(const uint8_t *data, size_t size_bytes)
+{
+	struct pw_call c;
+	uint32_t used = 0;
+	int rc = pw_platform_caller_dialect.ops->next(&c, data, (uint32_t)size_bytes, &used);
+
+	check_used(rc, used, size_bytes);
+	if (!rc && c.kind == PW_CALL_STATEMENT)
+		check_statement(c.statement, data, used);
+	pw_call_dispose(&c);
+}
+
+/* A row or signature that can be read is passed on as one line, too. */
+static void check_reply(const uint8_t *data, size_t size_bytes)
+{
+	GByteArray *b = g_byte_array_new();
+	struct pw_server_report report;
+	struct pw_reply r;
+	uint32_t used = 0;
+	int rc = pw_platform_server_dialect.ops->next(&r, data, (uint32_t)size_bytes, &used);
+
+	check_used(rc, used, size_bytes);
+	if (!rc && r.kind == PW_REPLY_ROW) {
+		(void)pw_platform_server_dialect.ops->report(&report, r.text);
+		pw_platform_caller_dialect.ops->put_row(b, r.text);
+		check_one_line(b);
+	} else if (!rc && r.kind == PW_REPLY_COMPLETE) {
+		pw_platform_caller_dialect.ops->put_complete(b, r.text);
+		check_one_line(b);
+	}
+	pw_reply_dispose(&r);
+	g_byte_array_unref(b);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size_bytes)
+{
+	check_call(data, size_bytes);
+	check_reply(data, size_bytes);
+	return 0;
+}
+
+void fuzz_add_seeds(GPtrArray *seeds)
+{
+	static const char *const lines[] = {
+		"STARTUP desk u3f1\r\n",
+		"TERMINATE\r\n",
+		"QUERY 5c BEGIN\r\n",
+		"QUERY 5c BEGIN READ\r\n",
+		"QUERY 5c READ 1a4\r\n",
+		"QUERY 5c WRITE 1a4  two blanks \r\n",
+		"QUERY 5c SET zone north west\r\n",
+		"QUERY 5c PREPARE s1 WRITE q2c\r\n",
+		"QUERY 5c EXECUTE s1 1a4 xkq\n",
+		"QUERY 5c CLOSE s1\r\nQUERY 5d COMMIT\r\n",
+		"DATAROW qhz kwm\r\n",
+		"DATAROW replica 3 3.1209 0 12 2 17\r\n",
+		"COMPLETE 7.1f3.c\r\n",
+		"ERROR READONLY i-7f3a91c2\r\n",
+		"READY I 3.1207\r\n",
+		"READY T -\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++)
+		fuzz_add_seed(seeds, lines[i], strlen(lines[i]));
+}
--- a/tests/platform/test_line.c
+++ b/tests/platform/test_line.c
@@ -43,6 +43,11 @@
 	  false },
 	{ "QUERY 5c EXECUTE s1 1a4 xkq\r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_EXECUTE, "5c", "s1",
 	  "1a4 xkq", false },
+	{ "QUERY 5c EXECUTE s1\r\n", PW_OK, PW_CALL_MALFORMED, 0, "5c", NULL, NULL, false },
+	{ "QUERY 5c EXECUTE s1 \r\n", PW_OK, PW_CALL_MALFORMED, 0, "5c", NULL, NULL, false },
+	{ "QUERY 5c PREPARE s1 READ\r\n", PW_OK, PW_CALL_MALFORMED, 0, "5c", NULL, NULL, false },
+	{ "QUERY 5c SET zone \r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_SET, "5c", "zone", "",
+	  false },
 	{ "QUERY 5c CLOSE s1\r\n", PW_OK, PW_CALL_STATEMENT, PW_VERB_FORGET, "5c", "s1", "",
 	  false },
 	{ "QUERY 5c WAITLSN 3.1 READ 1a4\r\n", PW_OK, PW_CALL_MALFORMED, 0, "5c", NULL, NULL,
@@ -89,6 +94,24 @@
 }
 END_TEST
 
+/* Found by fuzz_line: a statement was cut at the byte zero, and the rest was not run. */
+START_TEST(test_zero_byte)
+{
+	static const uint8_t data[] = "QUERY 5c WRITE 1a4\0 and more\r\n";
+	static const uint8_t row[] = "DATAROW qhz\0kwm\r\n";
+	struct pw_reply r;
+	struct pw_call c;
+	uint32_t used;
+
+	ck_assert_int_eq(pw_platform_caller_dialect.ops->next(&c, data, sizeof(data) - 1, &used),
+			 PW_EINVALID);
+	pw_call_dispose(&c);
+	ck_assert_int_eq(pw_platform_server_dialect.ops->next(&r, row, sizeof(row) - 1, &used),
+			 PW_EINVALID);
+	pw_reply_dispose(&r);
+}
+END_TEST
+
 /* A message above the limit is refused before its end has come. */
 START_TEST(test_oversized)
 {
@@ -261,6 +284,7 @@
 	TCase *tc = tcase_create("line");
 
 	tcase_add_loop_test(tc, test_call, 0, PW_ARRAY_LEN(calls));
+	tcase_add_test(tc, test_zero_byte);
 	tcase_add_test(tc, test_oversized);
 	tcase_add_loop_test(tc, test_reply, 0, PW_ARRAY_LEN(replies));
 	tcase_add_loop_test(tc, test_report, 0, PW_ARRAY_LEN(reports));
