--- a/core/src/address.c
+++ b/core/src/address.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "pw/core/error.h"
+#include "pw/core/number.h"
 
 #define HOST_SIZE_BYTES INET6_ADDRSTRLEN
 
@@ -15,7 +16,7 @@
 {
 	guint64 port;
 
-	if (!g_ascii_string_to_unsigned(text, 10, 1, UINT16_MAX, &port, NULL))
+	if (!pw_number_parse(&port, text, 1, UINT16_MAX))
 		return PW_EINVALID;
 	*out = (uint16_t)port;
 	return PW_OK;
--- a/core/src/settings_types.c
+++ b/core/src/settings_types.c
@@ -6,6 +6,7 @@
 #include "pw/core/address.h"
 #include "pw/core/clock.h"
 #include "pw/core/error.h"
+#include "pw/core/number.h"
 
 static void free_string(void *at)
 {
@@ -54,7 +55,7 @@
 	uint64_t max = s->max > 0 ? s->max : type_max;
 	guint64 n;
 
-	if (!g_ascii_string_to_unsigned(text, 10, s->min, max, &n, NULL)) {
+	if (!pw_number_parse(&n, text, s->min, max)) {
 		pw_findings_add(f, place,
 				"must be a number from %" G_GUINT64_FORMAT " to %" G_GUINT64_FORMAT,
 				s->min, max);
@@ -102,7 +103,7 @@
 	size_t digits = strspn(text, "0123456789");
 	char *number = g_strndup(text, digits);
 	guint64 n;
-	bool ok = g_ascii_string_to_unsigned(number, 10, 0, UINT64_MAX, &n, NULL);
+	bool ok = pw_number_parse(&n, number, 0, UINT64_MAX);
 
 	g_free(number);
 	for (size_t i = 0; ok && i < G_N_ELEMENTS(duration_units); i++) {
--- a/daemon/control/admin.c
+++ b/daemon/control/admin.c
@@ -17,6 +17,7 @@
 #include "pw/core/clock.h"
 #include "pw/core/error.h"
 #include "pw/core/event.h"
+#include "pw/core/number.h"
 #include "pw/core/tls.h"
 #include "store.h"
 
@@ -215,7 +216,7 @@
 		return false;
 	digits = g_strdup(header);
 	g_strdelimit(digits, "\"", ' ');
-	ok = g_ascii_string_to_signed(g_strstrip(digits), 10, 0, INT64_MAX, out, NULL);
+	ok = pw_number_parse_signed(out, g_strstrip(digits), 0, INT64_MAX);
 	g_free(digits);
 	return ok;
 }
--- a/store/src/json.c
+++ b/store/src/json.c
@@ -7,6 +7,7 @@
 
 #include "pw/core/clock.h"
 #include "pw/core/error.h"
+#include "pw/core/number.h"
 
 static json_t *base64(const void *data, size_t size_bytes)
 {
@@ -224,8 +225,8 @@
 		*out = json_integer_value(field);
 		return true;
 	}
-	return json_is_string(field) && g_ascii_string_to_signed(json_string_value(field), 10,
-								 INT64_MIN, INT64_MAX, out, NULL);
+	return json_is_string(field) &&
+	       pw_number_parse_signed(out, json_string_value(field), INT64_MIN, INT64_MAX);
 }
 
 static bool get_bool(const json_t *j, const char *name, bool *out)
--- a/tests/daemon/test_monitor.c
+++ b/tests/daemon/test_monitor.c
@@ -467,7 +467,8 @@
 	g_string_append(s, "]}]}");
 	pw_findings_new(&f);
 	rc = pw_document_parse(&d, s->str, s->len, 1, f);
-	ck_assert_msg(rc == PW_OK, "%s", pw_error_message());
+	ck_assert_msg(rc == PW_OK, "%s: %s in %s", pw_error_message(),
+		      pw_findings_count(f) ? pw_findings_at(f, 0)->text : "", s->str);
 	pw_mailbox_send(x->directory.monitor, pw_snapshot_msg(d));
 	pw_document_unref(d);
 	pw_findings_free(f);
--- a/upstream/src/functions.c
+++ b/upstream/src/functions.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "pw/core/error.h"
+#include "pw/core/number.h"
 
 enum status_column {
 	COLUMN_ROLE,
@@ -85,7 +86,7 @@
 {
 	const char *text = values[column];
 
-	if (!text || !g_ascii_string_to_unsigned(text, 10, 0, UINT64_MAX, out, NULL))
+	if (!text || !pw_number_parse(out, text, 0, UINT64_MAX))
 		return pw_error_set(PW_EINVALID, "status row: %s is \"%s\"", column_names[column],
 				    text ? text : "NULL");
 	return PW_OK;
