--- a/codec/src/peer.c
+++ b/codec/src/peer.c
@@ -138,6 +138,7 @@
 		hints[i].spare_level = from->spare_level;
 		hints[i].demand = from->demand;
 		hints[i].excess = from->excess;
+		hints[i].below_base = from->below_base;
 	}
 	e.body_case = PW__ENVELOPE__BODY_HEARTBEAT;
 	e.heartbeat = &b;
@@ -413,6 +414,7 @@
 		.spare_level = from->spare_level,
 		.demand = from->demand,
 		.excess = from->excess,
+		.below_base = from->below_base,
 	};
 	bool ok = copy(h.id, sizeof(h.id), from->id);
 
--- a/decide/include/pw/decide/quota.h
+++ b/decide/include/pw/decide/quota.h
@@ -15,6 +15,8 @@
  * Units: when an epoch takes effect, a member that stays keeps at most its base share of what it
  * held, plus units in use, which it gives up as they are released. The rest of the base share is
  * usable once all members that stay have reported in this epoch that they use no more than theirs.
+ * Units above the base share that a member has not needed for a while return to members below
+ * theirs, so that a VM that is lost while it is idle takes no more than its base share with it.
  */
 #ifndef PW_DECIDE_QUOTA_H
 #define PW_DECIDE_QUOTA_H
@@ -62,6 +64,7 @@
 	uint64_t spare_level; /**< micro-tokens */
 	uint64_t demand;      /**< micro-tokens a second, or thousandths of a unit */
 	uint32_t excess;      /**< units in use beyond the holding */
+	uint32_t below_base;  /**< units that the holding lacks to the base share */
 };
 
 struct pw_quota_ask {
--- a/decide/src/quota.c
+++ b/decide/src/quota.c
@@ -430,11 +430,11 @@
 	return false;
 }
 
-const struct pw_quota_hint *pw_quota_peer_hint(const struct pw_quota *q,
-					       const struct pw_quota_resource *r,
-					       const struct pw_member_entry *e, uint64_t now_us)
+struct pw_quota_hint *pw_quota_peer_hint(const struct pw_quota *q,
+					 const struct pw_quota_resource *r,
+					 const struct pw_member_entry *e, uint64_t now_us)
 {
-	const struct pw_quota_peer_hint *h = g_hash_table_lookup(r->hints, e->name);
+	struct pw_quota_peer_hint *h = g_hash_table_lookup(r->hints, e->name);
 
 	if (!h || h->incarnation != e->incarnation || h->hint.epoch != q->table.epoch ||
 	    now_us > h->heard_us + PW_QUOTA_HINT_US)
--- a/decide/src/quota_internal.h
+++ b/decide/src/quota_internal.h
@@ -114,9 +114,9 @@
 const struct pw_member_entry *pw_quota_member(const struct pw_quota *q, const char *name);
 
 /** @return hint of a member's incarnation in the epoch in effect, or NULL */
-const struct pw_quota_hint *pw_quota_peer_hint(const struct pw_quota *q,
-					       const struct pw_quota_resource *r,
-					       const struct pw_member_entry *e, uint64_t now_us);
+struct pw_quota_hint *pw_quota_peer_hint(const struct pw_quota *q,
+					 const struct pw_quota_resource *r,
+					 const struct pw_member_entry *e, uint64_t now_us);
 
 /** Gives an amount away; the caller has taken it off the holding. */
 void pw_quota_give(struct pw_quota *q, struct pw_quota_resource *r, const char *peer,
--- a/decide/src/quota_unit.c
+++ b/decide/src/quota_unit.c
@@ -144,6 +144,34 @@
 		recall(r, wanted + excess(r), actions);
 }
 
+/*
+ * Gives units above the base share, beyond the expected demand, to members below theirs. The
+ * demand fades in about 0.3 s, so units stay with a load that pauses for less.
+ */
+static void return_idle(struct pw_quota *q, struct pw_quota_resource *r, uint64_t now_us,
+			GArray *actions)
+{
+	int64_t expected = (int64_t)(r->demand + 500) / 1000;
+	int64_t idle = r->held - MAX(r->base, MAX(expected, (int64_t)r->in_use));
+
+	if ((q->options.unsafe & PW_QUOTA_UNSAFE_NO_MOVES) || r->claim)
+		return;
+	for (uint32_t i = 0; i < q->table.members->len && idle > 0; i++) {
+		const struct pw_member_entry *e =
+			&g_array_index(q->table.members, struct pw_member_entry, i);
+		struct pw_quota_hint *h = pw_quota_peer_hint(q, r, e, now_us);
+		uint32_t units = h ? (uint32_t)MIN(idle, h->below_base) : 0;
+
+		if (!units || strcmp(e->name, q->options.name) == 0)
+			continue;
+		/* The peer's next hint may have been made before the grant arrives. */
+		h->below_base -= units;
+		r->held -= units;
+		idle -= units;
+		pw_quota_give(q, r, e->name, 0, 0, units, now_us, actions);
+	}
+}
+
 static void unit_update(struct pw_quota *q, struct pw_quota_resource *r, uint64_t now_us,
 			GArray *actions)
 {
@@ -156,6 +184,8 @@
 	}
 	if (pw_quota_spendable(q, now_us))
 		serve_pending(q, r, now_us, actions);
+	if (pw_quota_spendable(q, now_us) && !r->pending->len && !waiting)
+		return_idle(q, r, now_us, actions);
 	r->arrived = MAX(r->arrived, r->in_use + (uint64_t)waiting);
 	if (r->held < 0 || waiting)
 		pw_quota_ask_peers(q, r, 0, 0,
@@ -198,6 +228,8 @@
 	out->spare = g_queue_is_empty(&r->queue) && free_units(r) > 0 ? (uint64_t)free_units(r) : 0;
 	out->demand = r->demand;
 	out->excess = excess(r);
+	/* A claim will bring the rest of the base share by itself. */
+	out->below_base = (uint32_t)MAX(r->base - r->claim - r->held, 0);
 }
 
 const struct pw_quota_kind_ops pw_quota_unit_ops = {
--- a/tests/decide/test_quota.c
+++ b/tests/decide/test_quota.c
@@ -429,10 +429,61 @@
 }
 END_TEST
 
+static const struct {
+	const char *label;
+	uint32_t nodes, units;
+	double load_per_s; /* all at node 0 */
+	bool killed;       /* node 0, after its load has ended */
+	int64_t least;     /* expected at each node that runs */
+} idle_cases[] = {
+	{ "a unit each", 3, 3, 300, false, 1 },
+	{ "several units each", 3, 9, 900, false, 3 },
+	{ "fewer units than members", 4, 3, 300, false, 0 },
+	{ "holder killed", 3, 3, 300, true, 1 },
+};
+
+/*
+ * Guards against idle units that stay where the last load was: if that VM is lost, the others have
+ * none until the next epoch.
+ */
+START_TEST(test_idle_units_return)
+{
+	struct fleet_options o = { .seed = 31, .nodes = idle_cases[_i].nodes, .jitter_us = 1000 };
+	struct pw_quota_spec spec = { .id = "slot/one",
+				      .kind = PW_QUOTA_UNITS,
+				      .units = idle_cases[_i].units };
+	struct pw_quota_status st;
+	struct fleet f;
+
+	fleet_init(&f, &o);
+	fleet_add(&f, &spec, idle_cases[_i].load_per_s)->hold_us = 10000;
+	for (uint32_t i = 1; i < o.nodes; i++)
+		skew(&f, 0, i, 0);
+	fleet_start(&f, 3 * FLEET_S);
+	fleet_run(&f, f.now_us + 2 * FLEET_S, NULL, NULL);
+	ck_assert_int_eq(pw_quota_status(f.nodes[0].quota, spec.id, &st), PW_OK);
+	ck_assert_msg(st.units > spec.units / o.nodes, "%s: no units moved to the load",
+		      idle_cases[_i].label);
+	skew(&f, 0, 0, 0);
+	fleet_run(&f, f.now_us + FLEET_S, NULL, NULL);
+	if (idle_cases[_i].killed)
+		fleet_stop_node(&f, 0);
+	fleet_run(&f, f.now_us + FLEET_S / 2, NULL, NULL);
+	for (uint32_t i = idle_cases[_i].killed; i < o.nodes; i++) {
+		ck_assert_int_eq(pw_quota_status(f.nodes[i].quota, spec.id, &st), PW_OK);
+		ck_assert_msg(st.units >= idle_cases[_i].least, "%s: node %u holds %ld",
+			      idle_cases[_i].label, i, (long)st.units);
+	}
+	ck_assert_msg(!f.violation[0], "%s: %s", idle_cases[_i].label, f.violation);
+	fleet_dispose(&f);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("quota");
 
+	tcase_add_loop_test(tc, test_idle_units_return, 0, PW_ARRAY_LEN(idle_cases));
 	tcase_add_loop_test(tc, test_leave, 0, PW_ARRAY_LEN(leave_cases));
 	tcase_add_loop_test(tc, test_changed_total, 0, PW_ARRAY_LEN(total_cases));
 	tcase_add_test(tc, test_dropped_resource_keeps_its_holding);
--- a/tests/process/test_stop.c
+++ b/tests/process/test_stop.c
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <signal.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -96,6 +97,8 @@
 	char *result = pw_harness_sql(&at, STATEMENT_MS, "SELECT 1");
 	bool ok = strcmp(result, "1") == 0;
 
+	if (!ok)
+		fprintf(stderr, "proxy %u answers SELECT 1 with %s\n", proxy, result);
 	g_free(result);
 	return ok;
 }
