Bound the work that a VM starts at a server that refuses (decide/congestion)

Ruled out: the size of the load (the same load is served before the surge). Change: a window for each server, halved by a refusal, widened by an answer; below one it is a pause. A waiting statement may go back to the server that refused it, and its connection stays open meanwhile.

--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -397,15 +397,22 @@
 	}
 }
 
+/* The server did not accept the connection. */
+static void refused(struct conn *c, enum pw_reason reason)
+{
+	/* Too many connections say nothing about the slots: statements on open ones go on. */
+	if (reason == PW_REASON_CONNECTION_LIMIT)
+		c->server->full_until_us = gateway_now_us(gateway_of(c)) + SERVER_FULL_US;
+	else
+		gw_group_server_busy(c->server);
+}
+
 static void take_error(struct conn *c, struct pw_reply *r)
 {
 	struct work *w = c->work;
 
 	if (c->state == CONN_OPENING) {
-		if (r->reason == PW_REASON_CONNECTION_LIMIT)
-			c->server->full_until_us = gateway_now_us(gateway_of(c)) + SERVER_FULL_US;
-		else
-			c->server->pause_until_us = gateway_now_us(gateway_of(c)) + SERVER_BUSY_US;
+		refused(c, r->reason);
 		gw_conn_fail(c, "the server refused the connection");
 		return;
 	}
@@ -479,7 +486,12 @@
 
 static void conn_stream_closed(struct pw_stream *stream)
 {
-	gw_conn_fail(conn_of(stream), "the connection to the server was lost");
+	struct conn *c = conn_of(stream);
+
+	/* A server with too many connections may reset a new one without a word. */
+	if (c->state == CONN_OPENING)
+		refused(c, PW_REASON_CONNECTION_LIMIT);
+	gw_conn_fail(c, "the connection to the server was lost");
 }
 
 static const struct pw_stream_ops stream_ops = {
@@ -594,6 +606,8 @@
 {
 	struct conn *c = find_idle(s, w->account, w->session);
 
+	pw_congestion_started(&s->congestion, s->latency_us ? s->latency_us : PW_LATENCY_FIRST_US,
+			      gateway_now_us(s->group->gateway));
 	if (c) {
 		c->work = w;
 		w->conn = c;
@@ -641,11 +655,12 @@
 {
 	uint64_t now = gateway_now_us(s->group->gateway);
 	uint32_t keep = share(s) * CONN_KEEP_PERCENT / 100;
+	uint64_t extra_us = s->congestion.window ? CONN_IDLE_CONGESTED_US : CONN_IDLE_EXTRA_US;
 
 	for (guint i = s->conns->len; i-- > 0;) {
 		struct conn *c = g_ptr_array_index(s->conns, i);
 
-		uint64_t limit_us = s->conns->len > keep ? CONN_IDLE_EXTRA_US : CONN_IDLE_US;
+		uint64_t limit_us = s->conns->len > keep ? extra_us : CONN_IDLE_US;
 
 		if (c->state == CONN_IDLE && (all || now - c->idle_since_us > limit_us))
 			drop(c);
--- a/daemon/traffic/gateway_group.c
+++ b/daemon/traffic/gateway_group.c
@@ -121,6 +121,7 @@
 		s->latency_us = 0;
 		s->pause_until_us = 0;
 		s->asked_us = 0;
+		s->congestion = (struct pw_congestion){ 0 };
 	}
 	s->started_ms = e->started_ms;
 	g_free(s->address);
@@ -262,6 +263,24 @@
 	gateway_report(g->gateway);
 }
 
+/* Statements under way, those that wait for their connection included. */
+static uint32_t under_way(const struct server *s)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < s->conns->len; i++) {
+		const struct conn *c = g_ptr_array_index(s->conns, i);
+
+		count += c->state != CONN_IDLE && c->state != CONN_PINNED;
+	}
+	return count;
+}
+
+static bool may_start(const struct server *s, uint64_t now)
+{
+	return !s->congestion.window || pw_congestion_may_start(&s->congestion, under_way(s), now);
+}
+
 static bool is_usable(const struct server *s, const struct work *w, uint64_t now)
 {
 	return s->listed && !s->leaving && now >= s->pause_until_us && s != w->avoid;
@@ -321,6 +340,7 @@
 			.latency_us = latency_us(s),
 			.distance = s->distance,
 		};
+		list[i].usable = list[i].usable && may_start(s, now);
 		list[i].can_open = gw_conn_available(s, w->account, &list[i].has_idle);
 	}
 	best = pw_place_read(list, count);
@@ -330,11 +350,12 @@
 struct server *gw_group_place(const struct work *w)
 {
 	struct group *g = w->group;
+	uint64_t now = gateway_now_us(g->gateway);
 	bool has_idle;
 
 	if (!w->primary)
 		return place_read(w);
-	if (!primary_is_usable(g, w, gateway_now_us(g->gateway)) ||
+	if (!primary_is_usable(g, w, now) || !may_start(g->primary, now) ||
 	    !gw_conn_available(g->primary, w->account, &has_idle))
 		return NULL;
 	return g->primary;
@@ -379,6 +400,12 @@
 	pw_mailbox_send(g->gateway->directory->catalog, pw_servers_refresh_msg());
 }
 
+void gw_group_server_busy(struct server *s)
+{
+	pw_congestion_refused(&s->congestion, under_way(s), latency_us(s),
+			      gateway_now_us(s->group->gateway));
+}
+
 void gw_group_note_answer(struct server *s, const struct conn *c, uint64_t sent_us,
 			  const struct pw_position *at)
 {
@@ -386,6 +413,8 @@
 	uint64_t now = gateway_now_us(g->gateway);
 
 	s->latency_us = pw_latency_add(s->latency_us, now - sent_us);
+	if (c->work && c->work->reason == PW_REASON_NONE)
+		pw_congestion_served(&s->congestion);
 	if (at)
 		s->at = pw_position_max(&s->at, at);
 	if (c->floor_seen_us && c->work && c->work->reason == PW_REASON_NONE)
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -25,6 +25,7 @@
 #include "pw/core/counter.h"
 #include "pw/core/stream.h"
 #include "pw/decide/change.h"
+#include "pw/decide/congestion.h"
 #include "pw/decide/history.h"
 #include "pw/decide/place.h"
 #include "pw/decide/share.h"
@@ -57,6 +58,11 @@
 #define CONN_IDLE_US (20 * PW_US_PER_S)
 /* Those beyond are kept for the next statement of a busy account only. */
 #define CONN_IDLE_EXTRA_US (100 * PW_US_PER_MS)
+/*
+ * The same at a server that refuses work: statements wait longer there, and a new connection would
+ * take a slot from them.
+ */
+#define CONN_IDLE_CONGESTED_US (1 * PW_US_PER_S)
 /*
  * Part of a VM's share of the connections that it keeps idle, in percent. A server goes on to count
  * the connections of VMs that lost power for several seconds, and the VMs in their place need the
@@ -76,8 +82,6 @@
  * what is open there is used on.
  */
 #define SERVER_FULL_US (20 * PW_US_PER_MS)
-/* Pause after a server refused work because its queue was full: about one statement. */
-#define SERVER_BUSY_US (20 * PW_US_PER_MS)
 /* A running statement or an open that is silent for this long lets its server be probed. */
 #define PROBE_SILENCE_US (300 * PW_US_PER_MS)
 /*
@@ -281,6 +285,7 @@
 	uint64_t contact_us; /**< last bytes from it, or last time that the network connected */
 	uint64_t asked_us;   /**< first message to it that no bytes from it followed; 0: none */
 	uint32_t running;
+	struct pw_congestion congestion;
 	uint64_t leaving_since_us;
 	bool listed;
 	bool leaving;
@@ -383,6 +388,8 @@
 			  const struct pw_position *at);
 /** A connection could not be opened. */
 void gw_group_server_failed(struct server *s);
+/** The server refused a statement or a connection because it has too much to do. */
+void gw_group_server_busy(struct server *s);
 /** Bytes came from the server. */
 void gw_group_server_heard(struct server *s);
 /** A message went to the server that it has to answer. */
--- a/daemon/traffic/gateway_work.c
+++ b/daemon/traffic/gateway_work.c
@@ -169,6 +169,8 @@
 		return;
 	}
 	w->state = WORK_WAITING;
+	/* Another server has had its turn; by now the one that refused may have room. */
+	w->avoid = NULL;
 	w->timer.ops = &wait_timer_ops;
 	g_queue_push_tail_link(&w->group->waiting, &w->link);
 	pw_loop_timer_set(g->task.loop, &w->timer, w->wait_until_us);
@@ -355,7 +357,7 @@
 	uint64_t now = gateway_now_us(s->group->gateway);
 
 	if (reason == PW_REASON_BUSY)
-		s->pause_until_us = now + SERVER_BUSY_US;
+		gw_group_server_busy(s);
 	else if (reason == PW_REASON_BEHIND && c->floor_seen_us)
 		pw_replica_lag_behind(&s->lag, now - c->floor_seen_us, now);
 	else if (reason == PW_REASON_NOT_PRIMARY)
