Large fleets: two VMs collect the promises of all while the store is down

All 68 VMs refused writes for the whole outage. Change: a VM that cannot renew asks two VMs (the first live ones by name) for a permission and those whose turn it is; the two ask all for promises; asks are answered at once. What was collected is lent like a permission from the store; the lender claims no change meanwhile. Cost for a VM does not grow with the fleet but for the two. Test: test_store_down with 20 VMs failed before (BUSY at the first write after the permission ended).

--- a/codec/include/pw/codec/pulse.h
+++ b/codec/include/pw/codec/pulse.h
@@ -38,6 +38,7 @@
 	int64_t settled_revision;
 	int64_t confirmed_revision;
 	bool needs_permit;
+	bool asks; /**< to be answered at once */
 	bool leaving;
 	uint64_t catalog_version;
 	uint32_t catalog_age_ms; /**< since the version was known to be the newest */
--- a/codec/src/pulse.c
+++ b/codec/src/pulse.c
@@ -80,6 +80,7 @@
 	b->message.confirmed_revision = p->confirmed_revision;
 	b->message.settled_revision = p->settled_revision;
 	b->message.needs_permit = p->needs_permit;
+	b->message.asks = p->asks;
 	b->message.leaving = p->leaving;
 	b->message.catalog_version = p->catalog_version;
 	b->message.catalog_age_ms = p->catalog_age_ms;
@@ -157,6 +158,7 @@
 	out->confirmed_revision = m->confirmed_revision;
 	out->settled_revision = m->settled_revision;
 	out->needs_permit = m->needs_permit;
+	out->asks = m->asks;
 	out->leaving = m->leaving;
 	out->catalog_version = m->catalog_version;
 	out->catalog_age_ms = m->catalog_age_ms;
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -36,6 +36,11 @@
 #define PULSE_INTERVAL_US (250 * PW_US_PER_MS)
 #define PULSE_MESH        16
 #define PULSE_PART        8
+/*
+ * VMs of a larger fleet that collect the promises of all while the store is down. One would do; with
+ * two the loss of one goes unnoticed.
+ */
+#define PULSE_COLLECTORS 2
 /* Demand for an account that has grown by this factor is told to all members at once. */
 #define PULSE_DEMAND_GROWTH 1.5
 /* Shortest time between two pulses to all members that only tell of demand. */
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -142,21 +142,28 @@
 	pw_mailbox_send(c->directory->catalog, pw_confirmation_msg_new(&x));
 }
 
-/* Lends the rest of this VM's own permission to a member that has none. */
+/*
+ * Lends the rest of this VM's own permission to a member that has none: one from the store, or one
+ * that all others have promised.
+ */
 static uint32_t lend(struct cluster *c, struct member *m)
 {
-	uint64_t now = cluster_now_us(c);
+	uint64_t now = cluster_now_us(c), promised_us = cluster_promises_until_us(c);
+	uint64_t until_us = MAX(c->permit_until_us, promised_us);
 
 	/*
 	 * One that is not heard of, or has not the present record in force, gets nothing: this VM
 	 * could confirm no mark until the permission is over.
 	 */
-	if (!m->needs_permit || !pw_permit_holds(c->permit_until_us, now) || !c->primaries ||
+	if (!m->needs_permit || !pw_permit_holds(until_us, now) || !c->primaries ||
 	    !pulse_is_live(c, m) || m->settled_revision < c->primaries->revision ||
 	    cluster_settled_revision(c) < c->primaries->revision)
 		return 0;
-	m->lent_until_us = MAX(m->lent_until_us, c->permit_until_us);
-	return (uint32_t)((c->permit_until_us - now) / PW_US_PER_MS);
+	m->lent_until_us = MAX(m->lent_until_us, until_us);
+	/* The others have promised this VM to claim no change; the borrower counts on it as well. */
+	if (until_us == promised_us)
+		c->promised_until_us = MAX(c->promised_until_us, until_us);
+	return (uint32_t)((until_us - now) / PW_US_PER_MS);
 }
 
 /*
@@ -241,14 +248,59 @@
 	pw_loop_timer_set(c->task.loop, &c->pulse_timer, cluster_now_us(c) + PULSE_INTERVAL_US);
 }
 
+static gint by_name(gconstpointer a, gconstpointer b)
+{
+	return strcmp(((const struct member *)a)->name, ((const struct member *)b)->name);
+}
+
+/* Whether fewer than PULSE_COLLECTORS live members come before this VM by name. */
+static bool is_collector(const struct cluster *c, const GList *members)
+{
+	const char *self = c->directory->settings->name;
+	uint32_t before = 0;
+
+	for (const GList *l = members; l; l = l->next) {
+		const struct member *m = l->data;
+
+		before += strcmp(m->name, self) < 0 && pulse_is_live(c, m);
+	}
+	return before < PULSE_COLLECTORS;
+}
+
+/*
+ * Asks for a permission or promises without the store. In a large fleet not every VM can ask every
+ * other one several times a second, so a few VMs collect the promises of all and lend what they
+ * have to the rest.
+ *
+ * @param members all, by name
+ */
+static void ask_for_permit(struct cluster *c, const GList *members, struct pw_pulse *p)
+{
+	bool all = is_collector(c, members);
+	uint32_t asked = 0;
+
+	p->asks = true;
+	for (const GList *l = members; l && (all || asked < PULSE_COLLECTORS); l = l->next) {
+		struct member *m = l->data;
+
+		if (!all && !pulse_is_live(c, m))
+			continue;
+		send_pulse(c, m, p);
+		asked++;
+	}
+}
+
 /* Sends a pulse to the members whose turn it is. */
 static void send_in_turn(struct cluster *c)
 {
-	GList *members = g_hash_table_get_values(c->members);
+	GList *members = g_list_sort(g_hash_table_get_values(c->members), by_name);
 	guint count = g_list_length(members);
 	struct pw_pulse p;
 
 	make_pulse(c, &p);
+	if (!c->renewing)
+		ask_for_permit(c, members, &p);
+	/* Some of them may reach the store, and lend. */
 	for (guint i = 0; i < PULSE_PART; i++)
 		send_pulse(c, g_list_nth_data(members, (c->pulse_turn + i) % count), &p);
 	c->pulse_turn = (c->pulse_turn + PULSE_PART) % count;
@@ -310,10 +362,20 @@
 		cluster_publish(c);
 }
 
+/* Answers a member that needs a permission: its turn may come after that is over. */
+static void answer(struct cluster *c, struct member *m)
+{
+	struct pw_pulse p;
+
+	make_pulse(c, &p);
+	send_pulse(c, m, &p);
+	pw_pulse_dispose(&p);
+}
+
 static void take_pulse(struct cluster *c, struct pw_pulse *p)
 {
 	struct member *m;
-	bool is_new;
+	bool is_new, asks = p->asks;
 
 	if (strcmp(p->sender, c->directory->settings->name) == 0)
 		return;
@@ -349,6 +411,8 @@
 	/* So that it learns of this VM at once; in a small fleet so do the others. */
 	if (is_new && g_hash_table_size(c->members) <= PULSE_MESH)
 		pulse_send_all(c);
+	else if (asks)
+		answer(c, m);
 }
 
 static void socket_ready(struct pw_source *s, uint32_t events)
--- a/tests/platform/test_platform_fleet.c
+++ b/tests/platform/test_platform_fleet.c
@@ -18,7 +18,8 @@
 #include "harness.h"
 #include "harness_relay.h"
 
-#define VMS       3
+#define VMS       3  /* of the usual fleet */
+#define VMS_MAX   20 /* more than get a datagram each time */
 #define ANSWER_MS 3000
 #define READY_MS  8000
 
@@ -46,7 +47,7 @@
 
 static struct pw_harness *harness;
 static struct pw_harness_process *platform;
-static struct vm vms[VMS];
+static struct vm vms[VMS_MAX];
 static int version;
 
 static size_t collect(char *data, size_t size, size_t count, void *out)
@@ -161,8 +162,8 @@
 	start_vm_at(i, platform->port);
 }
 
-/* A platform with one group, and a fleet that is ready. */
-static void start_fleet(void)
+/* A platform with one group, and a fleet of `count` VMs that is ready. */
+static void start_fleet_of(uint32_t count)
 {
 	uint16_t port, servers[3];
 	char *port_text, *group;
@@ -180,17 +181,22 @@
 	g_free(group);
 	version = 0;
 	put_catalog(KEYS_BOTH, 3000);
-	for (uint32_t i = 0; i < VMS; i++) {
+	for (uint32_t i = 0; i < count; i++) {
 		vms[i] = (struct vm){ .port = pw_harness_port(),
 				      .api = pw_harness_port(),
 				      .peer = pw_harness_port(),
 				      .metrics = pw_harness_port() };
 		start_vm(i);
 	}
-	for (uint32_t i = 0; i < VMS; i++)
+	for (uint32_t i = 0; i < count; i++)
 		ck_assert_msg(PW_HARNESS_UNTIL(is_ready(&vms[i]), READY_MS), "vm-%u", i + 1);
 }
 
+static void start_fleet(void)
+{
+	start_fleet_of(VMS);
+}
+
 static void stop_fleet(void)
 {
 	pw_harness_free(harness);
@@ -697,21 +703,24 @@
 }
 END_TEST
 
+static const uint32_t fleet_sizes[] = { VMS, VMS_MAX };
+
 /*
  * The store is down for longer than a permission: the VMs promise each other to change no primary,
  * and serve on. A primary that crashes meanwhile is replaced when the store is back.
  */
 START_TEST(test_store_down)
 {
-	struct client *c[VMS];
+	const uint32_t count = fleet_sizes[_i];
+	struct client *c[VMS_MAX];
 	char *old;
 
-	start_fleet();
-	for (uint32_t i = 0; i < VMS; i++)
+	start_fleet_of(count);
+	for (uint32_t i = 0; i < count; i++)
 		c[i] = session(i, "desk");
 	fault("store", "down");
 	for (int k = 0; k < 25; k++) {
-		for (uint32_t i = 0; i < VMS; i++)
+		for (uint32_t i = 0; i < count; i++)
 			expect(c[i], "WRITE a v", "ok I");
 		g_usleep(200000);
 	}
@@ -724,7 +733,7 @@
 	(void)write_until_ok(&c[0], 0, "WRITE d v", 8000);
 	expect(c[0], "READ a", "v ok I");
 	g_free(old);
-	for (uint32_t i = 0; i < VMS; i++)
+	for (uint32_t i = 0; i < count; i++)
 		client_free(c[i]);
 	stop_fleet();
 }
@@ -968,7 +977,7 @@
 	tcase_add_test(tc, test_idle_transaction);
 	tcase_add_test(tc, test_withdrawn_key);
 	tcase_add_test(tc, test_lost_history);
-	tcase_add_test(tc, test_store_down);
+	tcase_add_loop_test(tc, test_store_down, 0, PW_ARRAY_LEN(fleet_sizes));
 	tcase_add_test(tc, test_alone);
 	tcase_add_test(tc, test_commit_without_permission);
 	tcase_add_test(tc, test_rate);
