--- a/daemon/control/catalog.c
+++ b/daemon/control/catalog.c
@@ -296,11 +296,27 @@
 	tell_confirmed(c);
 }
 
+/*
+ * Another VM has a newer version. The watch usually brings it a moment later; a VM that the store
+ * turns away keeps to its pauses.
+ */
+static void read_newer_catalog(struct catalog_task *c)
+{
+	uint64_t due = now_us(c) + PW_WATCH_USUAL_US;
+
+	if (c->reading_catalog || c->catalog_backoff_us)
+		return;
+	if (!c->watching)
+		ask_catalog(c);
+	else if (!c->catalog_timer.node || c->catalog_timer.due_us > due)
+		pw_loop_timer_set(c->task.loop, &c->catalog_timer, due);
+}
+
 /* What another VM has read; a state that is not known here is read at once. */
 static void take_confirmation(struct catalog_task *c, const struct pw_confirmation *x)
 {
 	if (x->catalog_version > c->confirmed.catalog_version) {
-		ask_catalog(c);
+		read_newer_catalog(c);
 	} else if (x->catalog_version == c->confirmed.catalog_version &&
 		   x->catalog_us > c->confirmed.catalog_us) {
 		c->confirmed.catalog_us = x->catalog_us;
--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -176,6 +176,7 @@
 	note_since(c, p);
 	pw_primaries_unref(c->primaries);
 	c->primaries = p;
+	c->newer_since_us = 0;
 	/* A permission that was lent is for one record. */
 	c->lent_until_us = 0;
 	cluster_publish(c);
--- a/daemon/control/cluster_member.c
+++ b/daemon/control/cluster_member.c
@@ -271,8 +271,15 @@
 void member_refresh(struct cluster *c)
 {
 	const struct pw_store_range req = { .key = c->primaries_key };
+	uint64_t now = cluster_now_us(c);
 
-	if (c->reading)
+	/* A VM that the store turns away keeps to its pauses. */
+	if (c->reading || now < c->refresh_due_us)
+		return;
+	/* The watch usually brings the record a moment later. */
+	if (!c->newer_since_us)
+		c->newer_since_us = now;
+	if (c->watching && now - c->newer_since_us < PW_WATCH_USUAL_US)
 		return;
 	c->reading = true;
 	cluster_store(
@@ -284,6 +291,7 @@
 	const struct pw_store_range_result *r = (const struct pw_store_range_result *)base;
 
 	c->reading = false;
+	c->refresh_due_us = cluster_now_us(c) + (base->code ? CLUSTER_RETRY_US : 0);
 	if (base->code == PW_OK && r->kv_count)
 		adopt_item(c, &r->kvs[0]);
 }
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -37,8 +37,8 @@
 #define PULSE_MESH        16
 #define PULSE_PART        8
 /*
- * VMs of a larger fleet that collect the promises of all while the store is down. One would do; with
- * two the loss of one goes unnoticed.
+ * VMs of a larger fleet that collect the promises of all while the store is down. One would do;
+ * with two the loss of one goes unnoticed.
  */
 #define PULSE_COLLECTORS 2
 /* Demand for an account that has grown by this factor is told to all members at once. */
@@ -138,8 +138,11 @@
 	bool watching;
 	bool leaving;
 	bool creating;
-	bool reading;          /**< a read of the record is under way */
-	uint64_t call_sent_us; /**< when the last grant, registration or read was sent */
+	bool reading;            /**< a read of the record is under way */
+	uint64_t refresh_due_us; /**< it is not read again before */
+	uint64_t
+		newer_since_us; /**< when another VM was first heard to have a newer one; 0: none */
+	uint64_t call_sent_us;  /**< when the last grant, registration or read was sent */
 	uint64_t keep_sent_us;
 	uint64_t permit_until_us;   /**< from the store; may be lent */
 	uint64_t lent_until_us;     /**< from another member */
--- a/daemon/control/store.h
+++ b/daemon/control/store.h
@@ -12,9 +12,13 @@
 
 #include <glib.h>
 
+#include "pw/core/clock.h"
 #include "pw/core/task.h"
 #include "pw/store/store.h"
 
+/** A change has reached all watches by then: a slow store, and the link between regions. */
+#define PW_WATCH_USUAL_US (200 * PW_US_PER_MS)
+
 /** Arguments of the task. */
 struct pw_store_task_args {
 	int (*store_new)(struct pw_store **out, struct pw_loop *loop, const char *const *endpoints);
--- a/tests/decide/test_congestion.c
+++ b/tests/decide/test_congestion.c
@@ -61,7 +61,11 @@
 	{ "room for one", { .window = 1900 }, 0, 0, true },
 	{ "no room for a second", { .window = 1900 }, 1, 0, false },
 	{ "room for a third", { .window = 3000 }, 2, 0, true },
-	{ "below one, in the pause", { .window = 500, .next_start_us = 10 * MS }, 0, 9 * MS, false },
+	{ "below one, in the pause",
+	  { .window = 500, .next_start_us = 10 * MS },
+	  0,
+	  9 * MS,
+	  false },
 	{ "below one, after it", { .window = 500, .next_start_us = 10 * MS }, 0, 10 * MS, true },
 	{ "below one, one under way", { .window = 500 }, 1, 10 * MS, false },
 };
@@ -247,8 +251,9 @@
 };
 
 /*
- * Guards against a fleet that serves next to nothing during a surge, as the naive version does whose
- * connections take the slots of the statements, and against one that does not recover after it.
+ * Guards against a fleet that serves next to nothing during a surge, as the naive version does
+ * whose connections take the slots of the statements, and against one that does not recover after
+ * it.
  */
 START_TEST(test_surge)
 {
--- a/tests/platform/test_platform_fleet.c
+++ b/tests/platform/test_platform_fleet.c
@@ -868,6 +868,63 @@
 }
 END_TEST
 
+/* Value of a counter of a VM. */
+static uint32_t counter(const struct vm *v, const char *name)
+{
+	char *text = http(v->metrics, "/metrics", NULL);
+	char *line = g_strdup_printf("\npimentowing_%s ", name);
+	const char *at = text ? strstr(text, line) : NULL;
+	uint32_t value = at ? (uint32_t)g_ascii_strtoull(at + strlen(line), NULL, 10) : 0;
+
+	g_free(line);
+	g_free(text);
+	return value;
+}
+
+#define STORM_VERSIONS 20
+
+static const struct {
+	const char *label;
+	uint32_t vms;
+	bool turned_away;   /* the store closes the connections of the first VM */
+	uint32_t reads_max; /* of the first VM, in 2 s */
+} storm_cases[] = {
+	/* Without changes it reads the catalogue and the servers in turn with the others. */
+	{ "the watch brings the changes", VMS, false, 6 },
+	/* Pauses after failures begin with 150 ms and double: 5 of each of two reads. */
+	{ "a VM that the store turns away", VMS, true, 10 },
+	{ "the same in a large fleet", VMS_MAX, true, 10 },
+};
+
+/*
+ * Guards against a read of the store by every VM for every change, which the watch brings anyway,
+ * and against reads without a pause by a VM that the store turns away.
+ */
+START_TEST(test_storm_of_changes)
+{
+	struct pw_harness_relay *relay;
+	uint32_t before, reads;
+
+	start_fleet_of(storm_cases[_i].vms);
+	relay = pw_harness_relay_new(platform->port);
+	pw_harness_kill(vms[0].process);
+	start_vm_at(0, pw_harness_relay_port(relay));
+	ck_assert(PW_HARNESS_UNTIL(is_ready(&vms[0]), READY_MS));
+	if (storm_cases[_i].turned_away)
+		pw_harness_relay_set(relay, PW_RELAY_CUT);
+	before = counter(&vms[0], "store_reads_total");
+	for (int i = 0; i < STORM_VERSIONS; i++) {
+		put_catalog(KEYS_BOTH, 3000);
+		g_usleep(100000);
+	}
+	reads = counter(&vms[0], "store_reads_total") - before;
+	ck_assert_msg(reads <= storm_cases[_i].reads_max, "%s: %u reads", storm_cases[_i].label,
+		      reads);
+	pw_harness_relay_free(relay);
+	stop_fleet();
+}
+END_TEST
+
 /* A planned stop: an open transaction ends, its session is closed between operations. */
 START_TEST(test_stop)
 {
@@ -983,6 +1040,7 @@
 	tcase_add_test(tc, test_rate);
 	tcase_add_test(tc, test_join);
 	tcase_add_test(tc, test_metrics);
+	tcase_add_loop_test(tc, test_storm_of_changes, 0, PW_ARRAY_LEN(storm_cases));
 	tcase_add_test(tc, test_stop);
 	tcase_add_test(tc, test_suspended);
 	tcase_add_test(tc, test_lender);
