VMs tell each other the positions of primaries that they have seen

Change: pulses carry the newest position of three groups in turn and when it was seen, reckoned from the pulse that they echo, so that clocks need not agree and a delayed datagram only makes it look older. Test: test_positions_of_others (failed without the message to the gateways).

--- a/codec/include/pw/codec/pulse.h
+++ b/codec/include/pw/codec/pulse.h
@@ -10,6 +10,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "pw/decide/position.h"
+
 /** A datagram is not fragmented on the usual networks. */
 #define PW_PULSE_MAX_BYTES 1400
 
@@ -18,6 +20,9 @@
 	uint64_t generation;
 	uint32_t lost_ms; /**< time without contact to the primary; 0: none */
 	bool reached;     /**< the primary answered a moment ago */
+	struct pw_position at;
+	uint64_t at_sent_us; /**< commits before this time of the sender's clock are covered; 0:
+				none */
 };
 
 struct pw_pulse_account {
@@ -32,6 +37,7 @@
 	uint64_t sequence;
 	uint64_t echo_incarnation; /**< of the receiver, in the newest pulse from it */
 	uint64_t echo_sequence;
+	uint64_t echo_heard_us;  /**< when that was heard, by the sender's clock */
 	uint32_t permit_left_ms; /**< lent to the receiver */
 	uint32_t promise_ms;     /**< for which the sender claims no change of primary */
 	int64_t primaries_revision;
--- a/codec/src/pulse.c
+++ b/codec/src/pulse.c
@@ -74,6 +74,7 @@
 	b->message.sequence = p->sequence;
 	b->message.echo_incarnation = p->echo_incarnation;
 	b->message.echo_sequence = p->echo_sequence;
+	b->message.echo_heard_us = p->echo_heard_us;
 	b->message.permit_left_ms = p->permit_left_ms;
 	b->message.promise_ms = p->promise_ms;
 	b->message.primaries_revision = p->primaries_revision;
@@ -99,6 +100,9 @@
 		b->groups[i].generation = g->generation;
 		b->groups[i].lost_ms = g->lost_ms;
 		b->groups[i].reached = g->reached;
+		b->groups[i].term = g->at.term;
+		b->groups[i].lsn = g->at.lsn;
+		b->groups[i].at_sent_us = g->at_sent_us;
 		b->group_list[i] = &b->groups[i];
 	}
 	for (guint i = 0; i < p->accounts->len; i++) {
@@ -152,6 +156,7 @@
 	out->sequence = m->sequence;
 	out->echo_incarnation = m->echo_incarnation;
 	out->echo_sequence = m->echo_sequence;
+	out->echo_heard_us = m->echo_heard_us;
 	out->permit_left_ms = m->permit_left_ms;
 	out->promise_ms = m->promise_ms;
 	out->primaries_revision = m->primaries_revision;
@@ -164,9 +169,16 @@
 	out->catalog_age_ms = m->catalog_age_ms;
 	out->servers_digest = m->servers_digest;
 	out->servers_age_ms = m->servers_age_ms;
-	for (size_t i = 0; i < m->n_groups; i++)
+	for (size_t i = 0; i < m->n_groups; i++) {
+		struct pw_pulse_group *g;
+
 		pw_pulse_add_group(out, m->groups[i]->name, m->groups[i]->generation,
 				   m->groups[i]->lost_ms, m->groups[i]->reached);
+		g = &g_array_index(out->groups, struct pw_pulse_group, i);
+		g->at.term = m->groups[i]->term;
+		g->at.lsn = m->groups[i]->lsn;
+		g->at_sent_us = m->groups[i]->at_sent_us;
+	}
 	for (size_t i = 0; i < m->n_accounts; i++)
 		pw_pulse_add_account(out, m->accounts[i]->name, m->accounts[i]->demand_per_s);
 	pw__pulse__free_unpacked(m, NULL);
--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -239,6 +239,7 @@
 
 		copy->group = g_strdup(x->group);
 		g_hash_table_replace(g->contacts, copy->group, copy);
+		position_note_own(c, copy);
 	}
 	g->settled_revision = r->settled_revision;
 	/* Whoever changes a primary waits for the confirmation. */
@@ -353,6 +354,7 @@
 	change_tick(c);
 	publish_shares(c);
 	pulse_demand(c);
+	position_publish(c);
 	if (lacks_primary(c))
 		member_create_primaries(c);
 }
@@ -417,6 +419,7 @@
 		c->promoter->ops->free(c->promoter);
 	change_stop_all(c);
 	pulse_stop(c);
+	position_stop(c);
 	pw_loop_timer_clear(c->task.loop, &c->tick);
 	for (uint32_t i = 0; i < c->directory->gateway_count; i++)
 		g_hash_table_unref(c->gateways[i].contacts);
@@ -445,6 +448,7 @@
 	c->tick.ops = &tick_ops;
 	c->started_us = cluster_now_us(c);
 	change_start(c);
+	position_start(c);
 	rc = pulse_start(c);
 	if (!rc)
 		rc = c->directory->binding->promoter_new(&c->promoter, t->loop,
--- a/daemon/control/cluster.h
+++ b/daemon/control/cluster.h
@@ -9,6 +9,7 @@
 
 #include "pw/codec/primaries.h"
 #include "pw/core/task.h"
+#include "pw/decide/position.h"
 #include "pw/decide/share.h"
 
 /** `args` is a struct pw_task_args. */
@@ -45,6 +46,23 @@
 	uint64_t generation;
 	uint64_t reached_us;    /**< last answer; 0: none */
 	uint64_t lost_since_us; /**< first failure after it; 0: none */
+	struct pw_position at;  /**< the newest that it gave */
+	uint64_t at_sent_us;    /**< when the statement was sent that it answered so; 0: none */
+};
+
+/** A position that a group's primary gave to some VM. */
+struct pw_seen_position {
+	char *group;
+	uint64_t generation;
+	struct pw_position at;
+	uint64_t sent_us; /**< not before this time, by the clock of this VM, the statement was sent
+			   */
+};
+
+/** Positions that other VMs have seen. */
+struct pw_positions_msg {
+	struct pw_msg base;
+	GPtrArray *positions; /**< struct pw_seen_position */
 };
 
 /** What a gateway task tells the cluster task. */
@@ -64,6 +82,7 @@
 
 extern const struct pw_msg_ops pw_primary_check_msg_ops;
 extern const struct pw_msg_ops pw_primaries_msg_ops;
+extern const struct pw_msg_ops pw_positions_msg_ops;
 extern const struct pw_msg_ops pw_shares_msg_ops;
 extern const struct pw_msg_ops pw_traffic_report_ops;
 
--- /dev/null
+++ b/daemon/control/cluster_position.c
@@ -0,0 +1,142 @@
+#include "cluster_private.h"
+
+#include "pw/core/clock.h"
+
+/* Gateways are told of positions that are newer by this: a fraction of the ages that reads accept. */
+#define POSITION_STEP_US (100 * PW_US_PER_MS)
+
+/*
+ * Groups whose positions a pulse carries, in turn: the bytes between regions are paid for, and a VM
+ * hears of a group often enough from others.
+ */
+#define POSITIONS_PER_PULSE 3
+
+static void position_free(gpointer data)
+{
+	g_free(((struct pw_seen_position *)data)->group);
+	g_free(data);
+}
+
+static void positions_msg_destroy(struct pw_msg *m)
+{
+	g_ptr_array_unref(((struct pw_positions_msg *)m)->positions);
+	g_free(m);
+}
+
+const struct pw_msg_ops pw_positions_msg_ops = {
+	.name = "positions",
+	.destroy = positions_msg_destroy,
+};
+
+static struct pw_seen_position *position_copy(const struct pw_seen_position *p)
+{
+	struct pw_seen_position *copy = g_memdup2(p, sizeof(*p));
+
+	copy->group = g_strdup(p->group);
+	return copy;
+}
+
+/* Keeps the newest observation of each group. Returns whether this one is newer by the step. */
+static bool note(struct cluster *c, const struct pw_seen_position *p)
+{
+	const struct pw_seen_position *old = g_hash_table_lookup(c->positions, p->group);
+	struct pw_seen_position *copy;
+
+	if (old && (p->generation < old->generation ||
+		    (p->generation == old->generation &&
+		     p->sent_us < old->sent_us + POSITION_STEP_US)))
+		return false;
+	copy = position_copy(p);
+	g_hash_table_replace(c->positions, copy->group, copy);
+	return true;
+}
+
+void position_start(struct cluster *c)
+{
+	c->positions = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, position_free);
+	c->positions_news = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
+void position_stop(struct cluster *c)
+{
+	g_hash_table_unref(c->positions);
+	g_hash_table_unref(c->positions_news);
+}
+
+void position_note_own(struct cluster *c, const struct pw_primary_contact *x)
+{
+	const struct pw_seen_position p = {
+		.group = x->group,
+		.generation = x->generation,
+		.at = x->at,
+		.sent_us = x->at_sent_us,
+	};
+
+	if (x->at_sent_us)
+		(void)note(c, &p);
+}
+
+void position_add(struct cluster *c, struct pw_pulse *p)
+{
+	guint count = MIN(p->groups->len, POSITIONS_PER_PULSE);
+
+	for (guint i = 0; i < count; i++) {
+		guint at = c->position_turn++ % p->groups->len;
+		struct pw_pulse_group *g = &g_array_index(p->groups, struct pw_pulse_group, at);
+		const struct pw_seen_position *x = g_hash_table_lookup(c->positions, g->name);
+
+		if (!x || x->generation != g->generation)
+			continue;
+		g->at = x->at;
+		g->at_sent_us = x->sent_us;
+	}
+}
+
+/*
+ * The clocks of two VMs have nothing in common, so times are told apart from the pulse that the
+ * sender has from this VM: that was sent here before it was heard there. What is reckoned from the
+ * time of sending is therefore never later than the truth, however long either pulse took.
+ */
+void position_take(struct cluster *c, const struct member *m, const struct pw_pulse *p)
+{
+	uint64_t echo_sent_us, now = cluster_now_us(c);
+
+	if (!p->echo_heard_us || !pulse_is_echo(c, m, p))
+		return;
+	echo_sent_us = m->sent_us[p->echo_sequence % PULSE_TIMES];
+	for (guint i = 0; i < p->groups->len; i++) {
+		const struct pw_pulse_group *g =
+			&g_array_index(p->groups, struct pw_pulse_group, i);
+		const struct pw_seen_position x = {
+			.group = g->name,
+			.generation = g->generation,
+			.at = g->at,
+			.sent_us = echo_sent_us + g->at_sent_us - p->echo_heard_us,
+		};
+
+		/* Also false for a time before the start of the clock. */
+		if (g->at_sent_us && x.sent_us < now && note(c, &x))
+			g_hash_table_add(c->positions_news, g_strdup(g->name));
+	}
+}
+
+void position_publish(struct cluster *c)
+{
+	GHashTableIter it;
+	gpointer name;
+
+	if (!g_hash_table_size(c->positions_news))
+		return;
+	for (uint32_t i = 0; i < c->directory->gateway_count; i++) {
+		struct pw_positions_msg *m = g_new0(struct pw_positions_msg, 1);
+
+		m->base.ops = &pw_positions_msg_ops;
+		m->positions = g_ptr_array_new_with_free_func(position_free);
+		g_hash_table_iter_init(&it, c->positions_news);
+		while (g_hash_table_iter_next(&it, &name, NULL))
+			g_ptr_array_add(m->positions,
+					position_copy(g_hash_table_lookup(c->positions, name)));
+		pw_mailbox_send(c->directory->gateways[i], &m->base);
+	}
+	g_hash_table_remove_all(c->positions_news);
+}
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -1,7 +1,8 @@
 /*
  * Parts of the cluster task: membership and permission (cluster_member.c), datagrams
- * (cluster_pulse.c), and changes of primary (cluster_change.c, cluster_report.c). cluster.c owns
- * the task and hands messages and timers to them.
+ * (cluster_pulse.c), positions of primaries that other VMs have seen (cluster_position.c), and
+ * changes of primary (cluster_change.c, cluster_report.c). cluster.c owns the task and hands
+ * messages and timers to them.
  */
 #ifndef PW_DAEMON_CONTROL_CLUSTER_PRIVATE_H
 #define PW_DAEMON_CONTROL_CLUSTER_PRIVATE_H
@@ -158,6 +159,11 @@
 	uint64_t pulse_all_us; /**< when all members got one */
 	int64_t told_confirmed;
 
+	/* Positions of primaries, of this VM and of others. */
+	GHashTable *positions;      /**< group -> struct pw_seen_position, the newest */
+	GHashTable *positions_news; /**< set of groups whose gateways are to be told */
+	uint32_t position_turn;     /**< group whose position goes into the next pulse */
+
 	/* Accounts: name -> struct account_demand. */
 	GHashTable *demands;
 
@@ -222,6 +228,20 @@
 struct member *pulse_member(struct cluster *c, const char *name);
 /** @return whether the member was heard of recently */
 bool pulse_is_live(const struct cluster *c, const struct member *m);
+/** @return whether the pulse answers one of this process whose time is still known */
+bool pulse_is_echo(const struct cluster *c, const struct member *m, const struct pw_pulse *p);
+
+/* cluster_position.c */
+void position_start(struct cluster *c);
+void position_stop(struct cluster *c);
+/** Notes what a gateway of this VM has seen. */
+void position_note_own(struct cluster *c, const struct pw_primary_contact *x);
+/** Adds the newest positions to the groups of a pulse. */
+void position_add(struct cluster *c, struct pw_pulse *p);
+/** Takes the positions of another VM's pulse. */
+void position_take(struct cluster *c, const struct member *m, const struct pw_pulse *p);
+/** Tells the gateways what other VMs have seen. */
+void position_publish(struct cluster *c);
 
 /* cluster_change.c */
 void change_start(struct cluster *c);
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -192,6 +192,7 @@
 	p->sequence = m->sequence++;
 	p->echo_incarnation = m->incarnation;
 	p->echo_sequence = m->heard_sequence;
+	p->echo_heard_us = m->heard_us;
 	p->permit_left_ms = lend(c, m);
 	p->promise_ms = promise(c, m);
 	m->sent_us[p->sequence % PULSE_TIMES] = cluster_now_us(c);
@@ -224,6 +225,7 @@
 	p->leaving = c->leaving;
 	add_confirmation(c, p);
 	add_groups(c, p);
+	position_add(c, p);
 	add_accounts(c, p);
 }
 
@@ -332,14 +334,19 @@
 	}
 }
 
+bool pulse_is_echo(const struct cluster *c, const struct member *m, const struct pw_pulse *p)
+{
+	return p->echo_incarnation == c->incarnation && p->echo_sequence < m->sequence &&
+	       p->echo_sequence + PULSE_TIMES >= m->sequence;
+}
+
 /* A permission that was lent counts from when the pulse that it answers was sent. */
 static void take_lent(struct cluster *c, struct member *m, const struct pw_pulse *p)
 {
 	uint64_t until_us;
 
-	if (!p->permit_left_ms || !c->primaries || p->echo_incarnation != c->incarnation ||
-	    p->primaries_revision != c->primaries->revision || p->echo_sequence >= m->sequence ||
-	    p->echo_sequence + PULSE_TIMES < m->sequence)
+	if (!p->permit_left_ms || !c->primaries || !pulse_is_echo(c, m, p) ||
+	    p->primaries_revision != c->primaries->revision)
 		return;
 	until_us = m->sent_us[p->echo_sequence % PULSE_TIMES] + p->permit_left_ms * PW_US_PER_MS;
 	if (until_us > c->lent_until_us) {
@@ -353,9 +360,8 @@
 {
 	uint64_t before_us = cluster_promises_until_us(c);
 
-	if (!p->promise_ms || !c->primaries || p->echo_incarnation != c->incarnation ||
-	    p->primaries_revision > c->primaries->revision || p->echo_sequence >= m->sequence ||
-	    p->echo_sequence + PULSE_TIMES < m->sequence)
+	if (!p->promise_ms || !c->primaries || !pulse_is_echo(c, m, p) ||
+	    p->primaries_revision > c->primaries->revision)
 		return;
 	m->promise_until_us = MAX(m->promise_until_us, m->sent_us[p->echo_sequence % PULSE_TIMES] +
 							       p->promise_ms * PW_US_PER_MS);
@@ -396,13 +402,15 @@
 	if (p->sequence <= m->heard_sequence)
 		return;
 	m->heard_sequence = p->sequence;
-	m->heard_us = cluster_now_us(c);
+	/* Not before its arrival, or the positions in the answer would seem newer than they are. */
+	m->heard_us = pw_loop_refresh_us(c->task.loop);
 	m->leaving = p->leaving;
 	m->needs_permit = p->needs_permit;
 	m->settled_revision = p->settled_revision;
 	m->confirmed_revision = p->confirmed_revision;
 	take_lent(c, m, p);
 	take_promise(c, m, p);
+	position_take(c, m, p);
 	take_confirmation(c, p);
 	if (c->primaries && p->primaries_revision > c->primaries->revision)
 		member_refresh(c);
--- a/daemon/traffic/gateway.c
+++ b/daemon/traffic/gateway.c
@@ -75,6 +75,7 @@
 		};
 
 		x.group = g_strdup(group->name);
+		(void)pw_history_newest(&group->history, &x.at, &x.at_sent_us);
 		g_array_append_val(r->contacts, x);
 	}
 	g->next_report_us = gateway_now_us(g) + GATEWAY_REPORT_US;
@@ -226,6 +227,8 @@
 		gw_group_take_servers(g);
 	} else if (m->ops == &pw_primaries_msg_ops) {
 		take_primaries(g, (struct pw_primaries_msg *)m);
+	} else if (m->ops == &pw_positions_msg_ops) {
+		gw_group_take_positions(g, ((struct pw_positions_msg *)m)->positions);
 	} else if (m->ops == &pw_primary_check_msg_ops) {
 		gw_group_check_primary(gw_group_get(g, ((struct pw_primary_check_msg *)m)->group));
 	} else if (m->ops == &pw_shares_msg_ops) {
--- a/daemon/traffic/gateway_group.c
+++ b/daemon/traffic/gateway_group.c
@@ -237,6 +237,20 @@
 	}
 }
 
+void gw_group_take_positions(struct gateway *g, const GPtrArray *positions)
+{
+	for (guint i = 0; i < positions->len; i++) {
+		const struct pw_seen_position *p = g_ptr_array_index(positions, i);
+		struct group *group = gw_group_get(g, p->group);
+
+		if (p->generation != group->generation)
+			continue;
+		pw_history_note(&group->history, p->sent_us, &p->at);
+		if (group->waiting.length)
+			gw_work_pump(group);
+	}
+}
+
 bool gw_group_is_present(struct conn *c)
 {
 	const struct group *g = c->server->group;
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -375,6 +375,8 @@
 void gw_group_free(gpointer data);
 void gw_group_take_servers(struct gateway *g);
 void gw_group_take_primaries(struct gateway *g);
+/** Takes positions (struct pw_seen_position) that primaries gave to other VMs. */
+void gw_group_take_positions(struct gateway *g, const GPtrArray *positions);
 /** @return when the primary is expected to take work; the present time when it does */
 uint64_t gw_group_back_us(const struct group *g);
 /** @return server that can take the statement now, or NULL */
--- a/decide/include/pw/decide/history.h
+++ b/decide/include/pw/decide/history.h
@@ -40,6 +40,9 @@
  */
 void pw_history_note(struct pw_history *h, uint64_t sent_us, const struct pw_position *at);
 
+/** @return whether there is an observation; `at` and `sent_us` receive the newest */
+bool pw_history_newest(const struct pw_history *h, struct pw_position *at, uint64_t *sent_us);
+
 /**
  * Finds the smallest known position that covers every commit acknowledged before a time.
  *
--- a/decide/src/history.c
+++ b/decide/src/history.c
@@ -26,6 +26,15 @@
 		h->count++;
 }
 
+bool pw_history_newest(const struct pw_history *h, struct pw_position *at, uint64_t *sent_us)
+{
+	if (!h->count)
+		return false;
+	*at = at_age(h, 0)->at;
+	*sent_us = at_age(h, 0)->sent_us;
+	return true;
+}
+
 bool pw_history_floor(const struct pw_history *h, uint64_t before_us, struct pw_position *out,
 		      uint64_t *seen_us)
 {
--- a/tests/codec/test_pulse.c
+++ b/tests/codec/test_pulse.c
@@ -8,6 +8,8 @@
 
 static void fill(struct pw_pulse *p, uint32_t accounts)
 {
+	struct pw_pulse_group *g;
+
 	pw_pulse_init(p);
 	p->sender = g_strdup("vm-1");
 	p->address = g_strdup("10.0.0.1:7000");
@@ -15,6 +17,7 @@
 	p->sequence = 7;
 	p->echo_incarnation = 8;
 	p->echo_sequence = 9;
+	p->echo_heard_us = 123456789;
 	p->permit_left_ms = 1200;
 	p->promise_ms = 800;
 	p->primaries_revision = 412;
@@ -27,6 +30,9 @@
 	p->servers_digest = UINT64_MAX - 1;
 	p->servers_age_ms = 100;
 	pw_pulse_add_group(p, "orders", 3, 250, true);
+	g = &g_array_index(p->groups, struct pw_pulse_group, 0);
+	g->at = (struct pw_position){ .term = 4, .lsn = 5000 };
+	g->at_sent_us = 123456700;
 	for (uint32_t i = 0; i < accounts; i++)
 		pw_pulse_add_account(p, "an account with a long name", 1.5F);
 }
@@ -34,6 +40,7 @@
 START_TEST(test_round_trip)
 {
 	uint8_t data[PW_PULSE_MAX_BYTES];
+	const struct pw_pulse_group *g;
 	struct pw_pulse p, q;
 	size_t size;
 
@@ -57,7 +64,10 @@
 	ck_assert_uint_eq(q.catalog_age_ms, p.catalog_age_ms);
 	ck_assert_uint_eq(q.servers_digest, p.servers_digest);
 	ck_assert_uint_eq(q.servers_age_ms, p.servers_age_ms);
+	ck_assert_uint_eq(q.echo_heard_us, p.echo_heard_us);
 	ck_assert_uint_eq(q.groups->len, 1);
+	g = &g_array_index(q.groups, struct pw_pulse_group, 0);
+	ck_assert(g->at.term == 4 && g->at.lsn == 5000 && g->at_sent_us == 123456700);
 	ck_assert_str_eq(g_array_index(q.groups, struct pw_pulse_group, 0).name, "orders");
 	ck_assert_uint_eq(g_array_index(q.groups, struct pw_pulse_group, 0).lost_ms, 250);
 	ck_assert_uint_eq(q.accounts->len, 2);
--- a/tests/platform/test_platform_fleet.c
+++ b/tests/platform/test_platform_fleet.c
@@ -881,6 +881,31 @@
 	return value;
 }
 
+/*
+ * Guards against reads that go to the primary because their VM has heard nothing from it, although
+ * another VM has.
+ */
+START_TEST(test_positions_of_others)
+{
+	struct client *reader, *writer;
+
+	start_fleet();
+	writer = session(1, "desk");
+	for (int i = 0; i < 20; i++) {
+		expect(writer, "WRITE a v", "ok I");
+		g_usleep(50000);
+	}
+	for (uint32_t i = 0; i < VMS; i += 2) {
+		reader = session(i, "views");
+		expect(reader, "READ a", "v ok I");
+		ck_assert_uint_eq(counter(&vms[i], "reads_replica_total"), 1);
+		client_free(reader);
+	}
+	client_free(writer);
+	stop_fleet();
+}
+END_TEST
+
 #define STORM_VERSIONS 20
 
 static const struct {
@@ -1040,6 +1065,7 @@
 	tcase_add_test(tc, test_rate);
 	tcase_add_test(tc, test_join);
 	tcase_add_test(tc, test_metrics);
+	tcase_add_test(tc, test_positions_of_others);
 	tcase_add_loop_test(tc, test_storm_of_changes, 0, PW_ARRAY_LEN(storm_cases));
 	tcase_add_test(tc, test_stop);
 	tcase_add_test(tc, test_suspended);
