Order of waiting statements in decide/queue; refuse at once what waits in vain

Cause: the order was chosen anew for each placement, in the square of what waits, and a statement that came later went before those that waited. A statement behind a backlog longer than it waits was held until its limit. Change: one sort a round, by priority and by turn among accounts; a round ends when no server may get more; a backlog that a limited server cannot start in time refuses at once, with that time (and a random half of it) to come back. Tests: test_queue, test_congestion.

--- a/daemon/control/cluster_position.c
+++ b/daemon/control/cluster_position.c
@@ -2,7 +2,8 @@
 
 #include "pw/core/clock.h"
 
-/* Gateways are told of positions that are newer by this: a fraction of the ages that reads accept. */
+/* Gateways are told of positions that are newer by this: a fraction of the ages that reads accept.
+ */
 #define POSITION_STEP_US (100 * PW_US_PER_MS)
 
 /*
@@ -42,9 +43,9 @@
 	const struct pw_seen_position *old = g_hash_table_lookup(c->positions, p->group);
 	struct pw_seen_position *copy;
 
-	if (old && (p->generation < old->generation ||
-		    (p->generation == old->generation &&
-		     p->sent_us < old->sent_us + POSITION_STEP_US)))
+	if (old &&
+	    (p->generation < old->generation ||
+	     (p->generation == old->generation && p->sent_us < old->sent_us + POSITION_STEP_US)))
 		return false;
 	copy = position_copy(p);
 	g_hash_table_replace(c->positions, copy->group, copy);
--- a/daemon/traffic/gateway_group.c
+++ b/daemon/traffic/gateway_group.c
@@ -328,16 +328,83 @@
 	return s->latency_us ? s->latency_us : PW_LATENCY_FIRST_US;
 }
 
+/* What a read needs of a replica. */
+struct read_floor {
+	bool known;
+	struct pw_position at;
+	uint64_t age_us;
+};
+
+static void find_floor(struct read_floor *f, const struct work *w, uint64_t now)
+{
+	uint64_t seen_us = now;
+
+	*f = (struct read_floor){ 0 };
+	f->known = gw_work_floor(w, &f->at, &seen_us);
+	f->age_us = now - seen_us;
+}
+
+static bool is_caught_up(const struct server *s, const struct read_floor *f, uint64_t now)
+{
+	return s == s->group->primary ||
+	       (f->known && (pw_position_compare(&s->at, &f->at) >= 0 ||
+			     pw_replica_lag_covers(&s->lag, f->age_us, now)));
+}
+
+bool gw_group_has_room(const struct group *g)
+{
+	uint64_t now = gateway_now_us(g->gateway);
+
+	for (guint i = 0; i < g->servers->len; i++) {
+		const struct server *s = g_ptr_array_index(g->servers, i);
+
+		if (s->listed && now >= s->pause_until_us && may_start(s, now))
+			return true;
+	}
+	return false;
+}
+
+/* Statements that wait for the same servers. */
+static uint32_t waiting_like(const struct work *w)
+{
+	uint32_t count = 0;
+
+	for (const GList *l = w->group->waiting.head; l; l = l->next)
+		count += ((const struct work *)l->data)->primary == w->primary;
+	return count;
+}
+
+uint64_t gw_group_backlog_us(const struct work *w)
+{
+	const struct group *g = w->group;
+	uint64_t now = gateway_now_us(g->gateway), least_us = UINT64_MAX;
+	uint32_t waiting = waiting_like(w);
+	struct read_floor floor;
+
+	find_floor(&floor, w, now);
+	for (guint i = 0; i < g->servers->len; i++) {
+		const struct server *s = g_ptr_array_index(g->servers, i);
+
+		if (!s->listed ||
+		    (w->primary ? s != g->primary : s->leaving || !is_caught_up(s, &floor, now)))
+			continue;
+		least_us = MIN(least_us,
+			       pw_congestion_backlog_us(&s->congestion, waiting, latency_us(s)));
+	}
+	return least_us == UINT64_MAX ? 0 : least_us;
+}
+
 static struct server *place_read(const struct work *w)
 {
 	struct group *g = w->group;
-	uint64_t now = gateway_now_us(g->gateway), seen_us = 0;
+	uint64_t now = gateway_now_us(g->gateway);
 	struct pw_place_server list[CANDIDATES_MAX];
 	uint32_t count = MIN(g->servers->len, CANDIDATES_MAX);
-	struct pw_position floor;
-	bool has_floor = gw_work_floor(w, &floor, &seen_us);
+	struct read_floor floor;
 	int32_t best;
 
+	find_floor(&floor, w, now);
+
 	for (uint32_t i = 0; i < count; i++) {
 		const struct server *s = g_ptr_array_index(g->servers, i);
 		bool primary = s == g->primary;
@@ -346,10 +413,7 @@
 			.usable = primary ? primary_is_usable(g, w, now) && s != w->avoid
 					  : is_usable(s, w, now),
 			.primary = primary,
-			.caught_up =
-				primary ||
-				(has_floor && (pw_position_compare(&s->at, &floor) >= 0 ||
-					       pw_replica_lag_covers(&s->lag, now - seen_us, now))),
+			.caught_up = is_caught_up(s, &floor, now),
 			.running = s->running,
 			.latency_us = latency_us(s),
 			.distance = s->distance,
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -206,6 +206,7 @@
 enum work_state {
 	WORK_WAITING, /**< in the group's queue */
 	WORK_RUNNING, /**< on `conn`, which may still be opening */
+	WORK_ENDED,   /**< answered; freed by the tick */
 };
 
 /* A statement on its way to a server and back. */
@@ -381,6 +382,10 @@
 uint64_t gw_group_back_us(const struct group *g);
 /** @return server that can take the statement now, or NULL */
 struct server *gw_group_place(const struct work *w);
+/** @return whether any server may get another statement of this VM */
+bool gw_group_has_room(const struct group *g);
+/** @return time after which all that waits for the same servers has been started; 0: not known */
+uint64_t gw_group_backlog_us(const struct work *w);
 /** Asks the primary for a sign of life, since another VM cannot reach it. */
 void gw_group_check_primary(struct group *g);
 /** Probes of silent primaries, end of planned drains, idle connections. */
--- a/daemon/traffic/gateway_work.c
+++ b/daemon/traffic/gateway_work.c
@@ -5,9 +5,10 @@
 
 #include "pw/core/event.h"
 #include "pw/core/histogram.h"
+#include "pw/decide/queue.h"
 
-/* Time after which a caller is asked to come back when a server is full. */
-#define RETRY_BUSY_MS 100
+/* Shortest time after which a caller is asked to come back when servers are full. */
+#define RETRY_BUSY_US (100 * PW_US_PER_MS)
 
 static struct gateway *gateway_of(const struct work *w)
 {
@@ -54,6 +55,7 @@
 	pw_loop_timer_clear(g->task.loop, &w->timer);
 	if (w->state == WORK_WAITING)
 		g_queue_unlink(&w->group->waiting, &w->link);
+	w->state = WORK_ENDED;
 	if (w->answer)
 		g_byte_array_unref(w->answer);
 	pw_statement_call_free(w->call);
@@ -117,6 +119,14 @@
 	answer(w, NULL);
 }
 
+/* When a server may have time; random, so that those refused together do not return together. */
+static uint64_t busy_back_us(const struct work *w)
+{
+	uint64_t back_us = MAX(gw_group_backlog_us(w), RETRY_BUSY_US);
+
+	return back_us + pw_clock_random_bits() % (back_us / 2);
+}
+
 /* No server could take the statement in time: nothing of it has run. */
 static void refuse_waiting(struct work *w)
 {
@@ -130,7 +140,8 @@
 			   back_us / PW_US_PER_MS);
 	else
 		g_snprintf(text, sizeof(text),
-			   "retry_after_ms=%d no server could take the statement", RETRY_BUSY_MS);
+			   "retry_after_ms=%" PRIu64 " no server could take the statement",
+			   busy_back_us(w) / PW_US_PER_MS);
 	if (w->admitted && !w->offered)
 		gw_account_refund(w->account);
 	/* The transaction has not begun at any server, so the caller's is over. */
@@ -150,13 +161,18 @@
 
 static const struct pw_timer_ops wait_timer_ops = { .expire = wait_expire };
 
-/* Whether only the primary will do, and it is out of use for longer than the statement waits. */
+/*
+ * Whether the statement will not be started in time: only the primary will do, and it is out of use
+ * for longer, or the servers refuse work and too much waits for them.
+ */
 static bool is_hopeless(const struct work *w)
 {
 	struct pw_position floor;
-	uint64_t seen_us;
+	uint64_t seen_us, now = gateway_now_us(gateway_of(w));
 
-	return gw_group_back_us(w->group) > w->wait_until_us && !gw_work_floor(w, &floor, &seen_us);
+	if (gw_group_back_us(w->group) > w->wait_until_us && !gw_work_floor(w, &floor, &seen_us))
+		return true;
+	return now + gw_group_backlog_us(w) > w->wait_until_us;
 }
 
 static void wait(struct work *w)
@@ -197,39 +213,38 @@
 		gw_conn_continue(w->session->conn, w);
 		return;
 	}
-	if (!try_place(w))
-		wait(w);
+	/* Those that wait already go first, by their order. */
+	if (!w->group->waiting.length && try_place(w))
+		return;
+	wait(w);
+	if (w->state == WORK_WAITING)
+		gw_work_pump(w->group);
 }
 
-/* Order of waiting statements: the operation's priority, then the account with the least running.
- */
-static struct work *next_waiting(struct group *g, GHashTable *tried)
+static void pump_once(struct group *g)
 {
-	struct work *best = NULL;
+	GArray *list = g_array_new(FALSE, TRUE, sizeof(struct pw_waiting));
 
 	for (GList *l = g->waiting.head; l; l = l->next) {
 		struct work *w = l->data;
-
-		if (g_hash_table_contains(tried, w))
-			continue;
-		if (!best || w->operation.priority < best->operation.priority ||
-		    (w->operation.priority == best->operation.priority &&
-		     w->account->running < best->account->running))
-			best = w;
+		const struct pw_waiting x = {
+			.owner = w,
+			.account = w->account,
+			.priority = w->operation.priority,
+			.running = w->account->running,
+		};
+
+		g_array_append_val(list, x);
 	}
-	return best;
-}
-
-static void pump_once(struct group *g)
-{
-	GHashTable *tried = g_hash_table_new(NULL, NULL);
-	struct work *w;
+	pw_queue_sort(list);
+	for (guint i = 0; i < list->len && gw_group_has_room(g); i++) {
+		struct work *w = g_array_index(list, struct pw_waiting, i).owner;
 
-	while ((w = next_waiting(g, tried))) {
-		g_hash_table_add(tried, w);
-		(void)try_place(w);
+		/* Placing one may have ended others; their memory lasts until the next tick. */
+		if (w->state == WORK_WAITING)
+			(void)try_place(w);
 	}
-	g_hash_table_unref(tried);
+	g_array_unref(list);
 }
 
 void gw_work_pump(struct group *g)
--- /dev/null
+++ b/tests/decide/test_queue.c
@@ -0,0 +1,63 @@
+/* Suite of the order in which waiting statements get their turn. */
+#include "suite.h"
+
+#include <string.h>
+
+#include "pw/decide/queue.h"
+
+#define WAITING_MAX 6
+
+/* A statement: its account as a letter, its priority, and what the account has running. */
+struct item {
+	char account;
+	uint32_t priority, running;
+};
+
+static const struct {
+	const char *label;
+	struct item items[WAITING_MAX]; /* by arrival; ends with account 0 */
+	const char *order;              /* accounts by turn */
+} cases[] = {
+	{ "nothing waits", { { 0 } }, "" },
+	{ "the more urgent first", { { 'a', 2 }, { 'b', 1 } }, "ba" },
+	{ "by arrival among equals", { { 'b', 1 }, { 'a', 1 } }, "ba" },
+	{ "the account with less running first", { { 'a', 1, 2 }, { 'b', 1, 1 } }, "ba" },
+	{ "an account with many does not go before one with a single statement",
+	  { { 'a', 1 }, { 'a', 1 }, { 'a', 1 }, { 'b', 1 } },
+	  "abaa" },
+	{ "in turn, with what is running counted",
+	  { { 'a', 1, 1 }, { 'a', 1, 1 }, { 'b', 1 }, { 'b', 1 }, { 'b', 1 } },
+	  "babab" },
+};
+
+START_TEST(test_order)
+{
+	GArray *list = g_array_new(FALSE, TRUE, sizeof(struct pw_waiting));
+	char order[WAITING_MAX + 1] = "";
+
+	for (size_t i = 0; i < WAITING_MAX && cases[_i].items[i].account; i++) {
+		const struct item *x = &cases[_i].items[i];
+		const struct pw_waiting w = {
+			.account = GINT_TO_POINTER(x->account),
+			.priority = x->priority,
+			.running = x->running,
+		};
+
+		g_array_append_val(list, w);
+	}
+	pw_queue_sort(list);
+	for (guint i = 0; i < list->len; i++)
+		order[i] = (char)GPOINTER_TO_INT(
+			g_array_index(list, struct pw_waiting, i).account);
+	ck_assert_msg(strcmp(order, cases[_i].order) == 0, "%s: %s", cases[_i].label, order);
+	g_array_unref(list);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("queue");
+
+	tcase_add_loop_test(tc, test_order, 0, PW_ARRAY_LEN(cases));
+	return pw_suite_run("queue", tc);
+}
