Reads leave a server whose slots are all with a VM that is lost

Change: a server that has had no slot for 250 ms gives its waiting reads back, to another replica or to the primary, and is tried again after 1 s.

--- a/daemon/traffic/group_private.h
+++ b/daemon/traffic/group_private.h
@@ -84,6 +84,7 @@
 	uint64_t surplus_since_us; /**< since when there are more than needed; 0: not now */
 	uint32_t owed;             /**< recalled for other VMs, to be given back when free */
 	uint64_t owed_due_us;      /**< from then on `owed` goes before requests that wait here */
+	uint64_t none_since_us; /**< since when there are none although some are needed; 0: not */
 };
 
 struct server {
@@ -103,6 +104,7 @@
 	bool alive;
 	bool leaving;
 	bool pumping;
+	uint64_t starved_until_us; /**< no slot has come for long: reads go elsewhere if they can */
 };
 
 enum work_state {
@@ -201,6 +203,8 @@
 void server_pump(struct server *s);
 /** Takes queued requests back from a server that is not to be used. */
 void server_requeue(struct server *s);
+/** Takes queued reads back, for other replicas. */
+void server_requeue_reads(struct server *s);
 
 /* group_units.c */
 /** Asks the ledger for the units that the pool could use. */
--- a/daemon/traffic/group_units.c
+++ b/daemon/traffic/group_units.c
@@ -10,6 +10,16 @@
  */
 #define TURN_US UINT64_C(100000)
 
+/*
+ * A server whose slots are all with other VMs for this long is left to its writes: reads find slots
+ * at other replicas, and the VM that has these may be lost. A live one gives them back in less, see
+ * TURN_US.
+ */
+#define STARVED_US UINT64_C(250000)
+
+/* Reads try such a server again after this time. */
+#define STARVED_RETRY_US UINT64_C(1000000)
+
 static void tell_ledger(struct server *s, enum pw_units_message message, enum pw_units_kind kind,
 			uint32_t count)
 {
@@ -159,8 +169,28 @@
 	}
 }
 
+/* Notes whether requests wait in vain for slots of the server. */
+static void check_starved(struct server *s, uint64_t now_us)
+{
+	struct units *u = &s->units[PW_UNITS_SLOTS];
+
+	if (u->held || !pw_pool_waiting(s->pool)) {
+		u->none_since_us = 0;
+		if (u->held)
+			s->starved_until_us = 0;
+		return;
+	}
+	if (!u->none_since_us)
+		u->none_since_us = now_us;
+	if (now_us < s->starved_until_us || now_us < u->none_since_us + STARVED_US)
+		return;
+	s->starved_until_us = now_us + STARVED_RETRY_US;
+	server_requeue_reads(s);
+}
+
 void units_tick(struct server *s, uint64_t now_us)
 {
+	check_starved(s, now_us);
 	units_update(s);
 	for (int kind = 0; kind < PW_UNITS_KINDS; kind++) {
 		struct units *u = &s->units[kind];
--- a/daemon/traffic/group_work.c
+++ b/daemon/traffic/group_work.c
@@ -137,6 +137,12 @@
 	return p;
 }
 
+/* Whether requests have waited in vain for slots of the server a moment ago. */
+static bool is_starved(const struct server *s)
+{
+	return group_now_us(s->database->group) < s->starved_until_us;
+}
+
 /* Round trips within a millisecond of each other count as equally near. */
 #define RTT_STEP_US 1000
 
@@ -148,10 +154,13 @@
 {
 	uint32_t own_a = pw_pool_account_load(a->pool, account_key(w->request));
 	uint32_t own_b = pw_pool_account_load(b->pool, account_key(w->request));
+	bool starved_a = is_starved(a), starved_b = is_starved(b);
 	uint64_t near_a = a->rtt_us / RTT_STEP_US, near_b = b->rtt_us / RTT_STEP_US;
 	uint32_t load_a = pw_pool_waiting(a->pool) + pw_pool_busy(a->pool);
 	uint32_t load_b = pw_pool_waiting(b->pool) + pw_pool_busy(b->pool);
 
+	if (starved_a != starved_b)
+		return starved_b;
 	if (near_a != near_b)
 		return near_a < near_b;
 	if (own_a != own_b)
@@ -193,6 +202,15 @@
 	return s && s->alive && !s->leaving;
 }
 
+static bool may_read(struct work *w, const struct server *s)
+{
+	struct database *db = w->database;
+	struct pw_position at = position_of(db, s);
+
+	return pw_floor_check(&w->request->floor, &db->floors, w->request->arrived_us, &at) ==
+	       PW_FLOOR_MAY_READ;
+}
+
 static void route_read(struct work *w)
 {
 	struct database *db = w->database;
@@ -201,6 +219,9 @@
 	struct server *s = find_replica(w, &wait, &probe);
 	uint64_t wait_until = w->request->arrived_us + REPLICA_WAIT_US;
 
+	if (s && is_starved(s) && takes_work(primary) && !is_starved(primary) &&
+	    may_read(w, primary))
+		s = primary;
 	if (s) {
 		enqueue(w, s);
 		return;
@@ -539,7 +560,7 @@
 	s->pumping = false;
 }
 
-void server_requeue(struct server *s)
+static void requeue(struct server *s, bool reads_only)
 {
 	struct group *g = s->database->group;
 	GList *works = g_hash_table_get_values(g->works);
@@ -547,7 +568,7 @@
 	for (GList *l = works; l; l = l->next) {
 		struct work *w = l->data;
 
-		if (w->server != s || w->state != WORK_QUEUED)
+		if (w->server != s || w->state != WORK_QUEUED || (reads_only && !w->request->read))
 			continue;
 		pw_pool_cancel(s->pool, w->request->id);
 		wait_for_server(w);
@@ -555,3 +576,13 @@
 	g_list_free(works);
 	work_route_waiting(s->database);
 }
+
+void server_requeue(struct server *s)
+{
+	requeue(s, false);
+}
+
+void server_requeue_reads(struct server *s)
+{
+	requeue(s, true);
+}
--- a/tests/decide/test_queue.c
+++ b/tests/decide/test_queue.c
@@ -47,8 +47,7 @@
 	}
 	pw_queue_sort(list);
 	for (guint i = 0; i < list->len; i++)
-		order[i] = (char)GPOINTER_TO_INT(
-			g_array_index(list, struct pw_waiting, i).account);
+		order[i] = (char)GPOINTER_TO_INT(g_array_index(list, struct pw_waiting, i).account);
 	ck_assert_msg(strcmp(order, cases[_i].order) == 0, "%s: %s", cases[_i].label, order);
 	g_array_unref(list);
 }
