Note a primary's position only while the permission holds

From reading: a statement of a transaction that was open when the VM lost its permission may be answered by a primary that is replaced by then. Its position was noted as covering every commit before its sending, for this VM's reads and now for those of others. Comments that the formatter had broken.

--- a/daemon/control/cluster.h
+++ b/daemon/control/cluster.h
@@ -55,8 +55,7 @@
 	char *group;
 	uint64_t generation;
 	struct pw_position at;
-	uint64_t sent_us; /**< not before this time, by the clock of this VM, the statement was sent
-			   */
+	uint64_t sent_us; /**< its statement was sent at this time of this VM's clock, or later */
 };
 
 /** Positions that other VMs have seen. */
--- a/daemon/control/cluster_position.c
+++ b/daemon/control/cluster_position.c
@@ -2,8 +2,7 @@
 
 #include "pw/core/clock.h"
 
-/* Gateways are told of positions that are newer by this: a fraction of the ages that reads accept.
- */
+/* Gateways are told of positions that are newer by this: a fraction of what reads accept. */
 #define POSITION_STEP_US (100 * PW_US_PER_MS)
 
 /*
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -141,9 +141,8 @@
 	bool creating;
 	bool reading;            /**< a read of the record is under way */
 	uint64_t refresh_due_us; /**< it is not read again before */
-	uint64_t
-		newer_since_us; /**< when another VM was first heard to have a newer one; 0: none */
-	uint64_t call_sent_us;  /**< when the last grant, registration or read was sent */
+	uint64_t newer_since_us; /**< when another VM was first heard to have a newer one */
+	uint64_t call_sent_us;   /**< when the last grant, registration or read was sent */
 	uint64_t keep_sent_us;
 	uint64_t permit_until_us;   /**< from the store; may be lent */
 	uint64_t lent_until_us;     /**< from another member */
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -160,8 +160,7 @@
 	    cluster_settled_revision(c) < c->primaries->revision)
 		return 0;
 	m->lent_until_us = MAX(m->lent_until_us, until_us);
-	/* The others have promised this VM to claim no change; the borrower counts on it as well.
-	 */
+	/* The others have promised to claim no change; the borrower counts on this VM as well. */
 	if (until_us == promised_us)
 		c->promised_until_us = MAX(c->promised_until_us, until_us);
 	return (uint32_t)((until_us - now) / PW_US_PER_MS);
--- a/daemon/traffic/gateway_group.c
+++ b/daemon/traffic/gateway_group.c
@@ -484,7 +484,7 @@
 			      gateway_now_us(s->group->gateway));
 }
 
-void gw_group_note_answer(struct server *s, const struct conn *c, uint64_t sent_us,
+void gw_group_note_answer(struct server *s, struct conn *c, uint64_t sent_us,
 			  const struct pw_position *at)
 {
 	struct group *g = s->group;
@@ -497,7 +497,8 @@
 		s->at = pw_position_max(&s->at, at);
 	if (c->floor_seen_us && c->work && c->work->reason == PW_REASON_NONE)
 		pw_replica_lag_served(&s->lag, now - c->floor_seen_us, now);
-	if (at && c->generation == g->generation && s == g->primary)
+	/* A statement of an open transaction may have gone to a primary that is replaced by now. */
+	if (at && s == g->primary && gw_group_is_present(c))
 		pw_history_note(&g->history, sent_us, at);
 }
 
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -391,7 +391,7 @@
 /** Probes of silent primaries, end of planned drains, idle connections. */
 void gw_group_tick(struct group *g);
 /** Notes an answer of a server. `sent_us` is when its statement was sent. */
-void gw_group_note_answer(struct server *s, const struct conn *c, uint64_t sent_us,
+void gw_group_note_answer(struct server *s, struct conn *c, uint64_t sent_us,
 			  const struct pw_position *at);
 /** A connection could not be opened. */
 void gw_group_server_failed(struct server *s);
