Change of primary: a takeover asks for a promotion instead of trusting the former primary

Cause: the VM that leads a change can be killed between its promotion request and the record. The VM that takes over queried the servers and adopted any server that said it was primary, as soon as that one had answered. A former primary that has not heard of its successor says so too, and it often answers first: the promoted server may be farther away, busy or silent. VERIFY had the same fault: a target that acted as primary in its old term counted as promoted, by a report from before the request.

Evidence, before: test_change, 'the former primary alone has reported after an abandoned change: 2' (adopted) and 'the server that may have been promoted does not report: 2'; test_platform_fleet, test_takeover_after_promotion: 'READ kept: none ok I, not v ok I', the acknowledged write is gone.

Ruled out: the permit and the mark. No VM wrote during the change; the fault is in what the record says after it.

Why this works: the platform decides who is primary and cannot be asked, but a promotion request makes its answer certain. A takeover therefore always sends one, with its own fencing token, after all servers have reported or the time to wait for them is over, and takes only a report from after the request: a newer term, or the same term once the promotion would have taken effect. A server that an abandoned change may have promoted is told to step down as well.

--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -8,7 +8,7 @@
  *                 do not confirm it, and wait until their permits have expired
  *   SELECT        query the servers for their log positions until one can be promoted
  *   PROMOTE       send the promotion request
- *   VERIFY        query the server until it reports that it is primary
+ *   VERIFY        query the server until it reports that the promotion has taken effect
  *   RECORD        write the new primary into the record
  */
 #include <inttypes.h>
@@ -84,9 +84,11 @@
 	GArray *servers;            /**< struct pw_change_server, parallel to `entries` */
 	GPtrArray *queries; /**< struct status_query in flight or NULL, parallel to `entries` */
 	uint64_t next_query_us;
-	int32_t target;         /**< index of the server to promote; -1: none yet */
-	bool promotion_pending; /**< a promotion request is in flight */
-	bool promotion_sent;    /**< a promotion request was sent and may have taken effect */
+	int32_t target;                        /**< index of the server to promote; -1: none yet */
+	struct pw_change_server target_before; /**< its report before the promotion request */
+	uint64_t promotion_answered_us;        /**< when the last promotion request ended */
+	bool promotion_pending;                /**< a promotion request is in flight */
+	bool promotion_sent; /**< a promotion request was sent and may have taken effect */
 	bool ended;
 };
 
@@ -508,6 +510,7 @@
 	ch->promotion_pending = false;
 	if (ch->ended)
 		return;
+	ch->promotion_answered_us = cluster_now_us(ch->cluster);
 	pw_event_log(PW_EVENT_PROMOTE_ANSWERED, "database=%s term=%" PRIu64 " code=%d text=\"%s\"",
 		     ch->group, ch->fencing_token, code, message);
 	/* After a timeout the request may have been accepted, so the server is queried as well. */
@@ -541,6 +544,8 @@
 		return;
 	}
 	cancel_queries(ch);
+	ch->target_before = g_array_index(ch->servers, struct pw_change_server, ch->target);
+	g_array_index(ch->servers, struct pw_change_server, ch->target).reported = false;
 	enter_phase(ch, PHASE_PROMOTE);
 	pw_histogram_add(PW_HISTOGRAM_PRIMARY_CHANGE_SETTLE, cluster_now_us(c) - ch->started_us);
 	ch->promotion_pending = true;
@@ -556,7 +561,7 @@
 	}
 }
 
-/* Promotes a server, records one that is already primary, or queries the servers again. */
+/* Promotes a server, or queries the servers again. */
 static void select_candidate(struct change *ch)
 {
 	struct cluster *c = ch->cluster;
@@ -571,11 +576,6 @@
 		ch->target = (int32_t)target;
 		send_promotion_request(ch);
 		return;
-	case PW_CHANGE_ADOPT:
-		ch->target = (int32_t)target;
-		cancel_queries(ch);
-		record_primary(ch);
-		return;
 	case PW_CHANGE_WAIT:
 		if (now_us >= ch->next_query_us)
 			query_servers(ch, false);
@@ -588,7 +588,8 @@
 	const struct pw_change_server *s =
 		&g_array_index(ch->servers, struct pw_change_server, ch->target);
 
-	if (s->reported && s->acts_as_primary) {
+	if (pw_change_is_promoted(&ch->target_before, s,
+				  cluster_now_us(ch->cluster) - ch->promotion_answered_us)) {
 		cancel_queries(ch);
 		record_primary(ch);
 	} else if (cluster_now_us(ch->cluster) >= ch->next_query_us) {
@@ -596,14 +597,21 @@
 	}
 }
 
-/* Tells the former primary, which may not know that it was replaced, to become a replica. */
-static void step_down_former_primary(struct change *ch)
+/*
+ * Tells the former primary, which may not know that it was replaced, to become a replica. The same
+ * holds for servers that an abandoned change may have promoted.
+ */
+static void step_down_former_primaries(struct change *ch)
 {
 	uint64_t term = g_array_index(ch->servers, struct pw_change_server, ch->target).term;
 
 	for (guint i = 0; i < ch->entries->len; i++) {
-		if (g_array_index(ch->servers, struct pw_change_server, i).is_primary &&
-		    (int32_t)i != ch->target)
+		const struct pw_change_server *s =
+			&g_array_index(ch->servers, struct pw_change_server, i);
+		bool may_be_primary = s->is_primary || s->acts_as_primary ||
+				      (ch->reason == PW_CHANGE_ABANDONED && !s->reported);
+
+		if (may_be_primary && (int32_t)i != ch->target)
 			(void)status_query_start(ch->cluster, g_ptr_array_index(ch->entries, i),
 						 term, &status_query_ops, NULL);
 	}
@@ -613,7 +621,7 @@
 {
 	if (base->code == PW_OK) {
 		apply_own_record(ch, base->revision, true);
-		step_down_former_primary(ch);
+		step_down_former_primaries(ch);
 		pw_counter_inc(PW_COUNTER_FAILOVERS_WON);
 		pw_histogram_add(PW_HISTOGRAM_PRIMARY_CHANGE,
 				 cluster_now_us(ch->cluster) - ch->started_us);
--- a/decide/include/pw/decide/change.h
+++ b/decide/include/pw/decide/change.h
@@ -121,11 +121,12 @@
 enum pw_change_choice {
 	PW_CHANGE_WAIT,    /**< more servers have to answer, or replicas have to catch up */
 	PW_CHANGE_PROMOTE, /**< promote the server */
-	PW_CHANGE_ADOPT,   /**< the server is primary already: write it to the record */
 };
 
 /**
- * Chooses the server to promote.
+ * Chooses the server to promote. A server that already acts as primary of the newest reported term
+ * is preferred; it has to be promoted as well, since a server that has not reported may have been
+ * promoted after it.
  *
  * @param server        index of the chosen server; valid unless PW_CHANGE_WAIT is returned
  * @param sync_replicas number of replicas that have every commit; 0: asynchronous replication
@@ -137,4 +138,23 @@
 				       uint32_t count, uint32_t sync_replicas, bool planned,
 				       bool urgent);
 
+/**
+ * Time after the response to a promotion request in which the promotion takes effect. The service
+ * needs some hundred milliseconds.
+ */
+#define PW_CHANGE_PROMOTION_EFFECT_US UINT64_C(1500000)
+
+/**
+ * Decides whether a promotion has taken effect. A server that acted as primary before has to report
+ * a newer term, since another server may have been promoted meanwhile; if it was still the newest
+ * primary, the request changes nothing, and PW_CHANGE_PROMOTION_EFFECT_US without a newer term
+ * shows that.
+ *
+ * @param before     report of the server before the request was sent
+ * @param after      its last report since then; `reported` is false if there is none
+ * @param elapsed_us time since the response to the request
+ */
+bool pw_change_is_promoted(const struct pw_change_server *before,
+			   const struct pw_change_server *after, uint64_t elapsed_us);
+
 #endif
--- a/decide/src/change.c
+++ b/decide/src/change.c
@@ -97,12 +97,12 @@
 {
 	const struct pw_change_server *best = NULL, *current = NULL;
 	uint32_t replica_count = 0, report_count = 0;
+	bool all_reported = true;
 
-	if (find_acting_primary(server, servers, count))
-		return PW_CHANGE_ADOPT;
 	for (uint32_t i = 0; i < count; i++) {
 		const struct pw_change_server *s = &servers[i];
 
+		all_reported = all_reported && s->reported;
 		if (s->is_primary) {
 			current = s;
 		} else {
@@ -114,6 +114,8 @@
 			*server = i;
 		}
 	}
+	if (all_reported && find_acting_primary(server, servers, count))
+		return PW_CHANGE_PROMOTE;
 	if (!best)
 		return PW_CHANGE_WAIT;
 	/*
@@ -131,3 +133,12 @@
 		return PW_CHANGE_WAIT;
 	return PW_CHANGE_PROMOTE;
 }
+
+bool pw_change_is_promoted(const struct pw_change_server *before,
+			   const struct pw_change_server *after, uint64_t elapsed_us)
+{
+	if (!after->reported || !after->acts_as_primary)
+		return false;
+	return !before->acts_as_primary || after->term > before->term ||
+	       elapsed_us >= PW_CHANGE_PROMOTION_EFFECT_US;
+}
--- a/standins/platform/database.h
+++ b/standins/platform/database.h
@@ -44,6 +44,7 @@
  *
  * - "lag" sets the replication lag;
  * - "work" sets the run time of a statement.
+ * - "promotion-delay" sets the time in ms from a promotion request until it takes effect.
  *
  * @return false if the name or the server is unknown, if "crash" names a stopped server or if
  *         "start" names a running one
--- a/tests/platform/test_platform_fleet.c
+++ b/tests/platform/test_platform_fleet.c
@@ -317,7 +317,7 @@
 	return g_string_free(out, FALSE);
 }
 
-static char *run_statement(struct client *c, const char *statement)
+static void send_statement(struct client *c, const char *statement)
 {
 	static unsigned id;
 	char *line = g_strdup_printf("QUERY t%x %s\r\n", ++id, statement);
@@ -325,6 +325,11 @@
 	if (c->fd >= 0)
 		(void)send(c->fd, line, strlen(line), MSG_NOSIGNAL);
 	g_free(line);
+}
+
+static char *run_statement(struct client *c, const char *statement)
+{
+	send_statement(c, statement);
 	return read_answer(c, ANSWER_TIMEOUT_MS);
 }
 
@@ -645,6 +650,65 @@
 }
 END_TEST
 
+/* Returns a field of the promotion request with this index, or NULL if there is none. */
+static char *promotion_request_field(size_t index, const char *name)
+{
+	char *text = http_request(platform->port, "/state", NULL);
+	json_t *root = json_loads(text, 0, NULL);
+	const json_t *requests = json_object_get(root, "orders");
+	char *value =
+		g_strdup(json_string_value(json_object_get(json_array_get(requests, index), name)));
+
+	json_decref(root);
+	g_free(text);
+	return value;
+}
+
+/*
+ * Guards against a takeover that trusts the former primary: the VM that had another server promoted
+ * is killed, and the promoted server does not answer the VM that takes over.
+ */
+START_TEST(test_takeover_after_promotion)
+{
+	char *old_primary, *promoted, *holder;
+	struct client *sessions[VM_COUNT], *c;
+	uint32_t killed, other;
+
+	start_fleet();
+	inject_fault("promotion-delay", "500");
+	for (uint32_t i = 0; i < VM_COUNT; i++) {
+		sessions[i] = open_session(i, "desk");
+		expect_answer(sessions[i], "WRITE before v", "ok I");
+	}
+	old_primary = find_primary();
+	inject_fault("crash", old_primary);
+	for (uint32_t i = 0; i < VM_COUNT; i++)
+		send_statement(sessions[i], "WRITE meanwhile v");
+	ck_assert(PW_HARNESS_WAIT_UNTIL(count_promotion_requests() == 1, 6000));
+	holder = promotion_request_field(0, "holder");
+	killed = (uint32_t)g_ascii_strtoull(holder + strlen("vm-"), NULL, 10) - 1;
+	other = (killed + 1) % VM_COUNT;
+	pw_harness_kill(vms[killed].process);
+	promoted = promotion_request_field(0, "id");
+	inject_fault("dark", promoted);
+	inject_fault("start", old_primary);
+	c = open_session(other, "desk");
+	(void)write_until_ok(&c, other, "WRITE kept v", 15000);
+	inject_fault("light", promoted);
+	/* A promotion that was still due takes effect within this time. */
+	g_usleep(1000000);
+	(void)write_until_ok(&c, other, "WRITE later v", 8000);
+	expect_answer(c, "READ kept", "v ok I");
+	client_free(c);
+	for (uint32_t i = 0; i < VM_COUNT; i++)
+		client_free(sessions[i]);
+	g_free(holder);
+	g_free(promoted);
+	g_free(old_primary);
+	stop_fleet();
+}
+END_TEST
+
 /*
  * A transaction that was open on a crashed primary must fail with ABORTED, which guarantees that it
  * had no effect, so that the caller can repeat it.
@@ -1103,6 +1167,7 @@
 	tcase_add_test(tc, test_sessions);
 	tcase_add_test(tc, test_invalid_starts);
 	tcase_add_loop_test(tc, test_failover, 0, PW_ARRAY_LEN(primary_faults));
+	tcase_add_test(tc, test_takeover_after_promotion);
 	tcase_add_test(tc, test_transaction_lost);
 	tcase_add_test(tc, test_idle_transaction);
 	tcase_add_test(tc, test_withdrawn_key);
