Change of primary: only its own mark is cleared or replaced

A change that ended early cleared the mark of its group in the newest record that the VM knew, and the result of a conflict compared only the holder, which is that of the newest claim of any group. So a leader that was suspended for over 6.5 s could clear the mark of the VM that had taken the group over, after which VMs use the former primary while another server is being promoted; and it could write its primary over a mark of another VM.

The record now keeps the fencing token of each mark (`mark_token`). A change ends as soon as the group's mark is not its own, and clears or replaces only that one. Builds without the field ignore it, and drop it when they write the record: a mark without a token counts as the change's own only if the record has no newer token.

The new suite daemon/test_cluster runs the cluster task alone, with the test in the place of the store, the catalogue, the gateways, the promoter, the servers and the other members.

--- a/codec/include/pw/codec/primaries.h
+++ b/codec/include/pw/codec/primaries.h
@@ -18,6 +18,11 @@
 	uint64_t generation; /**< increases with every change of the primary */
 	bool changing;       /**< mark: another server is about to be promoted */
 	bool planned;        /**< only with `changing`: statements in flight may finish first */
+	/**
+	 * Only with `changing`: fencing token of the change that set the mark. 0: not known, since
+	 * a build without this field has written the record.
+	 */
+	uint64_t mark_token;
 };
 
 /** A snapshot of the record of all primaries. */
@@ -40,6 +45,16 @@
 void pw_primaries_set(struct pw_primaries *p, const char *group, const char *server_id,
 		      uint64_t generation);
 
+/** Marks a group of the record as changing with a new fencing token, which `holder` takes. */
+void pw_primaries_mark(struct pw_primaries *p, const char *group, const char *holder, bool planned);
+/** Clears the mark of a group of the record. */
+void pw_primaries_clear_mark(struct pw_primaries *p, const char *group);
+/**
+ * @return whether the group is marked by the change with this token. A mark without a token counts
+ *         as set by it only if the record has no newer token.
+ */
+bool pw_primaries_is_marked_by(const struct pw_primaries *p, const char *group, uint64_t token);
+
 /** @return JSON text; the caller frees it with g_free() */
 char *pw_primaries_encode(const struct pw_primaries *p);
 /**
--- a/codec/src/primaries.c
+++ b/codec/src/primaries.c
@@ -70,6 +70,13 @@
 	return NULL;
 }
 
+static void clear_mark(struct pw_primary *item)
+{
+	item->changing = false;
+	item->planned = false;
+	item->mark_token = 0;
+}
+
 void pw_primaries_set(struct pw_primaries *p, const char *group, const char *server_id,
 		      uint64_t generation)
 {
@@ -83,8 +90,33 @@
 	g_free(item->server_id);
 	item->server_id = g_strdup(server_id);
 	item->generation = generation;
-	item->changing = false;
-	item->planned = false;
+	clear_mark(item);
+}
+
+void pw_primaries_mark(struct pw_primaries *p, const char *group, const char *holder, bool planned)
+{
+	struct pw_primary *item = pw_primaries_find(p, group);
+
+	p->fencing_token++;
+	g_free(p->holder);
+	p->holder = g_strdup(holder);
+	item->changing = true;
+	item->planned = planned;
+	item->mark_token = p->fencing_token;
+}
+
+void pw_primaries_clear_mark(struct pw_primaries *p, const char *group)
+{
+	clear_mark(pw_primaries_find(p, group));
+}
+
+bool pw_primaries_is_marked_by(const struct pw_primaries *p, const char *group, uint64_t token)
+{
+	const struct pw_primary *item = pw_primaries_find(p, group);
+
+	if (!item || !item->changing)
+		return false;
+	return item->mark_token ? item->mark_token == token : p->fencing_token == token;
 }
 
 /* Formats a JSON value and releases the reference to it. */
@@ -105,10 +137,11 @@
 	for (guint i = 0; i < p->entries->len; i++) {
 		const struct pw_primary *item = g_ptr_array_index(p->entries, i);
 
-		json_array_append_new(list, json_pack("{s:s,s:s,s:I,s:b,s:b}", "group", item->group,
-						      "server", item->server_id, "generation",
-						      (json_int_t)item->generation, "changing",
-						      item->changing, "planned", item->planned));
+		json_array_append_new(
+			list, json_pack("{s:s,s:s,s:I,s:b,s:b,s:I}", "group", item->group, "server",
+					item->server_id, "generation", (json_int_t)item->generation,
+					"changing", item->changing, "planned", item->planned,
+					"mark_token", (json_int_t)item->mark_token));
 	}
 	return json_to_text(json_pack("{s:I,s:s,s:o}", "fence", (json_int_t)p->fencing_token,
 				      "holder", p->holder ? p->holder : "", "primaries", list));
@@ -128,6 +161,7 @@
 	primary = pw_primaries_find(p, group);
 	primary->changing = json_is_true(json_object_get(item, "changing"));
 	primary->planned = json_is_true(json_object_get(item, "planned"));
+	primary->mark_token = (uint64_t)json_integer_value(json_object_get(item, "mark_token"));
 	return true;
 }
 
--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -202,21 +202,27 @@
 }
 
 /*
- * Ends a change without a new primary. A mark that was written is removed if no promotion request
- * was sent, so that the current primary can be used again. Otherwise it stays, since the request
- * may have taken effect and only a later change that queries the servers can tell which of them is
- * primary. A later change also clears a mark whose removal fails, so the result is not awaited.
+ * Whether the group is marked by this change. If not, another VM has taken the change over or has
+ * ended it, and this VM must neither clear the mark nor promote or record a primary.
  */
-static void abort_change(struct change *ch, const char *reason)
+static bool is_in_charge(const struct change *ch)
 {
-	struct cluster *c = ch->cluster;
+	return pw_primaries_is_marked_by(ch->cluster->primaries, ch->group, ch->fencing_token);
+}
 
-	if (ch->phase > PHASE_CLAIM && ch->phase < PHASE_PROMOTE && !ch->promotion_sent) {
-		struct pw_primaries *record = pw_primaries_copy(c->primaries);
-		struct pw_primary *primary = pw_primaries_find(record, ch->group);
+/*
+ * Ends a change without a new primary. Its own mark is removed if no promotion request was sent, so
+ * that the current primary can be used again. Otherwise the mark stays, since the request may have
+ * taken effect and only a later change that queries the servers can tell which of them is primary.
+ * A later change also clears a mark whose removal fails, so the result is not awaited.
+ */
+static void abort_change(struct change *ch, const char *reason)
+{
+	if (ch->phase > PHASE_CLAIM && ch->phase < PHASE_PROMOTE && !ch->promotion_sent &&
+	    is_in_charge(ch)) {
+		struct pw_primaries *record = pw_primaries_copy(ch->cluster->primaries);
 
-		primary->changing = false;
-		primary->planned = false;
+		pw_primaries_clear_mark(record, ch->group);
 		write_record(ch, record, TAG_CLEAR_MARK);
 	}
 	pw_counter_inc(PW_COUNTER_FAILOVERS_LOST);
@@ -227,13 +233,9 @@
 {
 	struct cluster *c = ch->cluster;
 	struct pw_primaries *record = pw_primaries_copy(c->primaries);
-	struct pw_primary *primary = pw_primaries_find(record, ch->group);
 
-	ch->fencing_token = ++record->fencing_token;
-	g_free(record->holder);
-	record->holder = g_strdup(c->directory->settings->vm_name);
-	primary->changing = true;
-	primary->planned = ch->planned;
+	pw_primaries_mark(record, ch->group, c->directory->settings->vm_name, ch->planned);
+	ch->fencing_token = record->fencing_token;
 	enter_phase(ch, PHASE_CLAIM);
 	write_record(ch, record, TAG_CLAIM);
 }
@@ -274,7 +276,6 @@
 {
 	struct cluster *c = ch->cluster;
 	struct pw_primaries *record = pw_primaries_copy(c->primaries);
-	struct pw_primary *primary = pw_primaries_find(record, ch->group);
 
 	record->revision = revision;
 	if (promoted) {
@@ -282,11 +283,7 @@
 
 		pw_primaries_set(record, ch->group, e->id, ch->fencing_token);
 	} else {
-		record->fencing_token = ch->fencing_token;
-		g_free(record->holder);
-		record->holder = g_strdup(c->directory->settings->vm_name);
-		primary->changing = true;
-		primary->planned = ch->planned;
+		pw_primaries_mark(record, ch->group, c->directory->settings->vm_name, ch->planned);
 	}
 	cluster_apply_primaries(c, record);
 }
@@ -609,30 +606,39 @@
 	}
 }
 
+static void finish_change(struct change *ch)
+{
+	step_down_former_primary(ch);
+	pw_counter_inc(PW_COUNTER_FAILOVERS_WON);
+	pw_histogram_add(PW_HISTOGRAM_PRIMARY_CHANGE, cluster_now_us(ch->cluster) - ch->started_us);
+	end_change(ch, PW_EVENT_FAILOVER_DONE, pw_change_reason_name(ch->reason));
+}
+
+/* Whether the record names the server that this change has promoted. */
+static bool is_recorded(const struct change *ch)
+{
+	const struct pw_primary *primary = pw_primaries_find(ch->cluster->primaries, ch->group);
+
+	return ch->target >= 0 && primary && primary->generation == ch->fencing_token &&
+	       strcmp(primary->server_id,
+		      ((struct pw_server_entry *)g_ptr_array_index(ch->entries, (guint)ch->target))
+			      ->id) == 0;
+}
+
 static void handle_record_result(struct change *ch, const struct pw_store_result *base)
 {
 	if (base->code == PW_OK) {
 		apply_own_record(ch, base->revision, true);
-		step_down_former_primary(ch);
-		pw_counter_inc(PW_COUNTER_FAILOVERS_WON);
-		pw_histogram_add(PW_HISTOGRAM_PRIMARY_CHANGE,
-				 cluster_now_us(ch->cluster) - ch->started_us);
-		end_change(ch, PW_EVENT_FAILOVER_DONE, pw_change_reason_name(ch->reason));
+		finish_change(ch);
 		return;
 	}
 	if (base->code == PW_ECONFLICT) {
-		const struct pw_primary *primary;
-
+		/* The conflict may concern another group. */
 		if (apply_conflicting_record(ch->cluster,
-					     (const struct pw_store_txn_result *)base)) {
-			primary = pw_primaries_find(ch->cluster->primaries, ch->group);
-			/* The conflict concerned another group; this VM still holds the record. */
-			if (primary && primary->changing &&
-			    g_strcmp0(ch->cluster->primaries->holder,
-				      ch->cluster->directory->settings->vm_name) == 0) {
-				record_primary(ch);
-				return;
-			}
+					     (const struct pw_store_txn_result *)base) &&
+		    is_in_charge(ch)) {
+			record_primary(ch);
+			return;
 		}
 		abort_change(ch, "the record was changed by another VM");
 		return;
@@ -668,6 +674,14 @@
 
 static void continue_change(struct change *ch)
 {
+	/* In PHASE_RECORD a write is in flight, whose result shows whether it took effect. */
+	if (ch->phase > PHASE_CLAIM && ch->phase < PHASE_RECORD && !is_in_charge(ch)) {
+		if (is_recorded(ch))
+			finish_change(ch);
+		else
+			abort_change(ch, "the record was changed by another VM");
+		return;
+	}
 	/*
 	 * Once a promotion request was sent, the change goes on until PW_CHANGE_TIMEOUT_US, which
 	 * is before another VM takes it over.
--- a/tests/codec/test_primaries.c
+++ b/tests/codec/test_primaries.c
@@ -17,26 +17,27 @@
 	char *text;
 
 	p->fencing_token = 12;
-	p->holder = g_strdup("vm-1");
+	p->holder = g_strdup("vm-2");
 	pw_primaries_set(p, "orders", "i-1", 11);
 	pw_primaries_set(p, "fees", "i-2", 12);
-	pw_primaries_find(p, "fees")->changing = true;
-	pw_primaries_find(p, "fees")->planned = true;
+	pw_primaries_mark(p, "fees", "vm-1", true);
 	text = pw_primaries_encode(p);
 	ck_assert_int_eq(pw_primaries_decode(&decoded, text, strlen(text), 77), PW_OK);
 	ck_assert_int_eq(decoded->revision, 77);
-	ck_assert_uint_eq(decoded->fencing_token, 12);
+	ck_assert_uint_eq(decoded->fencing_token, 13);
 	ck_assert_str_eq(decoded->holder, "vm-1");
 	ck_assert_uint_eq(decoded->entries->len, 2);
 	ck_assert_str_eq(pw_primaries_find(decoded, "orders")->server_id, "i-1");
 	ck_assert(!pw_primaries_find(decoded, "orders")->changing);
 	ck_assert(pw_primaries_find(decoded, "fees")->changing);
 	ck_assert(pw_primaries_find(decoded, "fees")->planned);
+	ck_assert_uint_eq(pw_primaries_find(decoded, "fees")->mark_token, 13);
 	ck_assert_ptr_null(pw_primaries_find(decoded, "other"));
 	copy = pw_primaries_copy(decoded);
 	/* Setting a new primary clears the mark of the change. */
 	pw_primaries_set(copy, "fees", "i-3", 13);
 	ck_assert(!pw_primaries_find(copy, "fees")->changing);
+	ck_assert_uint_eq(pw_primaries_find(copy, "fees")->mark_token, 0);
 	ck_assert(pw_primaries_find(decoded, "fees")->changing);
 	g_free(text);
 	pw_primaries_unref(p);
@@ -45,6 +46,39 @@
 }
 END_TEST
 
+static const struct {
+	const char *label;
+	const char *entry; /* of group "a", in a record with the newest token 9 */
+	uint64_t token;
+	bool is_marked_by;
+} mark_cases[] = {
+	{ "own mark is not recognised", "\"changing\":true,\"mark_token\":8", 8, true },
+	{ "mark of another change is taken for its own", "\"changing\":true,\"mark_token\":9", 8,
+	  false },
+	{ "group without a mark counts as marked", "\"changing\":false,\"mark_token\":8", 8,
+	  false },
+	{ "newest mark of an old build is not recognised", "\"changing\":true", 9, true },
+	{ "later mark of an old build is taken for an own one", "\"changing\":true", 8, false },
+};
+
+/* Guards against a VM that treats the mark of another VM as its own, or its own as another's. */
+START_TEST(test_mark_token)
+{
+	char *text = g_strdup_printf("{\"fence\":9,\"holder\":\"vm-1\",\"primaries\":[{\"group\":"
+				     "\"a\",\"server\":\"i-1\",\"generation\":5,%s}]}",
+				     mark_cases[_i].entry);
+	struct pw_primaries *p = NULL;
+
+	ck_assert_int_eq(pw_primaries_decode(&p, text, strlen(text), 1), PW_OK);
+	ck_assert_msg(pw_primaries_is_marked_by(p, "a", mark_cases[_i].token) ==
+			      mark_cases[_i].is_marked_by,
+		      "%s", mark_cases[_i].label);
+	ck_assert(!pw_primaries_is_marked_by(p, "b", mark_cases[_i].token));
+	g_free(text);
+	pw_primaries_unref(p);
+}
+END_TEST
+
 static const char *const malformed_records[] = {
 	"",
 	"{}",
@@ -100,6 +134,7 @@
 	TCase *tc = tcase_create("primaries");
 
 	tcase_add_test(tc, test_round_trip);
+	tcase_add_loop_test(tc, test_mark_token, 0, PW_ARRAY_LEN(mark_cases));
 	tcase_add_loop_test(tc, test_malformed_record, 0, PW_ARRAY_LEN(malformed_records));
 	tcase_add_test(tc, test_member_round_trip);
 	return pw_suite_run("primaries", tc);
--- /dev/null
+++ b/tests/daemon/test_cluster.c
@@ -0,0 +1,838 @@
+/*
+ * Suite of the cluster task. The test itself takes the place of the store task, the catalogue task,
+ * the gateways, the promoter, the other members of the fleet and the servers.
+ */
+#include "suite.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "binding.h"
+#include "control/catalog.h"
+#include "control/cluster.h"
+#include "control/cluster_private.h"
+#include "control/peers.h"
+#include "control/store.h"
+#include "directory.h"
+#include "pw/codec/primaries.h"
+#include "pw/codec/pulse.h"
+#include "pw/core/clock.h"
+#include "pw/core/counter.h"
+#include "pw/core/error.h"
+#include "pw/core/event.h"
+#include "pw/platform/platform.h"
+#include "traffic/request.h"
+
+#define GROUP           "orders"
+#define OTHER_GROUP     "fees"
+#define PRIMARIES_KEY   "pimentowing/example/primaries"
+#define MEMBERS_PREFIX  "pimentowing/example/members/"
+
+#define SERVER_COUNT    2
+#define CONNECTIONS_MAX 16
+#define MEMBER_COUNT    4
+#define GATEWAY_COUNT   2
+
+/* Contents of the record before the change: its newest token, and the primary of GROUP. */
+#define FIRST_TOKEN        10
+#define FIRST_GENERATION   7
+#define REPORT_INTERVAL_US (50 * PW_US_PER_MS)
+
+/* Answers to status queries. Server 0 is the primary at the start. */
+struct fake_server {
+	char id[8], address[32];
+	int listener;
+	int connections[CONNECTIONS_MAX]; /* -1: unused */
+	char input[CONNECTIONS_MAX][256];
+	bool is_primary;
+	uint64_t term;
+	uint64_t step_down_term; /* of the last command to step down; 0: none */
+};
+
+/* Another VM. */
+struct fake_member {
+	char name[8], address[32];
+	int fd;
+	bool listed, is_silent, confirms;
+	uint32_t unreachable_ms; /* in its pulses, about the primary of GROUP */
+	uint64_t sequence;
+	uint32_t pulse_count; /* pulses received from the VM under test */
+};
+
+enum gateway_view { VIEW_NONE, VIEW_REACHED, VIEW_LOST };
+
+enum record_answer {
+	ANSWER_GIVEN,
+	ANSWER_LOST,       /* the write takes effect */
+	ANSWER_LOST_NOOP,  /* the write does not take effect */
+	ANSWER_LOST_WATCH, /* the write takes effect, and the watch reports it */
+};
+
+typedef void (*edit_fn)(struct pw_primaries *p);
+
+/* The cluster task, and the state of the parts that the test simulates. */
+struct fixture {
+	struct pw_process_settings settings;
+	struct pw_binding binding;
+	struct pw_directory directory;
+	struct pw_task_args args;
+	struct pw_mailbox *gateways[GATEWAY_COUNT], *other_inbox;
+	pthread_t thread;
+	char own_address[32];
+	struct fake_server servers[SERVER_COUNT];
+	struct fake_member members[MEMBER_COUNT];
+	uint64_t next_report_us;
+	/* Gateways. */
+	enum gateway_view views[GATEWAY_COUNT];
+	uint64_t lost_since_us;
+	uint32_t member_count; /* in the last message to the gateways */
+	uint32_t min_member_count;
+	int64_t settled_revision;
+	/* Store. */
+	struct pw_primaries *record;
+	bool has_watch;
+	uint32_t page_items_max;    /* 0: no limit */
+	uint32_t failed_page_reads; /* number of reads of later pages that are still to fail */
+	bool holds_revocations;     /* revocations of members' leases are not answered */
+	bool loses_own_lease;       /* the next renewal is answered with "not found" */
+	enum record_answer record_answer;
+	edit_fn edit; /* change by another VM just before the next write with `edit_tag` */
+	enum cluster_tag edit_tag;
+	/* What the VM did. */
+	uint32_t claim_count, clear_count, record_count, list_count;
+	uint32_t revoked_members; /* bit i: the lease of member i */
+	bool revoked_own_lease;
+	uint32_t promote_count;
+	uint64_t won_before, lost_before, started_before;
+};
+
+/* The promoter has no argument for the test's state, so the running case is found here. */
+static struct {
+	GMutex lock;
+	char server_id[8]; /* of the last request */
+	uint32_t count;
+} promotions;
+
+struct fake_promoter {
+	struct pw_promoter base;
+	struct pw_loop *loop;
+	struct pw_timer timer;
+	struct pw_promotion_call *call;
+};
+
+static void promoter_timer_expired(struct pw_timer *t, uint64_t now_us)
+{
+	struct fake_promoter *p =
+		(struct fake_promoter *)((char *)t - offsetof(struct fake_promoter, timer));
+
+	(void)now_us;
+	p->call->ops->done(p->call, PW_OK, "accepted");
+}
+
+static const struct pw_timer_ops promoter_timer_ops = { .expire = promoter_timer_expired };
+
+static int promoter_promote(struct pw_promoter *base, const struct pw_promotion_request *request,
+			    struct pw_promotion_call *call)
+{
+	struct fake_promoter *p = (struct fake_promoter *)base;
+
+	g_mutex_lock(&promotions.lock);
+	promotions.count++;
+	g_strlcpy(promotions.server_id, request->server_id, sizeof(promotions.server_id));
+	g_mutex_unlock(&promotions.lock);
+	p->call = call;
+	pw_loop_timer_set(p->loop, &p->timer, pw_loop_now_us(p->loop) + PW_US_PER_MS);
+	return PW_OK;
+}
+
+static void promoter_free(struct pw_promoter *base)
+{
+	struct fake_promoter *p = (struct fake_promoter *)base;
+
+	pw_loop_timer_clear(p->loop, &p->timer);
+	g_free(p);
+}
+
+static const struct pw_promoter_ops promoter_ops = {
+	.promote = promoter_promote,
+	.free = promoter_free,
+};
+
+static int promoter_new(struct pw_promoter **out, struct pw_loop *loop, const char *address)
+{
+	struct fake_promoter *p = g_new0(struct fake_promoter, 1);
+
+	(void)address;
+	p->base.ops = &promoter_ops;
+	p->loop = loop;
+	p->timer.ops = &promoter_timer_ops;
+	*out = &p->base;
+	return PW_OK;
+}
+
+static int open_socket(int type, char address[32])
+{
+	struct sockaddr_in a = {
+		.sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	socklen_t size = sizeof(a);
+	int fd = socket(AF_INET, type | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&a, sizeof(a)), 0);
+	getsockname(fd, (struct sockaddr *)&a, &size);
+	snprintf(address, 32, "127.0.0.1:%u", ntohs(a.sin_port));
+	return fd;
+}
+
+static void answer_line(struct fake_server *s, int fd, const char *line)
+{
+	char answer[256];
+	uint64_t term = 0;
+
+	if (sscanf(line, "QUERY - STEPDOWN %" SCNu64, &term) == 1) {
+		s->step_down_term = term;
+		s->is_primary = s->is_primary && s->term >= term;
+	}
+	if (g_str_has_prefix(line, "STARTUP "))
+		snprintf(answer, sizeof(answer), "READY I -\r\n");
+	else
+		snprintf(answer, sizeof(answer),
+			 "DATAROW %s %" PRIu64 " %" PRIu64 ".100 0 0 0 1\r\n"
+			 "COMPLETE -\r\nREADY I -\r\n",
+			 s->is_primary ? "primary" : "replica", s->term, s->term);
+	(void)!send(fd, answer, strlen(answer), MSG_NOSIGNAL);
+}
+
+static void serve_connection(struct fake_server *s, size_t k)
+{
+	size_t size_bytes = strlen(s->input[k]);
+	ssize_t n = recv(s->connections[k], s->input[k] + size_bytes,
+			 sizeof(s->input[k]) - 1 - size_bytes, MSG_DONTWAIT);
+	char *end;
+
+	if (n < 0)
+		return;
+	if (n == 0) {
+		close(s->connections[k]);
+		s->connections[k] = -1;
+		return;
+	}
+	s->input[k][size_bytes + (size_t)n] = '\0';
+	while ((end = strstr(s->input[k], "\r\n"))) {
+		*end = '\0';
+		answer_line(s, s->connections[k], s->input[k]);
+		memmove(s->input[k], end + 2, strlen(end + 2) + 1);
+	}
+}
+
+static void serve(struct fake_server *s)
+{
+	int fd;
+
+	while ((fd = accept4(s->listener, NULL, NULL, SOCK_CLOEXEC | SOCK_NONBLOCK)) >= 0) {
+		size_t k = 0;
+
+		while (k < CONNECTIONS_MAX && s->connections[k] >= 0)
+			k++;
+		ck_assert_uint_lt(k, CONNECTIONS_MAX);
+		s->connections[k] = fd;
+		s->input[k][0] = '\0';
+	}
+	for (size_t k = 0; k < CONNECTIONS_MAX; k++) {
+		if (s->connections[k] >= 0)
+			serve_connection(s, k);
+	}
+}
+
+/* Makes the server of the last promotion request the primary of the next term. */
+static void apply_promotions(struct fixture *x)
+{
+	g_mutex_lock(&promotions.lock);
+	for (size_t i = 0; x->promote_count < promotions.count && i < SERVER_COUNT; i++) {
+		if (strcmp(x->servers[i].id, promotions.server_id) != 0)
+			continue;
+		x->servers[i].is_primary = true;
+		x->servers[i].term++;
+	}
+	x->promote_count = promotions.count;
+	g_mutex_unlock(&promotions.lock);
+}
+
+static void send_pulse(struct fixture *x, struct fake_member *m)
+{
+	uint8_t data[PW_PULSE_MAX_BYTES];
+	struct pw_address to;
+	struct pw_pulse p;
+	size_t size_bytes;
+
+	pw_pulse_init(&p);
+	p.sender = g_strdup(m->name);
+	p.address = g_strdup(m->address);
+	p.incarnation = 1;
+	p.sequence = ++m->sequence;
+	p.settled_revision = p.confirmed_revision = m->confirms ? x->record->revision : 0;
+	if (m->unreachable_ms)
+		pw_pulse_add_group(&p, GROUP, FIRST_GENERATION, m->unreachable_ms, false);
+	size_bytes = pw_pulse_encode(data, &p);
+	pw_pulse_dispose(&p);
+	ck_assert_int_eq(pw_address_parse(&to, x->own_address), PW_OK);
+	(void)!sendto(m->fd, data, size_bytes, 0, (struct sockaddr *)&to.socket, to.size_bytes);
+}
+
+static void receive_pulses(struct fake_member *m)
+{
+	uint8_t data[PW_PULSE_MAX_BYTES];
+
+	while (recv(m->fd, data, sizeof(data), MSG_DONTWAIT) > 0)
+		m->pulse_count++;
+}
+
+static void send_report(struct fixture *x, uint32_t gateway_index)
+{
+	struct pw_traffic_report *r = pw_traffic_report_new(gateway_index);
+	struct pw_primary_reachability reachability = {
+		.group = g_strdup(GROUP),
+		.generation = FIRST_GENERATION,
+	};
+
+	r->settled_revision = x->settled_revision;
+	if (x->views[gateway_index] == VIEW_LOST)
+		reachability.unreachable_since_us = x->lost_since_us;
+	else if (x->views[gateway_index] == VIEW_REACHED)
+		reachability.last_answer_us = pw_clock_now_us();
+	g_array_append_val(r->reachability, reachability);
+	pw_mailbox_send(x->directory.cluster, &r->base);
+}
+
+static void handle_gateway_message(void *data, struct pw_msg *m)
+{
+	struct fixture *x = data;
+	const struct pw_primaries_msg *msg = (const struct pw_primaries_msg *)m;
+
+	if (m->ops == &pw_primaries_msg_ops) {
+		x->member_count = msg->member_count;
+		x->min_member_count = MIN(x->min_member_count, msg->member_count);
+		if (msg->primaries)
+			x->settled_revision = msg->primaries->revision;
+	}
+	pw_msg_free(m);
+}
+
+static void handle_other_message(void *data, struct pw_msg *m)
+{
+	(void)data;
+	pw_msg_free(m);
+}
+
+static struct pw_store_kv record_kv(const struct fixture *x)
+{
+	char *text = pw_primaries_encode(x->record);
+
+	return (struct pw_store_kv){
+		.key = g_strdup(PRIMARIES_KEY),
+		.value = text,
+		.size_bytes = strlen(text),
+		.mod_revision = x->record->revision,
+	};
+}
+
+static void send_result(struct fixture *x, uint64_t tag, struct pw_store_result *r)
+{
+	struct pw_store_result_msg *m = g_new0(struct pw_store_result_msg, 1);
+
+	m->base.ops = &pw_store_result_msg_ops;
+	m->tag = tag;
+	m->result = r;
+	pw_mailbox_send(x->directory.cluster, &m->base);
+}
+
+/* Reports the current record through the watch. */
+static void publish_record(struct fixture *x)
+{
+	struct pw_store_result *r;
+	struct pw_store_watch_result *watch;
+
+	if (!x->has_watch)
+		return;
+	r = pw_store_result_new(PW_STORE_WATCH, PW_OK, NULL);
+	watch = (struct pw_store_watch_result *)r;
+	watch->events = g_new0(struct pw_store_event, 1);
+	watch->events[0] = (struct pw_store_event){ .kind = PW_STORE_PUT, .kv = record_kv(x) };
+	watch->event_count = 1;
+	r->revision = x->record->revision;
+	send_result(x, TAG_PRIMARIES_WATCH, r);
+}
+
+/* Changes the record in the place of another VM. */
+static void edit_record(struct fixture *x, edit_fn edit)
+{
+	edit(x->record);
+	x->record->revision++;
+}
+
+static void run_range(struct fixture *x, uint64_t tag, const struct pw_store_range *req)
+{
+	bool is_list = req->prefix, is_later_page = is_list && req->after_key;
+	struct pw_store_result *r = pw_store_result_new(PW_STORE_RANGE, PW_OK, NULL);
+	struct pw_store_range_result *range = (struct pw_store_range_result *)r;
+
+	if (is_later_page && x->failed_page_reads) {
+		x->failed_page_reads--;
+		pw_store_result_free(r);
+		send_result(x, tag, pw_store_result_new(PW_STORE_RANGE, PW_ETIMEOUT, "no answer"));
+		return;
+	}
+	x->list_count += is_list;
+	range->kvs = g_new0(struct pw_store_kv, MEMBER_COUNT);
+	for (size_t i = 0; is_list && i < MEMBER_COUNT; i++) {
+		const struct fake_member *m = &x->members[i];
+		const struct pw_fleet_member e = {
+			.name = (char *)(uintptr_t)m->name,
+			.address = (char *)(uintptr_t)m->address,
+			.availability_zone = (char *)(uintptr_t) "zone-1",
+		};
+		char *key = g_strconcat(MEMBERS_PREFIX, m->name, NULL);
+
+		if (!m->listed || (req->after_key && strcmp(key, req->after_key) <= 0)) {
+			g_free(key);
+			continue;
+		}
+		if (x->page_items_max && range->kv_count == x->page_items_max) {
+			range->has_more = true;
+			g_free(key);
+			break;
+		}
+		range->kvs[range->kv_count] = (struct pw_store_kv){
+			.key = key,
+			.value = pw_fleet_member_encode(&e),
+			.mod_revision = 1,
+			.lease_id = 100 + (int64_t)i,
+		};
+		range->kvs[range->kv_count].size_bytes = strlen(range->kvs[range->kv_count].value);
+		range->kv_count++;
+	}
+	if (!is_list)
+		range->kvs[range->kv_count++] = record_kv(x);
+	r->revision = x->record->revision;
+	send_result(x, tag, r);
+}
+
+static void run_record_write(struct fixture *x, uint64_t tag, const struct pw_store_txn *req)
+{
+	enum cluster_tag kind = (enum cluster_tag)(tag & 0xff);
+	struct pw_store_txn_result *txn;
+	struct pw_store_result *r;
+	struct pw_primaries *record;
+	enum record_answer answer = kind == TAG_RECORD_PRIMARY ? x->record_answer : ANSWER_GIVEN;
+
+	x->claim_count += kind == TAG_CLAIM;
+	x->clear_count += kind == TAG_CLEAR_MARK;
+	x->record_count += kind == TAG_RECORD_PRIMARY;
+	if (x->edit && kind == x->edit_tag) {
+		edit_record(x, x->edit);
+		x->edit = NULL;
+	}
+	if (kind == TAG_RECORD_PRIMARY)
+		x->record_answer = ANSWER_GIVEN;
+	if (answer == ANSWER_LOST_NOOP) {
+		send_result(x, tag, pw_store_result_new(PW_STORE_TXN, PW_ETIMEOUT, "no answer"));
+		return;
+	}
+	if (req->compares[0].revision != x->record->revision) {
+		r = pw_store_result_new(PW_STORE_TXN, PW_ECONFLICT, "a comparison failed");
+		txn = (struct pw_store_txn_result *)r;
+		txn->kvs = g_new0(struct pw_store_kv, 1);
+		txn->kvs[0] = record_kv(x);
+		txn->kv_count = 1;
+		send_result(x, tag, r);
+		return;
+	}
+	ck_assert_int_eq(pw_primaries_decode(&record, req->changes[0].value,
+					     req->changes[0].size_bytes, x->record->revision + 1),
+			 PW_OK);
+	pw_primaries_unref(x->record);
+	x->record = record;
+	if (answer == ANSWER_LOST_WATCH)
+		publish_record(x);
+	r = pw_store_result_new(PW_STORE_TXN, answer == ANSWER_GIVEN ? PW_OK : PW_ETIMEOUT,
+				answer == ANSWER_GIVEN ? NULL : "no answer");
+	r->revision = record->revision;
+	send_result(x, tag, r);
+}
+
+static void run_lease_call(struct fixture *x, const struct pw_store_lease_msg *req,
+			   enum pw_store_kind kind)
+{
+	struct pw_store_result *r = pw_store_result_new(kind, PW_OK, NULL);
+	struct pw_store_lease_result *lease = (struct pw_store_lease_result *)r;
+
+	lease->lease_id = 1;
+	lease->ttl_us = req->ttl_us;
+	if (kind == PW_STORE_LEASE_KEEP_ALIVE && x->loses_own_lease) {
+		x->loses_own_lease = false;
+		r->code = PW_ENOTFOUND;
+	}
+	if (kind == PW_STORE_LEASE_REVOKE && req->lease_id >= 100) {
+		x->revoked_members |= UINT32_C(1) << (req->lease_id - 100);
+		if (x->holds_revocations) {
+			pw_store_result_free(r);
+			return;
+		}
+	} else if (kind == PW_STORE_LEASE_REVOKE) {
+		x->revoked_own_lease = true;
+	}
+	send_result(x, req->base.tag, r);
+}
+
+static void handle_store_request(void *data, struct pw_msg *m)
+{
+	struct fixture *x = data;
+	const struct pw_store_request_msg *req = (const struct pw_store_request_msg *)m;
+	const char *kind = m->ops->name;
+
+	if (!strcmp(kind, "store_range"))
+		run_range(x, req->tag, &((const struct pw_store_range_msg *)m)->range);
+	else if (!strcmp(kind, "store_txn") && req->tag == TAG_REGISTER)
+		send_result(x, req->tag, pw_store_result_new(PW_STORE_TXN, PW_OK, NULL));
+	else if (!strcmp(kind, "store_txn"))
+		run_record_write(x, req->tag, &((const struct pw_store_txn_msg *)m)->txn);
+	else if (!strcmp(kind, "store_lease_grant"))
+		run_lease_call(x, (const struct pw_store_lease_msg *)m, PW_STORE_LEASE_GRANT);
+	else if (!strcmp(kind, "store_lease_keep_alive"))
+		run_lease_call(x, (const struct pw_store_lease_msg *)m, PW_STORE_LEASE_KEEP_ALIVE);
+	else if (!strcmp(kind, "store_lease_revoke"))
+		run_lease_call(x, (const struct pw_store_lease_msg *)m, PW_STORE_LEASE_REVOKE);
+	else if (!strcmp(kind, "store_watch"))
+		x->has_watch = true;
+	pw_msg_free(m);
+}
+
+static void send_catalog(struct fixture *x, bool primary_leaves)
+{
+	struct pw_catalog_msg *catalog_msg = g_new0(struct pw_catalog_msg, 1);
+	struct pw_servers_msg *servers_msg = g_new0(struct pw_servers_msg, 1);
+	struct pw_catalog_group *g = g_new0(struct pw_catalog_group, 1);
+
+	g->name = g_strdup(GROUP);
+	g->connection_limit = 20;
+	catalog_msg->base.ops = &pw_catalog_msg_ops;
+	catalog_msg->catalog = pw_catalog_new();
+	pw_catalog_add_group(catalog_msg->catalog, g);
+	pw_mailbox_send(x->directory.cluster, &catalog_msg->base);
+	servers_msg->base.ops = &pw_servers_msg_ops;
+	servers_msg->servers = pw_server_list_new();
+	for (uint32_t i = 0; i < SERVER_COUNT; i++) {
+		struct pw_server_entry *e = g_new0(struct pw_server_entry, 1);
+
+		e->id = g_strdup(x->servers[i].id);
+		e->group = g_strdup(GROUP);
+		e->address = g_strdup(x->servers[i].address);
+		e->availability_zone = g_strdup("zone-1");
+		e->slots = 3;
+		e->leaving = i == 0 && primary_leaves;
+		e->claims_primary = i == 0;
+		g_ptr_array_add(servers_msg->servers->entries, e);
+	}
+	pw_mailbox_send(x->directory.cluster, &servers_msg->base);
+}
+
+static void *run_cluster(void *arg)
+{
+	struct fixture *x = arg;
+
+	pw_task_run(&pw_cluster_ops, x->directory.cluster, &x->args);
+	return NULL;
+}
+
+/* Fills in the parts that differ between cases after this and before start(). */
+static void setup(struct fixture *x)
+{
+	*x = (struct fixture){ .min_member_count = UINT32_MAX };
+	for (uint32_t i = 0; i < SERVER_COUNT; i++) {
+		struct fake_server *s = &x->servers[i];
+
+		snprintf(s->id, sizeof(s->id), "s%u", i + 1);
+		s->listener = open_socket(SOCK_STREAM, s->address);
+		ck_assert_int_eq(listen(s->listener, 16), 0);
+		memset(s->connections, -1, sizeof(s->connections));
+		s->is_primary = i == 0;
+		s->term = 3;
+	}
+	for (uint32_t i = 0; i < MEMBER_COUNT; i++) {
+		struct fake_member *m = &x->members[i];
+
+		snprintf(m->name, sizeof(m->name), "vm%u", i + 2);
+		m->fd = open_socket(SOCK_DGRAM, m->address);
+		m->is_silent = true;
+	}
+	x->record = pw_primaries_new();
+	x->record->revision = 20;
+	x->record->fencing_token = FIRST_TOKEN;
+	x->record->holder = g_strdup("vm9");
+	pw_primaries_set(x->record, GROUP, x->servers[0].id, FIRST_GENERATION);
+	pw_primaries_set(x->record, OTHER_GROUP, "f1", FIRST_TOKEN);
+	close(open_socket(SOCK_DGRAM, x->own_address));
+	promotions.count = 0;
+	x->won_before = pw_counter_get(PW_COUNTER_FAILOVERS_WON);
+	x->lost_before = pw_counter_get(PW_COUNTER_FAILOVERS_LOST);
+	x->started_before = pw_counter_get(PW_COUNTER_FAILOVERS_STARTED);
+}
+
+static void start(struct fixture *x, bool primary_leaves)
+{
+	x->settings = (struct pw_process_settings){
+		.vm_name = (char *)(uintptr_t) "vm1",
+		.availability_zone = (char *)(uintptr_t) "zone-1",
+		.service_name = (char *)(uintptr_t) "example",
+		.peer_address = x->own_address,
+	};
+	x->binding = (struct pw_binding){
+		.name = "test",
+		.promoter_new = promoter_new,
+		.server = &pw_platform_server_dialect,
+	};
+	pw_mailbox_new(&x->other_inbox);
+	x->directory = (struct pw_directory){
+		.settings = &x->settings,
+		.binding = &x->binding,
+		.admin = x->other_inbox,
+		.catalog = x->other_inbox,
+		.shutdown = x->other_inbox,
+		.gateways = x->gateways,
+		.gateway_count = GATEWAY_COUNT,
+	};
+	for (uint32_t i = 0; i < GATEWAY_COUNT; i++)
+		pw_mailbox_new(&x->gateways[i]);
+	pw_mailbox_new(&x->directory.cluster);
+	pw_mailbox_new(&x->directory.store);
+	x->args.directory = &x->directory;
+	pthread_create(&x->thread, NULL, run_cluster, x);
+	send_catalog(x, primary_leaves);
+}
+
+static void teardown(struct fixture *x)
+{
+	pw_mailbox_send(x->directory.cluster, pw_task_stop_msg_new());
+	pthread_join(x->thread, NULL);
+	pw_mailbox_free(x->directory.cluster);
+	pw_mailbox_free(x->directory.store);
+	pw_mailbox_free(x->other_inbox);
+	for (uint32_t i = 0; i < GATEWAY_COUNT; i++)
+		pw_mailbox_free(x->gateways[i]);
+	for (uint32_t i = 0; i < SERVER_COUNT; i++) {
+		for (size_t k = 0; k < CONNECTIONS_MAX; k++) {
+			if (x->servers[i].connections[k] >= 0)
+				close(x->servers[i].connections[k]);
+		}
+		close(x->servers[i].listener);
+	}
+	for (uint32_t i = 0; i < MEMBER_COUNT; i++)
+		close(x->members[i].fd);
+}
+
+/*
+ * Plays the simulated parts until a condition holds or the timeout passes. Returns whether the
+ * condition holds.
+ */
+static bool wait_for(struct fixture *x, bool (*holds)(struct fixture *x), uint32_t timeout_ms)
+{
+	uint64_t end_us = pw_clock_now_us() + timeout_ms * PW_US_PER_MS;
+
+	while (!holds(x)) {
+		struct pollfd fd = { .fd = pw_mailbox_fd(x->directory.store), .events = POLLIN };
+		uint64_t now_us = pw_clock_now_us();
+		int64_t settled_before = x->settled_revision;
+
+		if (now_us >= end_us)
+			return false;
+		poll(&fd, 1, 2);
+		pw_mailbox_receive_all(x->directory.store, handle_store_request, x);
+		pw_mailbox_receive_all(x->other_inbox, handle_other_message, x);
+		for (uint32_t i = 0; i < GATEWAY_COUNT; i++)
+			pw_mailbox_receive_all(x->gateways[i], handle_gateway_message, x);
+		apply_promotions(x);
+		for (uint32_t i = 0; i < SERVER_COUNT; i++)
+			serve(&x->servers[i]);
+		for (uint32_t i = 0; i < MEMBER_COUNT; i++)
+			receive_pulses(&x->members[i]);
+		if (now_us < x->next_report_us && x->settled_revision == settled_before)
+			continue;
+		x->next_report_us = now_us + REPORT_INTERVAL_US;
+		for (uint32_t i = 0; i < GATEWAY_COUNT; i++)
+			send_report(x, i);
+		for (uint32_t i = 0; i < MEMBER_COUNT; i++) {
+			if (!x->members[i].is_silent)
+				send_pulse(x, &x->members[i]);
+		}
+	}
+	return true;
+}
+
+/* Condition that never holds, to wait for the whole timeout. */
+static bool never(struct fixture *x)
+{
+	(void)x;
+	return false;
+}
+
+static bool has_revoked_member(struct fixture *x)
+{
+	return x->revoked_members != 0;
+}
+
+static bool has_left(struct fixture *x)
+{
+	return x->revoked_own_lease;
+}
+
+static bool has_change_ended(struct fixture *x)
+{
+	return pw_counter_get(PW_COUNTER_FAILOVERS_WON) > x->won_before ||
+	       pw_counter_get(PW_COUNTER_FAILOVERS_LOST) > x->lost_before;
+}
+
+static void edit_take_over(struct pw_primaries *p)
+{
+	pw_primaries_mark(p, GROUP, "vm2", false);
+}
+
+/* VM 2 takes the group over; this VM then claims the other group. */
+static void edit_take_over_and_hold_other(struct pw_primaries *p)
+{
+	pw_primaries_mark(p, GROUP, "vm2", false);
+	pw_primaries_mark(p, OTHER_GROUP, "vm1", false);
+}
+
+static void edit_claim_other_group(struct pw_primaries *p)
+{
+	pw_primaries_mark(p, OTHER_GROUP, "vm2", false);
+}
+
+static void edit_finish(struct pw_primaries *p)
+{
+	pw_primaries_mark(p, GROUP, "vm2", false);
+	pw_primaries_set(p, GROUP, "s2", p->fencing_token);
+}
+
+/* An old build drops the tokens of all marks when it writes the record. */
+static void drop_mark_tokens(struct pw_primaries *p)
+{
+	pw_primaries_find(p, GROUP)->mark_token = 0;
+	pw_primaries_find(p, OTHER_GROUP)->mark_token = 0;
+}
+
+static void edit_take_over_by_old_build(struct pw_primaries *p)
+{
+	pw_primaries_mark(p, GROUP, "vm2", false);
+	drop_mark_tokens(p);
+}
+
+static void edit_rewrite_by_old_build(struct pw_primaries *p)
+{
+	drop_mark_tokens(p);
+}
+
+static const struct {
+	const char *label;
+	edit_fn edit;       /* by another VM while the change waits for a member */
+	bool until_timeout; /* the change ends by its time limit; otherwise the VM leaves */
+	bool cleared;       /* the VM has to clear the mark */
+} abort_cases[] = {
+	{ "leader too late clears the mark of its successor", edit_take_over, true, false },
+	{ "leaving VM clears the mark of its successor", edit_take_over, false, false },
+	{ "mark of an old build is cleared", edit_take_over_by_old_build, false, false },
+	{ "completed change is written again", edit_finish, false, false },
+	{ "own mark stays since another group was claimed", edit_claim_other_group, false, true },
+	{ "own mark stays since an old build dropped its token", edit_rewrite_by_old_build, false,
+	  true },
+};
+
+/* Fails if a change that ends early clears another change's mark, or leaves its own. */
+START_TEST(test_abort_clears_own_mark_only)
+{
+	struct fixture x;
+	bool waited, ended = true;
+	struct pw_primary *primary;
+
+	setup(&x);
+	x.members[0].listed = true;
+	x.members[0].is_silent = false;
+	x.holds_revocations = true;
+	start(&x, true);
+	waited = wait_for(&x, has_revoked_member, 5000);
+	edit_record(&x, abort_cases[_i].edit);
+	publish_record(&x);
+	if (abort_cases[_i].until_timeout) {
+		wait_for(&x, never, 3800);
+		ended = has_change_ended(&x);
+	} else {
+		pw_mailbox_send(x.directory.cluster, pw_drain_msg());
+		ended = wait_for(&x, has_left, 2000);
+	}
+	teardown(&x);
+	primary = pw_primaries_find(x.record, GROUP);
+	ck_assert_msg(waited && ended, "abort: %s; waited %d, ended %d", abort_cases[_i].label,
+		      waited, ended);
+	ck_assert_msg(x.clear_count == abort_cases[_i].cleared, "abort: %s; %u writes",
+		      abort_cases[_i].label, x.clear_count);
+	ck_assert_uint_eq(primary->changing,
+			  !abort_cases[_i].cleared && abort_cases[_i].edit != edit_finish);
+	ck_assert_uint_eq(x.promote_count, 0);
+	pw_primaries_unref(x.record);
+}
+END_TEST
+
+static const struct {
+	const char *label;
+	edit_fn edit;  /* by another VM just before the new primary is written */
+	bool recorded; /* the VM has to write its new primary */
+} conflict_cases[] = {
+	{ "primary written over the mark of another change", edit_take_over_and_hold_other, false },
+	{ "primary written over the primary of another change", edit_finish, false },
+	{ "change given up since another group was claimed", edit_claim_other_group, true },
+	{ "change given up since an old build dropped its token", edit_rewrite_by_old_build, true },
+};
+
+/* Fails if a new primary is written though the group's mark is not the change's own. */
+START_TEST(test_primary_is_written_under_own_mark_only)
+{
+	bool recorded = conflict_cases[_i].recorded, ended;
+	struct pw_primary *primary;
+	struct fixture x;
+
+	setup(&x);
+	x.edit = conflict_cases[_i].edit;
+	x.edit_tag = TAG_RECORD_PRIMARY;
+	start(&x, true);
+	ended = wait_for(&x, has_change_ended, 6000);
+	teardown(&x);
+	primary = pw_primaries_find(x.record, GROUP);
+	ck_assert_msg(ended && x.promote_count == 1, "conflict: %s; ended %d, promotions %u",
+		      conflict_cases[_i].label, ended, x.promote_count);
+	ck_assert_msg((primary->generation == FIRST_TOKEN + 1) == recorded &&
+			      x.record_count == (recorded ? 2 : 1),
+		      "conflict: %s; generation %" PRIu64 ", %u writes", conflict_cases[_i].label,
+		      primary->generation, x.record_count);
+	pw_primaries_unref(x.record);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("cluster");
+
+	pw_event_log_init(G_LOG_LEVEL_ERROR);
+	tcase_add_loop_test(tc, test_abort_clears_own_mark_only, 0, PW_ARRAY_LEN(abort_cases));
+	tcase_add_loop_test(tc, test_primary_is_written_under_own_mark_only, 0,
+			    PW_ARRAY_LEN(conflict_cases));
+	return pw_suite_run("cluster", tc);
+}
