Change of primary: the leader of a group's last change leads the next one

Cause: VMs act in an order by hash, 600 ms apart, but a missing or leaving primary was due at once for all of them, so any VM could win, and the next change of the group, which goes by the order, fell to another one.

Why this works: the record names the VM that led the change to the present primary, and this VM comes first in the order while it is live and can renew its permit. The order's delays count from the time at which a VM has seen that the primary is missing or leaving. Records without the name, of older builds, keep the order by hash.

--- a/codec/include/pw/codec/primaries.h
+++ b/codec/include/pw/codec/primaries.h
@@ -15,6 +15,7 @@
 struct pw_primary {
 	char *group;
 	char *server_id;
+	char *leader;        /**< VM that led the change to this server; NULL: none, or not known */
 	uint64_t generation; /**< increases with every change of the primary */
 	bool changing;       /**< mark: another server is about to be promoted */
 	bool planned;        /**< only with `changing`: statements in flight may finish first */
@@ -41,9 +42,13 @@
 
 /** @return the primary of the group, or NULL */
 struct pw_primary *pw_primaries_find(const struct pw_primaries *p, const char *group);
-/** Sets the primary of a group, adds the group if it is new, and clears the mark of a change. */
+/**
+ * Sets the primary of a group, adds the group if it is new, and clears the mark of a change.
+ *
+ * @param leader VM that led the change; NULL: none
+ */
 void pw_primaries_set(struct pw_primaries *p, const char *group, const char *server_id,
-		      uint64_t generation);
+		      const char *leader, uint64_t generation);
 
 /** Marks a group of the record as changing with a new fencing token, which `holder` takes. */
 void pw_primaries_mark(struct pw_primaries *p, const char *group, const char *holder, bool planned);
--- a/codec/src/primaries.c
+++ b/codec/src/primaries.c
@@ -11,6 +11,7 @@
 
 	g_free(p->group);
 	g_free(p->server_id);
+	g_free(p->leader);
 	g_free(p);
 }
 
@@ -35,6 +36,7 @@
 
 		to->group = g_strdup(from->group);
 		to->server_id = g_strdup(from->server_id);
+		to->leader = g_strdup(from->leader);
 		g_ptr_array_add(copy->entries, to);
 	}
 	return copy;
@@ -78,7 +80,7 @@
 }
 
 void pw_primaries_set(struct pw_primaries *p, const char *group, const char *server_id,
-		      uint64_t generation)
+		      const char *leader, uint64_t generation)
 {
 	struct pw_primary *item = pw_primaries_find(p, group);
 
@@ -89,6 +91,8 @@
 	}
 	g_free(item->server_id);
 	item->server_id = g_strdup(server_id);
+	g_free(item->leader);
+	item->leader = g_strdup(leader);
 	item->generation = generation;
 	clear_mark(item);
 }
@@ -137,11 +141,12 @@
 	for (guint i = 0; i < p->entries->len; i++) {
 		const struct pw_primary *item = g_ptr_array_index(p->entries, i);
 
-		json_array_append_new(
-			list, json_pack("{s:s,s:s,s:I,s:b,s:b,s:I}", "group", item->group, "server",
-					item->server_id, "generation", (json_int_t)item->generation,
-					"changing", item->changing, "planned", item->planned,
-					"mark_token", (json_int_t)item->mark_token));
+		json_array_append_new(list, json_pack("{s:s,s:s,s:s*,s:I,s:b,s:b,s:I}", "group",
+						      item->group, "server", item->server_id,
+						      "leader", item->leader, "generation",
+						      (json_int_t)item->generation, "changing",
+						      item->changing, "planned", item->planned,
+						      "mark_token", (json_int_t)item->mark_token));
 	}
 	return json_to_text(json_pack("{s:I,s:s,s:o}", "fence", (json_int_t)p->fencing_token,
 				      "holder", p->holder ? p->holder : "", "primaries", list));
@@ -157,7 +162,8 @@
 
 	if (!group || !server || generation < 0)
 		return false;
-	pw_primaries_set(p, group, server, (uint64_t)generation);
+	pw_primaries_set(p, group, server, json_string_value(json_object_get(item, "leader")),
+			 (uint64_t)generation);
 	primary = pw_primaries_find(p, group);
 	primary->changing = json_is_true(json_object_get(item, "changing"));
 	primary->planned = json_is_true(json_object_get(item, "planned"));
--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -248,7 +248,8 @@
 	struct pw_primaries *record = pw_primaries_copy(c->primaries);
 	const struct pw_server_entry *e = g_ptr_array_index(ch->entries, (guint)ch->target);
 
-	pw_primaries_set(record, ch->group, e->id, ch->fencing_token);
+	pw_primaries_set(record, ch->group, e->id, ch->cluster->directory->settings->vm_name,
+			 ch->fencing_token);
 	enter_phase(ch, PHASE_RECORD);
 	write_record(ch, record, TAG_RECORD_PRIMARY);
 }
@@ -283,7 +284,8 @@
 	if (promoted) {
 		const struct pw_server_entry *e = g_ptr_array_index(ch->entries, (guint)ch->target);
 
-		pw_primaries_set(record, ch->group, e->id, ch->fencing_token);
+		pw_primaries_set(record, ch->group, e->id,
+				 ch->cluster->directory->settings->vm_name, ch->fencing_token);
 	} else {
 		pw_primaries_mark(record, ch->group, c->directory->settings->vm_name, ch->planned);
 	}
@@ -722,15 +724,21 @@
 	}
 }
 
+static uint64_t rank_weight(const struct pw_primary *primary, const char *vm_name)
+{
+	return pw_change_rank_weight(g_strcmp0(primary->leader, vm_name) == 0,
+				     (uint32_t)pw_directory_name_hash(vm_name),
+				     g_str_hash(primary->group));
+}
+
 /*
  * Returns the number of live members that come before this VM in the order in which VMs act on a
  * change. The order differs between groups, and members that cannot renew their permits are left
  * out.
  */
-static uint32_t compute_rank(const struct cluster *c, const char *group)
+static uint32_t compute_rank(const struct cluster *c, const struct pw_primary *primary)
 {
-	const char *own_name = c->directory->settings->vm_name;
-	uint32_t own_weight = (uint32_t)pw_directory_name_hash(own_name) ^ g_str_hash(group);
+	uint64_t own_weight = rank_weight(primary, c->directory->settings->vm_name);
 	uint32_t rank = 0;
 	GHashTableIter it;
 	gpointer item;
@@ -739,9 +747,8 @@
 	while (g_hash_table_iter_next(&it, NULL, &item)) {
 		const struct member *m = item;
 
-		if (pulse_is_member_live(c, m) && !m->needs_permit &&
-		    ((uint32_t)pw_directory_name_hash(m->name) ^ g_str_hash(group)) < own_weight)
-			rank++;
+		rank += pulse_is_member_live(c, m) && !m->needs_permit &&
+			rank_weight(primary, m->name) < own_weight;
 	}
 	return rank;
 }
@@ -800,24 +807,20 @@
 		v->lost_since_us = now_us - MIN(longest_outage_us, now_us);
 }
 
-/*
- * Records and returns since when the entry of the group's primary says "replica".
- *
- * @param demoted whether the entry says so now; if not, 0 is returned
- */
-static uint64_t track_demoted_since_us(struct cluster *c, const struct pw_primary *primary,
-				       bool demoted)
+/* Records and returns since when the view shows that the primary is unfit; 0: it is fit. */
+static uint64_t track_unfit_since_us(struct cluster *c, const struct pw_primary *primary,
+				     const struct pw_change_view *v)
 {
-	uint64_t *since_us = g_hash_table_lookup(c->demoted_since_us, primary->group);
+	uint64_t *since_us = g_hash_table_lookup(c->unfit_since_us, primary->group);
 
-	if (!demoted) {
-		g_hash_table_remove(c->demoted_since_us, primary->group);
+	if (v->registered && !v->leaving && !v->demoted) {
+		g_hash_table_remove(c->unfit_since_us, primary->group);
 		return 0;
 	}
 	if (!since_us) {
 		since_us = g_new(uint64_t, 1);
 		*since_us = cluster_now_us(c);
-		g_hash_table_insert(c->demoted_since_us, g_strdup(primary->group), since_us);
+		g_hash_table_insert(c->unfit_since_us, g_strdup(primary->group), since_us);
 	}
 	return *since_us;
 }
@@ -833,10 +836,10 @@
 		.demoted = e && !e->claims_primary,
 		.changing = primary->changing,
 		.record_since_us = cluster_record_since_us(c, primary->group),
-		.rank = compute_rank(c, primary->group),
+		.rank = compute_rank(c, primary),
 		.live_count = 1,
 	};
-	v->demoted_since_us = track_demoted_since_us(c, primary, v->demoted);
+	v->unfit_since_us = track_unfit_since_us(c, primary, v);
 	for (guint i = 0; i < c->servers->entries->len; i++) {
 		const struct pw_server_entry *s = g_ptr_array_index(c->servers->entries, i);
 
@@ -888,7 +891,7 @@
 void change_start(struct cluster *c)
 {
 	c->changes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, change_free);
-	c->demoted_since_us = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	c->unfit_since_us = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->ended_changes = g_ptr_array_new();
 	c->ended_queries = g_ptr_array_new_with_free_func(g_free);
 }
@@ -958,7 +961,7 @@
 		end_change(l->data, PW_EVENT_FAILOVER_GIVEN_UP, "the process is stopping");
 	g_list_free(changes);
 	g_hash_table_unref(c->changes);
-	g_hash_table_unref(c->demoted_since_us);
+	g_hash_table_unref(c->unfit_since_us);
 	/* The promoter was freed before, so no promotion request in flight refers to a change. */
 	for (guint i = 0; i < c->ended_changes->len; i++)
 		g_free(g_ptr_array_index(c->ended_changes, i));
--- a/daemon/control/cluster_member.c
+++ b/daemon/control/cluster_member.c
@@ -342,7 +342,7 @@
 		if (!e->claims_primary || !pw_catalog_find_group(c->catalog, e->group) ||
 		    pw_primaries_find(record, e->group))
 			continue;
-		pw_primaries_set(record, e->group, e->id, ++record->fencing_token);
+		pw_primaries_set(record, e->group, e->id, NULL, ++record->fencing_token);
 		added = true;
 	}
 	if (added) {
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -196,7 +196,8 @@
 	struct pw_promoter *promoter;
 	GHashTable *changes;            /**< group -> struct change */
 	GHashTable *primary_checked_us; /**< group -> time of the last check of its primary */
-	GHashTable *demoted_since_us; /**< group -> since when its primary's entry says "replica" */
+	/** Group -> since when its primary has no entry, or one that says leaving or "replica". */
+	GHashTable *unfit_since_us;
 	uint64_t last_change_number;
 	GPtrArray *ended_changes; /**< to be freed by the tick */
 	GPtrArray *ended_queries; /**< to be freed by the tick */
--- a/decide/include/pw/decide/change.h
+++ b/decide/include/pw/decide/change.h
@@ -55,12 +55,14 @@
 
 /** What this VM knows about a group and its primary. */
 struct pw_change_view {
-	bool registered;           /**< the primary is registered */
-	bool leaving;              /**< its entry says that it is about to stop */
-	bool demoted;              /**< its entry says that it is a replica */
-	bool changing;             /**< the primary record says that a change is in progress */
-	uint64_t record_since_us;  /**< when this VM learned of the current record */
-	uint64_t demoted_since_us; /**< since when `demoted` is true; 0: it is not */
+	bool registered;          /**< the primary is registered */
+	bool leaving;             /**< its entry says that it is about to stop */
+	bool demoted;             /**< its entry says that it is a replica */
+	bool changing;            /**< the primary record says that a change is in progress */
+	uint64_t record_since_us; /**< when this VM learned of the current record */
+	/** Since when the primary is unregistered, `leaving` or `demoted`; 0: it is none of these.
+	 */
+	uint64_t unfit_since_us;
 	/**
 	 * Votes that the primary cannot be reached: at most one from each other live VM, and one
 	 * from each gateway task of this VM.
@@ -103,6 +105,15 @@
 /** @return reason for which this VM should change the primary now, or PW_CHANGE_NONE */
 enum pw_change_reason pw_change_due_reason(const struct pw_change_view *v, uint64_t now_us);
 
+/**
+ * Weight of a VM in the order in which VMs act on a change; the lowest acts first. The leader of
+ * the group's last change comes first, so that the right to decide stays with one VM while that is
+ * live. The order of the others differs between groups, which spreads the load.
+ *
+ * @param led_last_change whether the VM led the last change of the group
+ */
+uint64_t pw_change_rank_weight(bool led_last_change, uint32_t vm_hash, uint32_t group_hash);
+
 /** Server of the group: a candidate, or the current primary. */
 struct pw_change_server {
 	bool is_primary; /**< it is the primary according to the record */
--- a/decide/src/change.c
+++ b/decide/src/change.c
@@ -34,15 +34,15 @@
 	}
 	if (!v->registered) {
 		*reason = PW_CHANGE_UNREGISTERED;
-		return 0;
+		return v->unfit_since_us;
 	}
 	if (v->leaving) {
 		*reason = PW_CHANGE_LEAVING;
-		return 0;
+		return v->unfit_since_us;
 	}
-	if (v->demoted && v->demoted_since_us) {
+	if (v->demoted && v->unfit_since_us) {
 		*reason = PW_CHANGE_DEMOTED;
-		return v->demoted_since_us + PW_CHANGE_DEMOTED_AFTER_US;
+		return v->unfit_since_us + PW_CHANGE_DEMOTED_AFTER_US;
 	}
 	return UINT64_MAX;
 }
@@ -61,6 +61,11 @@
 	return now_us >= due_us + delay_us ? reason : PW_CHANGE_NONE;
 }
 
+uint64_t pw_change_rank_weight(bool led_last_change, uint32_t vm_hash, uint32_t group_hash)
+{
+	return led_last_change ? 0 : UINT64_C(1) + (vm_hash ^ group_hash);
+}
+
 /* Prefers the longer log, then the shorter distance. */
 static bool is_better_candidate(const struct pw_change_server *a, const struct pw_change_server *b)
 {
--- a/tests/codec/test_primaries.c
+++ b/tests/codec/test_primaries.c
@@ -18,8 +18,8 @@
 
 	p->fencing_token = 12;
 	p->holder = g_strdup("vm-2");
-	pw_primaries_set(p, "orders", "i-1", 11);
-	pw_primaries_set(p, "fees", "i-2", 12);
+	pw_primaries_set(p, "orders", "i-1", "vm-3", 11);
+	pw_primaries_set(p, "fees", "i-2", NULL, 12);
 	pw_primaries_mark(p, "fees", "vm-1", true);
 	text = pw_primaries_encode(p);
 	ck_assert_int_eq(pw_primaries_decode(&decoded, text, strlen(text), 77), PW_OK);
@@ -29,13 +29,15 @@
 	ck_assert_uint_eq(decoded->entries->len, 2);
 	ck_assert_str_eq(pw_primaries_find(decoded, "orders")->server_id, "i-1");
 	ck_assert(!pw_primaries_find(decoded, "orders")->changing);
+	ck_assert_str_eq(pw_primaries_find(decoded, "orders")->leader, "vm-3");
+	ck_assert_ptr_null(pw_primaries_find(decoded, "fees")->leader);
 	ck_assert(pw_primaries_find(decoded, "fees")->changing);
 	ck_assert(pw_primaries_find(decoded, "fees")->planned);
 	ck_assert_uint_eq(pw_primaries_find(decoded, "fees")->mark_token, 13);
 	ck_assert_ptr_null(pw_primaries_find(decoded, "other"));
 	copy = pw_primaries_copy(decoded);
 	/* Setting a new primary clears the mark of the change. */
-	pw_primaries_set(copy, "fees", "i-3", 13);
+	pw_primaries_set(copy, "fees", "i-3", NULL, 13);
 	ck_assert(!pw_primaries_find(copy, "fees")->changing);
 	ck_assert_uint_eq(pw_primaries_find(copy, "fees")->mark_token, 0);
 	ck_assert(pw_primaries_find(decoded, "fees")->changing);
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -578,8 +578,8 @@
 	x->record->revision = 20;
 	x->record->fencing_token = FIRST_TOKEN;
 	x->record->holder = g_strdup("vm9");
-	pw_primaries_set(x->record, GROUP, x->servers[0].id, FIRST_GENERATION);
-	pw_primaries_set(x->record, OTHER_GROUP, "f1", FIRST_TOKEN);
+	pw_primaries_set(x->record, GROUP, x->servers[0].id, NULL, FIRST_GENERATION);
+	pw_primaries_set(x->record, OTHER_GROUP, "f1", NULL, FIRST_TOKEN);
 	close(open_socket(SOCK_DGRAM, x->own_address));
 	promotions.count = 0;
 	x->won_before = pw_counter_get(PW_COUNTER_FAILOVERS_WON);
@@ -720,7 +720,7 @@
 static void edit_finish(struct pw_primaries *p)
 {
 	pw_primaries_mark(p, GROUP, "vm2", false);
-	pw_primaries_set(p, GROUP, "s2", p->fencing_token);
+	pw_primaries_set(p, GROUP, "s2", NULL, p->fencing_token);
 }
 
 /* An old build drops the tokens of all marks when it writes the record. */
--- a/tests/decide/test_change.c
+++ b/tests/decide/test_change.c
@@ -80,6 +80,26 @@
 	  { .registered = true, .leaving = true, .reached_vote_count = 3, .candidate_count = 2 },
 	  9000,
 	  PW_CHANGE_LEAVING },
+	{ "the second in rank waits for the first when the primary is leaving",
+	  { .registered = true,
+	    .leaving = true,
+	    .unfit_since_us = 5000 * MS,
+	    .rank = 1,
+	    .candidate_count = 2 },
+	  5500,
+	  PW_CHANGE_NONE },
+	{ "the second in rank waits for the first when the primary is not registered",
+	  { .unfit_since_us = 5000 * MS, .rank = 2, .candidate_count = 2 },
+	  6100,
+	  PW_CHANGE_NONE },
+	{ "the second in rank changes a leaving primary that the first keeps",
+	  { .registered = true,
+	    .leaving = true,
+	    .unfit_since_us = 5000 * MS,
+	    .rank = 1,
+	    .candidate_count = 2 },
+	  5600,
+	  PW_CHANGE_LEAVING },
 	{ "the primary is leaving, but there is no candidate",
 	  { .registered = true, .leaving = true, .reached_vote_count = 3 },
 	  9000,
@@ -87,14 +107,14 @@
 	{ "a new primary's entry may still say replica",
 	  { .registered = true,
 	    .demoted = true,
-	    .demoted_since_us = 1000 * MS,
+	    .unfit_since_us = 1000 * MS,
 	    .candidate_count = 2 },
 	  4900,
 	  PW_CHANGE_NONE },
 	{ "the primary has become a replica",
 	  { .registered = true,
 	    .demoted = true,
-	    .demoted_since_us = 1000 * MS,
+	    .unfit_since_us = 1000 * MS,
 	    .candidate_count = 2 },
 	  5100,
 	  PW_CHANGE_DEMOTED },
@@ -124,6 +144,30 @@
 }
 END_TEST
 
+/* Guards against two VMs that take turns at changing the primary of one group. */
+static const struct {
+	const char *label;
+	bool led_last_change;
+	uint32_t vm_hash, other_vm_hash, group_hash;
+	bool comes_first; /* before another VM that did not lead the last change */
+} rank_cases[] = {
+	{ "the leader of the last change", true, 9, 1, 0, true },
+	{ "the leader of the last change, with the hash of the group", true, 7, 7, 7, true },
+	{ "the smaller weight in this group", false, 1, 2, 0, true },
+	{ "the larger weight in another group", false, 1, 2, 3, false },
+};
+
+START_TEST(test_rank_weight)
+{
+	uint64_t weight = pw_change_rank_weight(rank_cases[_i].led_last_change,
+						rank_cases[_i].vm_hash, rank_cases[_i].group_hash);
+	uint64_t other = pw_change_rank_weight(false, rank_cases[_i].other_vm_hash,
+					       rank_cases[_i].group_hash);
+
+	ck_assert_msg((weight < other) == rank_cases[_i].comes_first, "%s", rank_cases[_i].label);
+}
+END_TEST
+
 #define SERVERS_MAX 3
 
 /* Fields of a server that has answered: its term and the end of its log. */
@@ -325,6 +369,7 @@
 	TCase *tc = tcase_create("change");
 
 	tcase_add_loop_test(tc, test_due, 0, PW_ARRAY_LEN(due_cases));
+	tcase_add_loop_test(tc, test_rank_weight, 0, PW_ARRAY_LEN(rank_cases));
 	tcase_add_loop_test(tc, test_choose, 0, PW_ARRAY_LEN(choose_cases));
 	tcase_add_loop_test(tc, test_promoted, 0, PW_ARRAY_LEN(promoted_cases));
 	tcase_add_test(tc, test_limits);
--- a/tests/fuzz/fuzz_pulse.c
+++ b/tests/fuzz/fuzz_pulse.c
@@ -94,8 +94,8 @@
 	pw_pulse_add_account(&p, "amber", 1.5F);
 	fuzz_add_seed(seeds, data, pw_pulse_encode(data, &p));
 	pw_pulse_dispose(&p);
-	pw_primaries_set(record, "orders", "i-1", 3);
-	pw_primaries_set(record, "bills", "i-2", UINT64_MAX);
+	pw_primaries_set(record, "orders", "i-1", NULL, 3);
+	pw_primaries_set(record, "bills", "i-2", NULL, UINT64_MAX);
 	text = pw_primaries_encode(record);
 	fuzz_add_seed(seeds, text, strlen(text));
 	g_free(text);
