Change of primary: a takeover counts as a new change for those that wait

Cause: the time after which a change counts as abandoned started only when the primary or the mark of its group changed. The VM that takes over marks the group again, which changes neither, so the next VM in rank took it over too, 600 ms later. Since a change ends when its mark is not its own, two VMs that took over from each other also went on claiming, 20 times a second.

Evidence, before: test_cluster, 'claimed 1 times while another VM leads the change'; test_platform_fleet, test_takeover_after_promotion: 'answer BUSY I after 15121 ms' in the run of all suites, with 277 claims in the log.

Why this works: the fencing token of the mark tells the changes apart, and a new token starts the time again.

--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -160,7 +160,8 @@
 		uint64_t now_us = cluster_now_us(c);
 
 		if (old_primary && old_primary->generation == primary->generation &&
-		    old_primary->changing == primary->changing)
+		    old_primary->changing == primary->changing &&
+		    old_primary->mark_token == primary->mark_token)
 			continue;
 		if (old_primary && old_primary->generation != primary->generation) {
 			pw_event_log(PW_EVENT_TERM_CHANGED,
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -826,6 +826,30 @@
 }
 END_TEST
 
+static void mark_group(struct pw_primaries *p)
+{
+	pw_primaries_mark(p, GROUP, "vm9", false);
+}
+
+/* Guards against two VMs that lead a change of one group at the same time. */
+START_TEST(test_second_takeover_waits_for_the_first)
+{
+	struct fixture x;
+
+	setup(&x);
+	mark_group(x.record);
+	start(&x, false);
+	(void)wait_for(&x, never, 5500);
+	edit_record(&x, mark_group);
+	publish_record(&x);
+	(void)wait_for(&x, never, 2500);
+	teardown(&x);
+	pw_primaries_unref(x.record);
+	ck_assert_msg(x.claim_count == 0, "claimed %u times while another VM leads the change",
+		      x.claim_count);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("cluster");
@@ -834,5 +858,6 @@
 	tcase_add_loop_test(tc, test_abort_clears_own_mark_only, 0, PW_ARRAY_LEN(abort_cases));
 	tcase_add_loop_test(tc, test_primary_is_written_under_own_mark_only, 0,
 			    PW_ARRAY_LEN(conflict_cases));
+	tcase_add_test(tc, test_second_takeover_waits_for_the_first);
 	return pw_suite_run("cluster", tc);
 }
