Change of primary: no claim of a change that another VM has led

After a conflict the claim was repeated without a look at the generation, so a change that another VM had just completed was done again. A claim is now repeated only if the group still has the generation and the mark for which the change was started.

A mark that another VM had taken over counted as the old one, so the next VM in rank took the change over within a moment as well: the time from which a mark counts as abandoned started over only with another generation or when the mark was set or cleared. It now starts over with another mark token, too. This brought two VMs to take turns at the same group.

--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -147,6 +147,22 @@
 	return since_us ? *since_us : 0;
 }
 
+/*
+ * Whether the group's entries in two records have the same primary and the same mark. A mark
+ * without a token may be a new one if a newer token was taken in between.
+ */
+static bool is_same_entry(const struct pw_primaries *a, const struct pw_primaries *b,
+			  const char *group)
+{
+	const struct pw_primary *x = pw_primaries_find(a, group);
+	const struct pw_primary *y = pw_primaries_find(b, group);
+
+	if (x->generation != y->generation || x->changing != y->changing ||
+	    x->mark_token != y->mark_token)
+		return false;
+	return !x->changing || x->mark_token || a->fencing_token == b->fencing_token;
+}
+
 /*
  * Updates `record_since_us` of the groups whose primary or mark differs in the next record. The
  * servers are read again after a change of a primary.
@@ -159,8 +175,7 @@
 			c->primaries ? pw_primaries_find(c->primaries, primary->group) : NULL;
 		uint64_t now_us = cluster_now_us(c);
 
-		if (old_primary && old_primary->generation == primary->generation &&
-		    old_primary->changing == primary->changing)
+		if (old_primary && is_same_entry(c->primaries, record, primary->group))
 			continue;
 		if (old_primary && old_primary->generation != primary->generation) {
 			pw_event_log(PW_EVENT_TERM_CHANGED,
--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -74,6 +74,8 @@
 	enum pw_change_reason reason;
 	enum change_phase phase;
 	bool planned; /**< at the start most votes reach the primary: its statements may finish */
+	uint64_t generation;      /**< of the primary that the change replaces */
+	uint64_t abandoned_token; /**< PW_CHANGE_ABANDONED: token of that mark; 0: not known */
 	uint64_t started_us;
 	uint64_t phase_entered_us;
 	int64_t marked_revision; /**< revision of the primaries record that carries the mark */
@@ -299,24 +301,36 @@
 						     PW_STORE_CALL_TIMEOUT_US, &req));
 }
 
-static void handle_claim_result(struct change *ch, const struct pw_store_result *base)
+/*
+ * Whether the group still has the primary for which the change was started, and the same abandoned
+ * mark or none.
+ */
+static bool is_still_due(const struct change *ch)
 {
-	const struct pw_primary *primary;
+	const struct pw_primary *primary = pw_primaries_find(ch->cluster->primaries, ch->group);
+
+	if (!primary || primary->generation != ch->generation)
+		return false;
+	if (ch->reason != PW_CHANGE_ABANDONED)
+		return !primary->changing;
+	return primary->changing && ch->abandoned_token &&
+	       primary->mark_token == ch->abandoned_token;
+}
 
+static void handle_claim_result(struct change *ch, const struct pw_store_result *base)
+{
 	if (base->code == PW_OK) {
 		ch->marked_revision = base->revision;
 		apply_own_record(ch, base->revision, false);
 		request_members(ch);
 		return;
 	}
+	/* The conflict may concern another group. */
 	if (base->code == PW_ECONFLICT &&
-	    apply_conflicting_record(ch->cluster, (const struct pw_store_txn_result *)base)) {
-		primary = pw_primaries_find(ch->cluster->primaries, ch->group);
-		/* The conflict concerned another group, so the claim is tried again. */
-		if (primary && !primary->changing && ch->reason != PW_CHANGE_ABANDONED) {
-			claim_change(ch);
-			return;
-		}
+	    apply_conflicting_record(ch->cluster, (const struct pw_store_txn_result *)base) &&
+	    is_still_due(ch)) {
+		claim_change(ch);
+		return;
 	}
 	abort_change(ch, base->message ? base->message : "the record was changed by another VM");
 }
@@ -846,6 +860,8 @@
 	ch->group = g_strdup(primary->group);
 	ch->number = ++c->last_change_number;
 	ch->reason = reason;
+	ch->generation = primary->generation;
+	ch->abandoned_token = primary->mark_token;
 	ch->planned = reason != PW_CHANGE_UNREACHABLE && reason != PW_CHANGE_ABANDONED &&
 		      v->reached_vote_count > v->lost_vote_count;
 	ch->started_us = pw_loop_update_now_us(c->task.loop);
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -826,6 +826,47 @@
 }
 END_TEST
 
+static const struct {
+	const char *label;
+	edit_fn before; /* state of the record at the start; NULL: the primary leaves */
+	edit_fn edit;   /* by another VM just before the claim */
+	bool repeated;  /* the reason still holds, so the VM has to repeat its claim */
+} claim_cases[] = {
+	{ "change that another VM has completed is repeated", NULL, edit_finish, false },
+	{ "change that another VM has claimed is claimed", NULL, edit_take_over, false },
+	{ "change given up since another group was claimed", NULL, edit_claim_other_group, true },
+	{ "abandoned change is taken over after another VM did", edit_take_over, edit_take_over,
+	  false },
+	{ "abandoned change is taken over after an old build did", edit_take_over_by_old_build,
+	  edit_take_over_by_old_build, false },
+	{ "abandoned change given up since another group was claimed", edit_take_over,
+	  edit_claim_other_group, true },
+};
+
+/* Fails if a claim is repeated though the change is no longer due, which promotes a server again.
+ */
+START_TEST(test_claim_is_repeated_for_same_primary_only)
+{
+	bool repeated = claim_cases[_i].repeated, ended;
+	struct fixture x;
+
+	setup(&x);
+	if (claim_cases[_i].before)
+		claim_cases[_i].before(x.record);
+	x.edit = claim_cases[_i].edit;
+	x.edit_tag = TAG_CLAIM;
+	start(&x, !claim_cases[_i].before);
+	ended = wait_for(&x, has_change_ended, 7500);
+	/* A change that was given up must not start again at once. */
+	wait_for(&x, never, 400);
+	teardown(&x);
+	ck_assert_msg(ended && x.claim_count == 1U + repeated && x.record_count == repeated,
+		      "claim: %s; ended %d, %u claims, %u primaries written", claim_cases[_i].label,
+		      ended, x.claim_count, x.record_count);
+	pw_primaries_unref(x.record);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("cluster");
@@ -834,5 +875,7 @@
 	tcase_add_loop_test(tc, test_abort_clears_own_mark_only, 0, PW_ARRAY_LEN(abort_cases));
 	tcase_add_loop_test(tc, test_primary_is_written_under_own_mark_only, 0,
 			    PW_ARRAY_LEN(conflict_cases));
+	tcase_add_loop_test(tc, test_claim_is_repeated_for_same_primary_only, 0,
+			    PW_ARRAY_LEN(claim_cases));
 	return pw_suite_run("cluster", tc);
 }
