Change of primary: a new primary whose write has no answer counts as done

If the answer to the write of the new primary was lost but the write took effect, the repeated write met a conflict, the change ended as changed by another VM and was counted in failovers_lost_total, and the former primary was not told to step down. The record is now recognised as the change's own result: the generation of the group is the change's fencing token, and the server is its target.

Before, 1 of the 3 new cases of daemon/test_cluster failed:

test_lost_answer_to_new_primary:0: answer: primary written with a lost answer counts as another VM's; ended 1, former primary told 0, won 0, lost 1, 2 writes

--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -647,19 +647,25 @@
 		return;
 	}
 	if (base->code == PW_ECONFLICT) {
-		/* The conflict may concern another group. */
 		if (apply_conflicting_record(ch->cluster,
-					     (const struct pw_store_txn_result *)base) &&
-		    is_in_charge(ch)) {
-			record_primary(ch);
-			return;
+					     (const struct pw_store_txn_result *)base)) {
+			/* The conflict concerned another group. */
+			if (is_in_charge(ch)) {
+				record_primary(ch);
+				return;
+			}
+			/* An earlier write took effect, but its answer was lost. */
+			if (is_recorded(ch)) {
+				finish_change(ch);
+				return;
+			}
 		}
 		abort_change(ch, "the record was changed by another VM");
 		return;
 	}
 	/*
-	 * The outcome is unknown. The tick verifies the promotion again and repeats the
-	 * compare-and-swap.
+	 * The outcome is unknown. Unless the watch shows that the write took effect, the tick
+	 * verifies the promotion again and repeats the compare-and-swap.
 	 */
 	enter_phase(ch, PHASE_VERIFY);
 }
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -867,6 +867,52 @@
 }
 END_TEST
 
+static const struct {
+	const char *label;
+	enum record_answer answer; /* to the first write of the new primary */
+	uint32_t record_count;     /* expected writes of the new primary */
+} lost_answer_cases[] = {
+	{ "primary written with a lost answer counts as another VM's", ANSWER_LOST, 2 },
+	{ "primary written with a lost answer is written again", ANSWER_LOST_WATCH, 1 },
+	{ "primary that was not written is not written again", ANSWER_LOST_NOOP, 2 },
+};
+
+static bool has_stepped_down(struct fixture *x)
+{
+	return x->servers[0].step_down_term != 0;
+}
+
+/* Fails if a change does not finish after the answer to the write of its new primary was lost. */
+START_TEST(test_lost_answer_to_new_primary)
+{
+	struct pw_primary *primary;
+	bool ended, stepped_down;
+	uint64_t won, lost;
+	struct fixture x;
+
+	setup(&x);
+	x.record_answer = lost_answer_cases[_i].answer;
+	start(&x, true);
+	ended = wait_for(&x, has_change_ended, 6000);
+	stepped_down = wait_for(&x, has_stepped_down, 1000);
+	teardown(&x);
+	primary = pw_primaries_find(x.record, GROUP);
+	won = pw_counter_get(PW_COUNTER_FAILOVERS_WON) - x.won_before;
+	lost = pw_counter_get(PW_COUNTER_FAILOVERS_LOST) - x.lost_before;
+	ck_assert_msg(ended && stepped_down && won == 1 && !lost &&
+			      x.record_count == lost_answer_cases[_i].record_count,
+		      "answer: %s; ended %d, former primary told %d, won %" PRIu64 ", lost %" PRIu64
+		      ", %u writes",
+		      lost_answer_cases[_i].label, ended, stepped_down, won, lost, x.record_count);
+	ck_assert_str_eq(primary->server_id, "s2");
+	ck_assert_uint_eq(primary->generation, FIRST_TOKEN + 1);
+	ck_assert(!primary->changing);
+	ck_assert_uint_eq(x.promote_count, 1);
+	ck_assert_uint_eq(x.servers[0].step_down_term, x.servers[1].term);
+	pw_primaries_unref(x.record);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("cluster");
@@ -877,5 +923,7 @@
 			    PW_ARRAY_LEN(conflict_cases));
 	tcase_add_loop_test(tc, test_claim_is_repeated_for_same_primary_only, 0,
 			    PW_ARRAY_LEN(claim_cases));
+	tcase_add_loop_test(tc, test_lost_answer_to_new_primary, 0,
+			    PW_ARRAY_LEN(lost_answer_cases));
 	return pw_suite_run("cluster", tc);
 }
