--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -850,6 +850,93 @@
 }
 END_TEST
 
+static const struct {
+	const char *label;
+	edit_fn before; /* state of the record at the start; NULL: the primary leaves */
+	edit_fn edit;   /* by another VM just before the claim */
+	bool repeated;  /* the reason still holds, so the VM has to repeat its claim */
+} claim_cases[] = {
+	{ "change that another VM has completed is repeated", NULL, edit_finish, false },
+	{ "change that another VM has claimed is claimed", NULL, edit_take_over, false },
+	{ "change given up since another group was claimed", NULL, edit_claim_other_group, true },
+	{ "abandoned change is taken over after another VM did", edit_take_over, edit_take_over,
+	  false },
+	{ "abandoned change is taken over after an old build did", edit_take_over_by_old_build,
+	  edit_take_over_by_old_build, false },
+	{ "abandoned change given up since another group was claimed", edit_take_over,
+	  edit_claim_other_group, true },
+};
+
+/* Fails if a claim is repeated though the change is no longer due, which promotes a server again.
+ */
+START_TEST(test_claim_is_repeated_for_same_primary_only)
+{
+	bool repeated = claim_cases[_i].repeated, ended;
+	struct fixture x;
+
+	setup(&x);
+	if (claim_cases[_i].before)
+		claim_cases[_i].before(x.record);
+	x.edit = claim_cases[_i].edit;
+	x.edit_tag = TAG_CLAIM;
+	start(&x, !claim_cases[_i].before);
+	ended = wait_for(&x, has_change_ended, 7500);
+	/* A change that was given up must not start again at once. */
+	wait_for(&x, never, 400);
+	teardown(&x);
+	ck_assert_msg(ended && x.claim_count == 1U + repeated && x.record_count == repeated,
+		      "claim: %s; ended %d, %u claims, %u primaries written", claim_cases[_i].label,
+		      ended, x.claim_count, x.record_count);
+	pw_primaries_unref(x.record);
+}
+END_TEST
+
+static const struct {
+	const char *label;
+	enum record_answer answer; /* to the first write of the new primary */
+	uint32_t record_count;     /* expected writes of the new primary */
+} lost_answer_cases[] = {
+	{ "primary written with a lost answer counts as another VM's", ANSWER_LOST, 2 },
+	{ "primary written with a lost answer is written again", ANSWER_LOST_WATCH, 1 },
+	{ "primary that was not written is not written again", ANSWER_LOST_NOOP, 2 },
+};
+
+static bool has_stepped_down(struct fixture *x)
+{
+	return x->servers[0].step_down_term != 0;
+}
+
+/* Fails if a change does not finish after the answer to the write of its new primary was lost. */
+START_TEST(test_lost_answer_to_new_primary)
+{
+	struct pw_primary *primary;
+	bool ended, stepped_down;
+	uint64_t won, lost;
+	struct fixture x;
+
+	setup(&x);
+	x.record_answer = lost_answer_cases[_i].answer;
+	start(&x, true);
+	ended = wait_for(&x, has_change_ended, 6000);
+	stepped_down = wait_for(&x, has_stepped_down, 1000);
+	teardown(&x);
+	primary = pw_primaries_find(x.record, GROUP);
+	won = pw_counter_get(PW_COUNTER_FAILOVERS_WON) - x.won_before;
+	lost = pw_counter_get(PW_COUNTER_FAILOVERS_LOST) - x.lost_before;
+	ck_assert_msg(ended && stepped_down && won == 1 && !lost &&
+			      x.record_count == lost_answer_cases[_i].record_count,
+		      "answer: %s; ended %d, former primary told %d, won %" PRIu64 ", lost %" PRIu64
+		      ", %u writes",
+		      lost_answer_cases[_i].label, ended, stepped_down, won, lost, x.record_count);
+	ck_assert_str_eq(primary->server_id, "s2");
+	ck_assert_uint_eq(primary->generation, FIRST_TOKEN + 1);
+	ck_assert(!primary->changing);
+	ck_assert_uint_eq(x.promote_count, 1);
+	ck_assert_uint_eq(x.servers[0].step_down_term, x.servers[1].term);
+	pw_primaries_unref(x.record);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("cluster");
@@ -859,5 +946,9 @@
 	tcase_add_loop_test(tc, test_primary_is_written_under_own_mark_only, 0,
 			    PW_ARRAY_LEN(conflict_cases));
 	tcase_add_test(tc, test_second_takeover_waits_for_the_first);
+	tcase_add_loop_test(tc, test_claim_is_repeated_for_same_primary_only, 0,
+			    PW_ARRAY_LEN(claim_cases));
+	tcase_add_loop_test(tc, test_lost_answer_to_new_primary, 0,
+			    PW_ARRAY_LEN(lost_answer_cases));
 	return pw_suite_run("cluster", tc);
 }
