--- a/tests/fuzz/fuzz_publish.c
+++ b/tests/fuzz/fuzz_publish.c
@@ -4,6 +4,7 @@
  */
 #include "fuzz.h"
 
+#include "pw/core/address.h"
 #include "pw/core/error.h"
 #include "pw/core/findings.h"
 #include "pw/platform/platform.h"
@@ -31,11 +32,14 @@
 static void check_server(const char *text, size_t size_bytes)
 {
 	struct pw_server_entry *e, *copy;
+	struct pw_address address;
 
 	if (pw_platform_catalog_source.ops->decode_server_entry(&e, "servers/i-1", text,
 								size_bytes))
 		return;
-	FUZZ_CHECK(e->id && e->group && e->address);
+	FUZZ_CHECK(e->id && e->group && e->address && e->availability_zone);
+	FUZZ_CHECK(pw_address_parse(&address, e->address) == PW_OK);
+	FUZZ_CHECK(strpbrk(e->group, " \r\n") == NULL);
 	copy = pw_server_entry_copy(e);
 	FUZZ_CHECK(strcmp(e->address, copy->address) == 0 && e->slots == copy->slots);
 	pw_server_entry_free(copy);
@@ -60,7 +64,11 @@
 		"\"RatePerS\":135,\"Burst\":140}]}",
 		"{\"Service\":\"orders\",\"Address\":\"10.0.0.9:8080\",\"Zone\":\"zone-1\","
 		"\"WarmupLeftMs\":0,\"Slots\":3,\"State\":\"ready\",\"DbRole\":\"replica\","
-		"\"born\":17}",
+		"\"Version\":\"v1\",\"Sequence\":4,\"born\":17}",
+		"{\"Service\":\"orders\\r\\nQUERY 1 WRITE a b\",\"Address\":\"10.0.0.9:70000\","
+		"\"Zone\":\"\\u0000\",\"Version\":[[[[[[]]]]]],\"WarmupLeftMs\":1e999,\"Slots\":"
+		"99999999999999999999,\"State\":\"ready\",\"DbRole\":\"replica\",\"Sequence\":-1,"
+		"\"born\":9223372036854775808}",
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
--- a/tests/platform/test_platform_fleet.c
+++ b/tests/platform/test_platform_fleet.c
@@ -51,6 +51,7 @@
 static struct pw_harness *harness;
 static struct pw_harness_process *platform;
 static struct vm vms[VM_COUNT_MAX];
+static uint16_t server_ports[3];
 static int catalog_version; /* of the last published catalogue */
 
 static size_t append_body(char *data, size_t size, size_t count, void *out)
@@ -170,21 +171,18 @@
 	start_vm_with_store(i, platform->port);
 }
 
-/*
- * Starts a platform with one group of three servers, and a fleet of `count` VMs, and waits until
- * all VMs are ready.
- */
-static void start_fleet_of(uint32_t count)
+/* Starts a platform with one group of three servers, and stores the catalogue. */
+static void start_platform(void)
 {
-	uint16_t port, servers[3];
+	uint16_t port;
 	char *port_text, *group;
 
 	harness = pw_harness_new();
 	port = pw_harness_allocate_port();
 	for (int i = 0; i < 3; i++)
-		servers[i] = pw_harness_allocate_port();
+		server_ports[i] = pw_harness_allocate_port();
 	port_text = g_strdup_printf("%u", port);
-	group = g_strdup_printf("core=%u,%u,%u", servers[0], servers[1], servers[2]);
+	group = g_strdup_printf("core=%u,%u,%u", server_ports[0], server_ports[1], server_ports[2]);
 	const char *const args[] = { port_text, group, NULL };
 
 	platform = pw_harness_start(harness, "standins/standin-platform", port, args, NULL);
@@ -192,6 +190,11 @@
 	g_free(group);
 	catalog_version = 0;
 	publish_catalog(BOTH_KEYS, 3000);
+}
+
+/* Starts a fleet of `count` VMs, and waits until all are ready. */
+static void start_vms(uint32_t count)
+{
 	for (uint32_t i = 0; i < count; i++) {
 		vms[i] = (struct vm){ .caller_port = pw_harness_allocate_port(),
 				      .api_port = pw_harness_allocate_port(),
@@ -204,6 +207,12 @@
 			      "vm-%u is not ready", i + 1);
 }
 
+static void start_fleet_of(uint32_t count)
+{
+	start_platform();
+	start_vms(count);
+}
+
 static void start_fleet(void)
 {
 	start_fleet_of(VM_COUNT);
@@ -317,7 +326,7 @@
 	return g_string_free(out, FALSE);
 }
 
-static char *run_statement(struct client *c, const char *statement)
+static void send_statement(struct client *c, const char *statement)
 {
 	static unsigned id;
 	char *line = g_strdup_printf("QUERY t%x %s\r\n", ++id, statement);
@@ -325,6 +334,11 @@
 	if (c->fd >= 0)
 		(void)send(c->fd, line, strlen(line), MSG_NOSIGNAL);
 	g_free(line);
+}
+
+static char *run_statement(struct client *c, const char *statement)
+{
+	send_statement(c, statement);
 	return read_answer(c, ANSWER_TIMEOUT_MS);
 }
 
@@ -1095,6 +1109,144 @@
 }
 END_TEST
 
+/* An entry as a printf() format. Its arguments are the address, the slots, the role and the zone.
+ */
+#define ODD_ENTRY                                                                              \
+	"{\"Service\":\"core\",\"Address\":\"%s\",\"Slots\":%s,\"DbRole\":\"%s\",\"Zone\":%s," \
+	"\"Version\":\"v1\",\"State\":\"ready\",\"WarmupLeftMs\":0,\"Sequence\":1,\"born\":5}"
+
+static const struct {
+	const char *key; /* escaped for a URL */
+	const char *address, *slots, *role, *zone;
+	uint32_t nesting; /* replaces the zone by nested lists of this depth */
+} odd_entries[] = {
+	{ "servers/a-port", "127.0.0.1:70000", "3", "replica", "\"zone-1\"", 0 },
+	{ "servers/a-name", "nowhere", "3", "primary", "\"zone-1\"", 0 },
+	{ "servers/a-slots", "127.0.0.1:1", "99999999999999999999", "primary", "\"zone-1\"", 0 },
+	{ "servers/a-nested", "127.0.0.1:1", "3", "primary", "", 100000 },
+	{ "servers/a-bytes", "127.0.0.1:1", "3", "primary", "\"\xff\xfe\"", 0 },
+	{ "servers/", "127.0.0.1:1", "3", "primary", "\"zone-1\"", 0 },
+	/* The first server runs; after its id, the key has a message of the server protocol. */
+	{ "servers/i-core-1%0D%0AQUERY%20z%20WRITE%20odd%20injected", NULL, "3", "replica",
+	  "\"zone-1\"", 0 },
+};
+
+static void store_odd_entries(void)
+{
+	char *first_server = g_strdup_printf("127.0.0.1:%u", server_ports[0]);
+
+	for (size_t i = 0; i < PW_ARRAY_LEN(odd_entries); i++) {
+		char *path = g_strdup_printf("/fault?name=entry&value=%s", odd_entries[i].key);
+		char *zone = odd_entries[i].nesting ? g_strnfill(odd_entries[i].nesting, '[')
+						    : g_strdup(odd_entries[i].zone);
+		char *text = g_strdup_printf(
+			ODD_ENTRY, odd_entries[i].address ? odd_entries[i].address : first_server,
+			odd_entries[i].slots, odd_entries[i].role, zone);
+		char *body = http_request(platform->port, path, text);
+
+		ck_assert_msg(body != NULL, "%s was not stored", odd_entries[i].key);
+		g_free(body);
+		g_free(text);
+		g_free(zone);
+		g_free(path);
+	}
+	g_free(first_server);
+}
+
+/* Returns the number of lines in the log of a VM that contain the text. */
+static uint32_t count_log_lines(const struct vm *v, const char *text)
+{
+	char *log = pw_harness_read_output(v->process);
+	uint32_t count = 0;
+
+	for (const char *found = log; found && (found = strstr(found, text)); found += strlen(text))
+		count++;
+	g_free(log);
+	return count;
+}
+
+/* Returns the number of connections that a server has. */
+static json_int_t server_connections(const char *id)
+{
+	char *text = http_request(platform->port, "/state", NULL);
+	json_t *root = json_loads(text, 0, NULL);
+	json_int_t count = -1;
+	const json_t *s;
+	size_t i;
+
+	json_array_foreach (json_object_get(root, "servers"), i, s) {
+		if (strcmp(json_string_value(json_object_get(s, "id")), id) == 0)
+			count = json_integer_value(json_object_get(s, "conns"));
+	}
+	json_decref(root);
+	g_free(text);
+	return count;
+}
+
+static const struct {
+	const char *label;
+	bool stored_first;
+} odd_entry_cases[] = {
+	/* The fleet takes its first primary from the entries. */
+	{ "stored before the fleet starts", true },
+	{ "stored while the fleet serves", false },
+};
+
+#define ODD_SESSIONS 6 /* of each VM; they read at the same time, so all servers get statements */
+
+/*
+ * Guards against entries of another writer among those of the servers that are used as servers,
+ * add statements of their own, stop the VMs from following the list, or end a task or a process.
+ */
+START_TEST(test_odd_entries)
+{
+	struct client *readers[VM_COUNT][ODD_SESSIONS], *writer;
+
+	start_platform();
+	if (odd_entry_cases[_i].stored_first)
+		store_odd_entries();
+	start_vms(VM_COUNT);
+	if (!odd_entry_cases[_i].stored_first)
+		store_odd_entries();
+	inject_fault("work", "10");
+	writer = open_session(0, "desk");
+	for (uint32_t i = 0; i < VM_COUNT; i++) {
+		for (size_t k = 0; k < ODD_SESSIONS; k++)
+			readers[i][k] = open_session(i, "views");
+	}
+	for (int round = 0; round < 40; round++) {
+		expect_answer(writer, "WRITE a v", "ok I");
+		for (uint32_t i = 0; i < VM_COUNT * ODD_SESSIONS; i++)
+			send_statement(readers[i / ODD_SESSIONS][i % ODD_SESSIONS], "READ odd");
+		for (uint32_t i = 0; i < VM_COUNT * ODD_SESSIONS; i++) {
+			char *actual = read_answer(readers[i / ODD_SESSIONS][i % ODD_SESSIONS],
+						   ANSWER_TIMEOUT_MS);
+
+			ck_assert_msg(strcmp(actual, "none ok I") == 0, "%s: round %d: %s",
+				      odd_entry_cases[_i].label, round, actual);
+			g_free(actual);
+		}
+		g_usleep(100000);
+	}
+	ck_assert_int_gt(server_connections("i-core-3"), 0);
+	inject_fault("leave", "i-core-3");
+	ck_assert_msg(PW_HARNESS_WAIT_UNTIL(server_connections("i-core-3") == 0, READY_TIMEOUT_MS),
+		      "a server that leaves is still used");
+	for (uint32_t i = 0; i < VM_COUNT; i++) {
+		uint32_t retries = counter_value(&vms[i], "retry_not_sent_total");
+
+		ck_assert_msg(retries == 0, "%u statements were tried at an odd entry", retries);
+		ck_assert_uint_eq(count_log_lines(&vms[i], "name=task_failed"), 0);
+		ck_assert_int_eq(kill(vms[i].process->pid, 0), 0);
+		for (size_t k = 0; k < ODD_SESSIONS; k++)
+			client_free(readers[i][k]);
+	}
+	expect_answer(writer, "WRITE a w", "ok I");
+	client_free(writer);
+	stop_fleet();
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("platform fleet");
@@ -1118,5 +1270,6 @@
 	tcase_add_test(tc, test_stop);
 	tcase_add_test(tc, test_suspended_vm);
 	tcase_add_test(tc, test_delegated_permit);
+	tcase_add_loop_test(tc, test_odd_entries, 0, PW_ARRAY_LEN(odd_entry_cases));
 	return pw_suite_run("platform fleet", tc);
 }
