Catalog task: a refused entry of a server is logged and counted

Evidence, test_platform_fleet with the new checks and without the change: test_odd_entries:0: Assertion 'logging_vm_count >= ...' failed: logging_vm_count == 0, ... == 3

Why it works: event 4021 entry_refused names the key, the revision and the first odd field, once while the key is there, for at most 64 keys at a time, so a writer that stores many cannot fill the log. The counter server_entries_refused_total counts each refusal at each read. The VMs take turns at reading the list, so a line may come from one VM only.

--- a/core/include/pw/core/counter.h
+++ b/core/include/pw/core/counter.h
@@ -70,6 +70,8 @@
 	X(STORE_FAILURES, "store_failures_total", "calls to the store without an answer")          \
 	X(STORE_ITEMS_MALFORMED, "store_items_malformed_total",                                    \
 	  "items in responses of the store that cannot be read")                                   \
+	X(SERVER_ENTRIES_REFUSED, "server_entries_refused_total",                                  \
+	  "entries of servers refused by reads of the list: they describe no server")              \
 	X(CONFIG_APPLIED, "config_applied_total", "configuration revisions put in force")          \
 	X(CONFIG_REJECTED, "config_rejected_total",                                                \
 	  "configuration revisions not applied: invalid")                                          \
--- a/core/include/pw/core/event.h
+++ b/core/include/pw/core/event.h
@@ -55,6 +55,7 @@
 	X(PROMOTE_ORDERED, 4014, G_LOG_LEVEL_MESSAGE, "promote_ordered")      \
 	X(PROMOTE_ANSWERED, 4015, G_LOG_LEVEL_MESSAGE, "promote_answered")    \
 	X(SERVER_GONE, 4020, G_LOG_LEVEL_WARNING, "server_gone")              \
+	X(ENTRY_REFUSED, 4021, G_LOG_LEVEL_WARNING, "entry_refused")          \
 	X(REQUEST_REFUSED, 4030, G_LOG_LEVEL_INFO, "request_refused")         \
 	X(REQUEST_RETRIED, 4031, G_LOG_LEVEL_INFO, "request_retried")         \
 	X(REQUEST_SERVED, 4032, G_LOG_LEVEL_INFO, "request_served")           \
--- a/daemon/control/catalog.c
+++ b/daemon/control/catalog.c
@@ -29,6 +29,9 @@
 #define RETRY_BACKOFF_INITIAL_US (300 * PW_US_PER_MS)
 #define RETRY_BACKOFF_MAX_US     (2 * PW_US_PER_S)
 
+/* Maximum number of refused entries of servers that are logged, each once while it is there. */
+#define REFUSED_LOGGED_MAX 64
+
 enum store_request_tag {
 	TAG_CATALOG,
 	TAG_CATALOG_WATCH,
@@ -44,6 +47,8 @@
 	GHashTable *registry_states; /**< server id -> struct pw_registry_state */
 	GPtrArray *entries_read;     /**< struct pw_server_entry of the pages read so far */
 	char *last_key_read;         /**< last key of these pages; NULL: at the start */
+	GHashTable *refused_keys;    /**< set of logged entries that the last read refused */
+	GHashTable *refused_read;    /**< the same for the pages read so far */
 	struct pw_timer catalog_timer;
 	struct pw_timer servers_timer;
 	uint64_t servers_requested_us; /**< when the last read was requested */
@@ -503,12 +508,31 @@
 	return digest;
 }
 
+static GHashTable *key_set_new(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
 static void discard_read_entries(struct catalog_task *c)
 {
 	for (guint i = 0; i < c->entries_read->len; i++)
 		pw_server_entry_free(g_ptr_array_index(c->entries_read, i));
 	g_ptr_array_set_size(c->entries_read, 0);
 	g_clear_pointer(&c->last_key_read, g_free);
+	g_hash_table_remove_all(c->refused_read);
+}
+
+/* Counts an entry that does not describe a server, and logs it unless the last read refused it. */
+static void record_refused_entry(struct catalog_task *c, const struct pw_store_kv *kv)
+{
+	pw_counter_inc(PW_COUNTER_SERVER_ENTRIES_REFUSED);
+	if (g_hash_table_size(c->refused_read) >= REFUSED_LOGGED_MAX)
+		return;
+	if (!g_hash_table_contains(c->refused_keys, kv->key))
+		pw_event_log(PW_EVENT_ENTRY_REFUSED,
+			     "revision=%" PRId64 " error=\"%s\" key=\"%.200s\"", kv->mod_revision,
+			     pw_error_message(), kv->key);
+	g_hash_table_add(c->refused_read, g_strdup(kv->key));
 }
 
 static void handle_servers_result(struct catalog_task *c, const struct pw_store_result *base)
@@ -530,6 +554,8 @@
 		if (c->source->ops->decode_server_entry(&e, kv->key, kv->value, kv->size_bytes) ==
 		    PW_OK)
 			g_ptr_array_add(c->entries_read, e);
+		else
+			record_refused_entry(c, kv);
 	}
 	g_clear_pointer(&c->last_key_read, g_free);
 	if (r->has_more && r->kv_count) {
@@ -537,6 +563,9 @@
 		request_servers(c);
 		return;
 	}
+	g_hash_table_unref(c->refused_keys);
+	c->refused_keys = g_steal_pointer(&c->refused_read);
+	c->refused_read = key_set_new();
 	g_ptr_array_sort(c->entries_read, compare_entry_ids);
 	set_servers_fresh(c, compute_servers_digest(c->entries_read), c->servers_requested_us);
 	apply_servers(c);
@@ -584,6 +613,8 @@
 	c->source = c->directory->binding->catalog;
 	c->registry_states = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->entries_read = g_ptr_array_new();
+	c->refused_keys = key_set_new();
+	c->refused_read = key_set_new();
 	c->catalog_timer.ops = &catalog_timer_ops;
 	c->servers_timer.ops = &servers_timer_ops;
 	request_catalog(c);
@@ -599,6 +630,8 @@
 	pw_loop_timer_clear(t->loop, &c->servers_timer);
 	discard_read_entries(c);
 	g_ptr_array_unref(c->entries_read);
+	g_hash_table_unref(c->refused_keys);
+	g_hash_table_unref(c->refused_read);
 	pw_catalog_unref(c->catalog);
 	pw_server_list_unref(c->servers);
 	g_hash_table_unref(c->registry_states);
--- a/tests/platform/test_platform_fleet.c
+++ b/tests/platform/test_platform_fleet.c
@@ -1201,6 +1201,7 @@
 START_TEST(test_odd_entries)
 {
 	struct client *readers[VM_COUNT][ODD_SESSIONS], *writer;
+	uint32_t logging_vm_count = 0;
 
 	start_platform();
 	if (odd_entry_cases[_i].stored_first)
@@ -1234,6 +1235,14 @@
 		      "a server that leaves is still used");
 	for (uint32_t i = 0; i < VM_COUNT; i++) {
 		uint32_t retries = counter_value(&vms[i], "retry_not_sent_total");
+		uint32_t refused = counter_value(&vms[i], "server_entries_refused_total");
+		uint32_t line_count = count_log_lines(
+			&vms[i], "error=\"the entry does not describe a server: Address\" "
+				 "key=\"servers/a-port\"");
+
+		ck_assert_uint_le(line_count, 1);
+		ck_assert((refused >= PW_ARRAY_LEN(odd_entries)) == (line_count == 1));
+		logging_vm_count += line_count;
 
 		ck_assert_msg(retries == 0, "%u statements were tried at an odd entry", retries);
 		ck_assert_uint_eq(count_log_lines(&vms[i], "name=task_failed"), 0);
@@ -1241,6 +1250,8 @@
 		for (size_t k = 0; k < ODD_SESSIONS; k++)
 			client_free(readers[i][k]);
 	}
+	/* A VM that starts reads the list. Later the VMs take turns at it. */
+	ck_assert_uint_ge(logging_vm_count, odd_entry_cases[_i].stored_first ? VM_COUNT : 1);
 	expect_answer(writer, "WRITE a w", "ok I");
 	client_free(writer);
 	stop_fleet();
