Monitor: a malformed record of the primary is replaced, and names no server

What operators would see (binding postgresql): the record of the primary in the store stays as somebody else wrote it, so a VM that starts later takes it for the truth. A record with a term and no known address made the first server of the group the primary of that term in the decision module (read from the code; in the test the first server is the primary).

Cause: parse_record() filled only a part of the record and handle_record_result() passed it on as known: server 0, revision 0. The comparison of each later write with revision 0 failed, and each conflict brought the same record. sscanf() took "-9" and numbers that are too large for terms, of which the largest can never be exceeded.

Evidence, test_monitor before the change (8 of 9 rows): test_odd_record:1: 'primary': not as expected: kept test_odd_record:2: '9': not as expected: kept test_odd_record:5: ' $': not as expected: kept

Ruled out: that another term is published to callers.

Why it works: the record has the revision of its key whatever its text, a malformed one has term 0, so the record of a known primary replaces it, and one whose address no server has names no server, which adopt_primary() passes over.

--- a/daemon/control/monitor_store.c
+++ b/daemon/control/monitor_store.c
@@ -1,10 +1,11 @@
 #include "monitor_private.h"
 
 #include <inttypes.h>
-#include <stdio.h>
 #include <string.h>
 
 #include "pw/core/error.h"
+#include "pw/core/event.h"
+#include "pw/core/number.h"
 
 enum store_request_kind {
 	REQUEST_ACQUIRE_LEASE, /**< creates the key of a term's lease */
@@ -130,28 +131,44 @@
 		write_record(g, a);
 }
 
+/* Index of no server, which the decision module does not make the primary. */
+#define NO_SERVER UINT32_MAX
+
+/* Finds the server with this address. Returns its index, or NO_SERVER. */
+static uint32_t find_server(const struct monitored_group *g, const char *address)
+{
+	for (guint i = 0; i < g->servers->len; i++) {
+		const struct monitored_server *s = g_ptr_array_index(g->servers, i);
+
+		if (strcmp(s->address, address) == 0)
+			return i;
+	}
+	return NO_SERVER;
+}
+
 /*
- * Parses a record `TERM ADDRESS`. Returns false if the key does not exist, the record is malformed,
- * or no server of the group has the address.
+ * Parses a record `TERM ADDRESS`. Returns false if the key does not exist. A malformed record gets
+ * term 0, which lets the record of any known primary replace it. If no server of the group has the
+ * address, for example since it was taken out, the term counts but names no primary.
  */
 static bool parse_record(const struct monitored_group *g, const struct pw_store_kv *kv,
 			 struct pw_failover_record *out)
 {
-	char address[64];
+	char **words;
 
-	*out = (struct pw_failover_record){ 0 };
-	if (!kv || !kv->key || sscanf(kv->value, "%" SCNu64 " %63s", &out->term, address) != 2)
+	*out = (struct pw_failover_record){ .server = NO_SERVER };
+	if (!kv || !kv->key)
 		return false;
-	for (guint i = 0; i < g->servers->len; i++) {
-		const struct monitored_server *s = g_ptr_array_index(g->servers, i);
-
-		if (strcmp(s->address, address) != 0)
-			continue;
-		out->server = i;
-		out->revision = kv->mod_revision;
-		return true;
-	}
-	return false;
+	out->revision = kv->mod_revision;
+	words = g_strsplit(kv->value ? kv->value : "", " ", -1);
+	if (g_strv_length(words) == 2 && *words[1] &&
+	    pw_number_parse(&out->term, words[0], 1, INT64_MAX))
+		out->server = find_server(g, words[1]);
+	else
+		pw_event_log(PW_EVENT_RECORD_MALFORMED, "key=%s revision=%" PRId64, kv->key,
+			     kv->mod_revision);
+	g_strfreev(words);
+	return true;
 }
 
 static enum pw_failover_result failover_result_of(const struct pw_store_result *r)
@@ -194,10 +211,7 @@
 		count = ((const struct pw_store_txn_result *)r)->kv_count;
 	}
 	is_known = parse_record(g, count ? &kvs[0] : NULL, &record);
-	/*
-	 * A successful read shows what the store holds, even if that is no record, or one with an
-	 * address that no server of the group has.
-	 */
+	/* A successful read shows what the store holds, even if that is no record. */
 	if (!is_known && req->kind == REQUEST_READ_RECORD && r->code == PW_OK)
 		is_known = true;
 	if (req->kind == REQUEST_WRITE_RECORD && r->code == PW_OK) {
--- a/tests/daemon/test_monitor.c
+++ b/tests/daemon/test_monitor.c
@@ -499,16 +499,24 @@
 	}
 }
 
-static void setup(struct fixture *x)
+/* Writes the record of the primary; `$` stands for the address of the first server. */
+static void write_record_with_address(struct fixture *x, const char *format)
 {
-	char *record;
+	char **parts = g_strsplit(format, "$", -1);
+	char *record = g_strjoinv(x->servers[0].address, parts);
+
+	write_key(x, RECORD_KEY, record, strlen(record));
+	g_free(record);
+	g_strfreev(parts);
+}
 
+/* Starts the servers, a store with this record of the primary, and the monitor. */
+static void setup_with_record(struct fixture *x, const char *record)
+{
 	*x = (struct fixture){ .revision = 1 };
 	start_servers(x);
 	x->store = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, stored_value_free);
-	record = g_strdup_printf("1 %s", x->servers[0].address);
-	write_key(x, RECORD_KEY, record, strlen(record));
-	g_free(record);
+	write_record_with_address(x, record);
 	x->settings = (struct pw_process_settings){
 		.vm_name = (char *)(uintptr_t) "vm1",
 		.service_name = (char *)(uintptr_t) "example",
@@ -533,6 +541,11 @@
 	send_snapshot(x);
 }
 
+static void setup(struct fixture *x)
+{
+	setup_with_record(x, "1 $");
+}
+
 static void stop_server(struct fake_server *s)
 {
 	pthread_mutex_lock(&s->lock);
@@ -804,6 +817,50 @@
 }
 END_TEST
 
+static const struct {
+	const char *record; /* `$`: address of the first server, the primary of term 1 */
+	bool is_replaced;
+} odd_records[] = {
+	{ "", true },
+	{ "primary", true },
+	{ "9", true },
+	{ "9 ", true },
+	{ "-9 $", true },
+	{ "99999999999999999999 $", true },
+	{ "9223372036854775808 $", true },
+	{ "9 $ more", true },
+	/* A server that was taken out of the group: its term counts, so the record stays. */
+	{ "9 192.0.2.1:5432", false },
+};
+
+static bool has_record_of_term_1(struct fixture *x)
+{
+	const struct stored_value *stored = g_hash_table_lookup(x->store, RECORD_KEY);
+	char *expected_value = g_strdup_printf("1 %s", x->servers[0].address);
+	bool is_same = strcmp(stored->value, expected_value) == 0;
+
+	g_free(expected_value);
+	return is_same;
+}
+
+/* Guards against a record that cannot be read, or names no server, but makes one the primary. */
+START_TEST(test_odd_record)
+{
+	bool all_probed, replaced;
+	struct fixture x;
+
+	setup_with_record(&x, odd_records[_i].record);
+	all_probed = wait_for(&x, are_all_servers_probed, 3000);
+	replaced = wait_for(&x, has_record_of_term_1, odd_records[_i].is_replaced ? 8000 : 3000);
+	teardown(&x);
+	ck_assert_msg(all_probed && x.term == 1 && x.primary == 0,
+		      "'%s': server %u is the primary of term %" PRIu64, odd_records[_i].record,
+		      x.primary, x.term);
+	ck_assert_msg(replaced == odd_records[_i].is_replaced, "'%s': not as expected: %s",
+		      odd_records[_i].record, replaced ? "replaced" : "kept");
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("monitor");
@@ -813,5 +870,6 @@
 	tcase_add_test(tc, test_needs_votes_of_peers);
 	tcase_add_test(tc, test_accepts_promotion_by_peer);
 	tcase_add_test(tc, test_probes_are_coalesced);
+	tcase_add_loop_test(tc, test_odd_record, 0, PW_ARRAY_LEN(odd_records));
 	return pw_suite_run("monitor", tc);
 }
