Permit under a new lease: work at a marked primary ends with the former permit

What callers would see: a commit acknowledged by a former primary after another had taken over (rule ONE), in a planned change, by a VM that was registered anew while the change went on.

Cause: the VM that changes a primary revokes the leases of VMs that have not confirmed its mark, and waits 1.6 s for the permits of these leases. A VM that loses its lease this way registers under a new one, reads the record, learns of the mark only then, and let what runs at the primary finish for another 1.2 s, under the permit of the new lease, of which the other VM knows nothing.

Evidence, before: test_cluster, 'the permit of the new lease covers the group that is being changed'.

Why this works: with the permit, the gateways get the end of the permit that the VM held under its former lease. Groups that are marked at the registration are settled by then. The leader's wait ends later, since its revocation was answered after that permit's renewal.

--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -129,6 +129,7 @@
 	m->primaries = c->primaries ? pw_primaries_ref(c->primaries) : NULL;
 	m->permit_until_us = MAX(MAX(c->permit_until_us, c->delegated_permit_until_us),
 				 cluster_promised_permit_until_us(c));
+	m->marked_until_us = c->marked_until_us;
 	m->member_count = fleet_size(c);
 	pw_mailbox_send(to, &m->base);
 }
@@ -480,6 +481,7 @@
 	c->primary_checked_us = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->tick_timer.ops = &tick_ops;
 	c->started_us = cluster_now_us(c);
+	c->marked_until_us = UINT64_MAX;
 	change_start(c);
 	position_start(c);
 	rc = pulse_start(c);
--- a/daemon/control/cluster.h
+++ b/daemon/control/cluster.h
@@ -23,7 +23,13 @@
 	struct pw_msg base;
 	struct pw_primaries *primaries; /**< NULL: not known yet */
 	uint64_t permit_until_us; /**< no work is sent to a primary from then on; 0: no permit */
-	uint32_t member_count;    /**< VMs that share the servers' connections, this one included */
+	/**
+	 * Work at a primary that the record marks as changing ends by this time: the VM that leads
+	 * the change waits only for permits of the leases that it has found. UINT64_MAX: no limit,
+	 * since this VM has been registered since before the mark.
+	 */
+	uint64_t marked_until_us;
+	uint32_t member_count; /**< VMs that share the servers' connections, this one included */
 };
 
 /** Share of this VM in the rate of an account. */
--- a/daemon/control/cluster_member.c
+++ b/daemon/control/cluster_member.c
@@ -39,6 +39,7 @@
 static void request_lease(struct cluster *c)
 {
 	c->lease_id = 0;
+	c->lease_is_new = true;
 	c->registered = false;
 	c->primaries_current = false;
 	cluster_send_to_store(c, pw_store_lease_grant_msg_new(c->task.inbox, TAG_LEASE_GRANT,
@@ -176,6 +177,16 @@
 			     kv->mod_revision);
 }
 
+static bool has_marked_group(const struct cluster *c)
+{
+	for (guint i = 0; c->primaries && i < c->primaries->entries->len; i++) {
+		if (((const struct pw_primary *)g_ptr_array_index(c->primaries->entries, i))
+			    ->changing)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Handles the read of the record after registration, which gives the first permit. A VM that
  * changes a primary marks the group before it lists the members. So it either finds this VM on the
@@ -194,6 +205,9 @@
 	if (!c->watching_primaries)
 		watch_primaries(c, MAX(base->revision, r->kv_count ? r->kvs[0].mod_revision : 0));
 	c->primaries_current = true;
+	if (c->lease_is_new)
+		c->marked_until_us = has_marked_group(c) ? c->permit_until_us : UINT64_MAX;
+	c->lease_is_new = false;
 	c->permit_until_us =
 		MAX(c->permit_until_us, c->primaries_read_sent_us + PW_PERMIT_DURATION_US);
 	set_renewal_ok(c, true);
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -164,13 +164,16 @@
 	bool renewal_ok;        /**< the last renewal of the permit succeeded */
 	bool watching_primaries;
 	bool leaving;
-	bool create_pending;                /**< a creation of the record is in flight */
-	bool refresh_pending;               /**< a refresh of the record is in flight */
-	uint64_t refresh_not_before_us;     /**< earliest time of the next refresh */
-	uint64_t newer_record_since_us;     /**< when a newer record was first reported; 0: none */
-	uint64_t primaries_read_sent_us;    /**< when the last read for the permit was sent */
-	uint64_t renewal_sent_us;           /**< when the last renewal was sent */
-	uint64_t permit_until_us;           /**< end of the permit from the store; 0: none yet */
+	bool create_pending;             /**< a creation of the record is in flight */
+	bool refresh_pending;            /**< a refresh of the record is in flight */
+	uint64_t refresh_not_before_us;  /**< earliest time of the next refresh */
+	uint64_t newer_record_since_us;  /**< when a newer record was first reported; 0: none */
+	uint64_t primaries_read_sent_us; /**< when the last read for the permit was sent */
+	uint64_t renewal_sent_us;        /**< when the last renewal was sent */
+	uint64_t permit_until_us;        /**< end of the permit from the store; 0: none yet */
+	bool lease_is_new;               /**< no permit was derived from the lease yet */
+	/** End of the permit under the lease before that one, if a group was marked then. */
+	uint64_t marked_until_us;
 	uint64_t delegated_permit_until_us; /**< end of the permit that a member has delegated */
 	uint64_t own_promise_until_us; /**< this VM has promised to claim no change until then */
 	struct pw_timer permit_timer;  /**< next step towards a permit, or next renewal */
--- a/daemon/traffic/gateway_group.c
+++ b/daemon/traffic/gateway_group.c
@@ -238,6 +238,7 @@
 	group->change_planned = p->planned;
 	if (change_starts) {
 		group->changing_since_us = gateway_now_us(group->gateway);
+		group->drain_until_us = group->changing_since_us + PLANNED_DRAIN_TIMEOUT_US;
 		group->settled = false;
 	}
 }
@@ -254,6 +255,22 @@
 	}
 }
 
+void gw_group_limit_drains(struct gateway *g, uint64_t until_us)
+{
+	GHashTableIter it;
+	gpointer item;
+
+	g_hash_table_iter_init(&it, g->groups);
+	while (g_hash_table_iter_next(&it, NULL, &item)) {
+		struct group *group = item;
+
+		if (!group->changing || group->settled)
+			continue;
+		group->drain_until_us = MIN(group->drain_until_us, until_us);
+		gw_group_try_settle(group);
+	}
+}
+
 void gw_group_apply_positions(struct gateway *g, const GPtrArray *positions)
 {
 	for (guint i = 0; i < positions->len; i++) {
@@ -273,8 +290,10 @@
 {
 	const struct group *group = c->server->group;
 
-	return c->generation == group->generation && !(group->changing && group->settled) &&
-	       gateway_may_use_primaries(group->gateway);
+	if (c->generation != group->generation || !gateway_may_use_primaries(group->gateway))
+		return false;
+	return !group->changing ||
+	       (!group->settled && gateway_now_us(group->gateway) < group->drain_until_us);
 }
 
 void gw_group_try_settle(struct group *group)
@@ -284,8 +303,7 @@
 
 	if (!group->changing || group->settled)
 		return;
-	drain_over = !group->change_planned ||
-		     now_us - group->changing_since_us >= PLANNED_DRAIN_TIMEOUT_US;
+	drain_over = !group->change_planned || now_us >= group->drain_until_us;
 	for (guint i = 0; group->primary && !drain_over && i < group->primary->conns->len; i++) {
 		if (runs_on_primary(g_ptr_array_index(group->primary->conns, i)))
 			return;
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -142,6 +142,7 @@
 	struct pw_server_list *servers; /**< registered servers; NULL: not known yet */
 	struct pw_primaries *primaries; /**< NULL: not known yet */
 	uint64_t permit_until_us;    /**< no work is sent to a primary from then on; 0: no permit */
+	uint64_t marked_until_us;    /**< last limit for drains; see struct pw_primaries_msg */
 	uint32_t member_count;       /**< VMs that share the servers' connections, with this one */
 	GHashTable *sessions;        /**< set of struct session */
 	GHashTable *groups;          /**< name -> struct group; entries are never removed */
@@ -340,6 +341,7 @@
 	bool changing;       /**< the record says that the primary is being replaced */
 	bool change_planned; /**< while `changing`: what runs at the primary may finish first */
 	uint64_t changing_since_us; /**< when this task learned of the change */
+	uint64_t drain_until_us;    /**< while `changing`: work at the primary ends by then */
 	bool settled; /**< while `changing`: nothing of this task runs at the primary any more */
 	struct pw_history history;
 	uint64_t primary_last_answer_us;       /**< when the primary last sent bytes; 0: never */
@@ -438,6 +440,8 @@
 void gw_group_apply_servers(struct gateway *g);
 /** Applies the record of primaries in `g->primaries`. */
 void gw_group_apply_primaries(struct gateway *g);
+/** Ends work at primaries that are being changed by this time; see struct pw_primaries_msg. */
+void gw_group_limit_drains(struct gateway *g, uint64_t until_us);
 /** Records positions (struct pw_seen_position) that primaries returned to other VMs. */
 void gw_group_apply_positions(struct gateway *g, const GPtrArray *positions);
 /** @return when the primary is expected to accept work; the current time if it does */
@@ -475,14 +479,14 @@
 void gw_group_record_connected(struct server *s);
 /**
  * @return whether an answer on the connection is certain to come from the current primary: the
- * generation is current, no change is in progress that this task has settled, and this VM may use
+ * generation is current, no change is in progress whose drain has ended, and this VM may use
  * primaries
  */
 bool gw_group_is_current_primary(struct conn *c);
 /**
  * If the primary is being replaced, settles the change and reports it as soon as nothing of this
- * task runs at the primary. Work there is stopped: at once, or after PLANNED_DRAIN_TIMEOUT_US if
- * the change is planned.
+ * task runs at the primary. Work there is stopped: at once, or at the end of the drain if the
+ * change is planned.
  */
 void gw_group_try_settle(struct group *group);
 void gw_group_server_free(struct server *s);
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -96,6 +96,8 @@
 	uint32_t member_count; /* in the last message to the gateways */
 	uint32_t min_member_count;
 	int64_t settled_revision;
+	uint64_t permit_until_us, marked_until_us; /* in the last message to the gateways */
+	bool is_marked;                            /* GROUP in that message */
 	/* Store. */
 	struct pw_primaries *record;
 	bool has_watch;
@@ -320,6 +322,9 @@
 
 	if (m->ops == &pw_primaries_msg_ops) {
 		x->member_count = msg->member_count;
+		x->permit_until_us = msg->permit_until_us;
+		x->marked_until_us = msg->marked_until_us;
+		x->is_marked = msg->primaries && pw_primaries_find(msg->primaries, GROUP)->changing;
 		x->min_member_count = MIN(x->min_member_count, msg->member_count);
 		if (msg->primaries)
 			x->settled_revision = msg->primaries->revision;
@@ -937,6 +942,44 @@
 }
 END_TEST
 
+static bool has_permit(struct fixture *x)
+{
+	return x->permit_until_us > pw_clock_now_us();
+}
+
+static void mark_group_planned(struct pw_primaries *p)
+{
+	pw_primaries_mark(p, GROUP, "vm9", true);
+}
+
+static bool has_permit_for_marked_record(struct fixture *x)
+{
+	return x->is_marked && x->permit_until_us > x->marked_until_us;
+}
+
+/* Guards against commits at a former primary by a VM whose new lease the leader does not know. */
+START_TEST(test_new_lease_does_not_extend_drain)
+{
+	uint64_t permit_until_us;
+	struct fixture x;
+	bool had_permit, limited;
+
+	setup(&x);
+	start(&x, false);
+	had_permit = wait_for(&x, has_permit, 3000);
+	x.has_watch = false;
+	edit_record(&x, mark_group_planned);
+	x.loses_own_lease = true;
+	permit_until_us = x.permit_until_us;
+	limited = wait_for(&x, has_permit_for_marked_record, 3000);
+	teardown(&x);
+	pw_primaries_unref(x.record);
+	ck_assert(had_permit);
+	ck_assert_msg(limited && x.marked_until_us <= permit_until_us,
+		      "the permit of the new lease covers the group that is being changed");
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("cluster");
@@ -946,6 +989,7 @@
 	tcase_add_loop_test(tc, test_primary_is_written_under_own_mark_only, 0,
 			    PW_ARRAY_LEN(conflict_cases));
 	tcase_add_test(tc, test_second_takeover_waits_for_the_first);
+	tcase_add_test(tc, test_new_lease_does_not_extend_drain);
 	tcase_add_loop_test(tc, test_claim_is_repeated_for_same_primary_only, 0,
 			    PW_ARRAY_LEN(claim_cases));
 	tcase_add_loop_test(tc, test_lost_answer_to_new_primary, 0,
