Log the writes of the primaries record that a change makes

record_write_sent names the holder and token of the record that is replaced, record_write_done the result.

--- a/core/include/pw/core/event.h
+++ b/core/include/pw/core/event.h
@@ -54,6 +54,8 @@
 	X(TERM_CHANGED, 4013, G_LOG_LEVEL_MESSAGE, "term_changed")            \
 	X(PROMOTE_ORDERED, 4014, G_LOG_LEVEL_MESSAGE, "promote_ordered")      \
 	X(PROMOTE_ANSWERED, 4015, G_LOG_LEVEL_MESSAGE, "promote_answered")    \
+	X(RECORD_WRITE_SENT, 4016, G_LOG_LEVEL_INFO, "record_write_sent")     \
+	X(RECORD_WRITE_DONE, 4017, G_LOG_LEVEL_INFO, "record_write_done")     \
 	X(SERVER_GONE, 4020, G_LOG_LEVEL_WARNING, "server_gone")              \
 	X(REQUEST_REFUSED, 4030, G_LOG_LEVEL_INFO, "request_refused")         \
 	X(REQUEST_RETRIED, 4031, G_LOG_LEVEL_INFO, "request_retried")         \
--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -169,6 +169,21 @@
 	return NULL;
 }
 
+/* Name of a write of the record for the log, or NULL if calls with this tag do not write it. */
+static const char *record_write_name(uint64_t tag)
+{
+	switch (tag) {
+	case TAG_CLAIM:
+		return "claim";
+	case TAG_RECORD_PRIMARY:
+		return "primary";
+	case TAG_CLEAR_MARK:
+		return "clear";
+	default:
+		return NULL;
+	}
+}
+
 /*
  * Replaces the primaries record if the store still has the revision that this VM knows
  * (compare-and-swap). Frees `record`.
@@ -197,6 +212,11 @@
 
 	cluster_send_to_store(c, pw_store_txn_msg_new(c->task.inbox, change_tag(ch, tag),
 						      PW_STORE_CALL_TIMEOUT_US, &txn));
+	pw_event_log(PW_EVENT_RECORD_WRITE_SENT,
+		     "database=%s term=%" PRIu64 " write=%s revision=%" PRId64
+		     " holder=%s token=%" PRIu64,
+		     ch->group, ch->fencing_token, record_write_name(tag), c->primaries->revision,
+		     c->primaries->holder ? c->primaries->holder : "", c->primaries->fencing_token);
 	g_free(text);
 	pw_primaries_unref(record);
 }
@@ -647,7 +667,12 @@
 void change_handle_result(struct cluster *c, uint64_t tag, struct pw_store_result *r)
 {
 	struct change *ch = find_change(c, tag);
+	const char *write_name = record_write_name(tag & TAG_MASK);
 
+	/* A change ends without waiting for the result of "clear". */
+	if (write_name)
+		pw_event_log(PW_EVENT_RECORD_WRITE_DONE, "write=%s code=%d revision=%" PRId64,
+			     write_name, r->code, r->revision);
 	if (!ch || ch->ended)
 		return;
 	switch (tag & TAG_MASK) {
