Members: the list is read in pages, and known only when complete

The reads of the member list took the first page for the whole list. With more members, the VM that changes a primary did not wait for the rest, whose permits to use the former primary still held; and the members of later pages stayed unknown, or were removed with what this VM knew of them unless they sent pulses. So this VM needed no promise of them before it used the primaries without the store.

Both reads now go on with the key after the last one. If a page of the periodic read fails, no member is removed; a change reads the page again.

--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -3,7 +3,8 @@
  *
  *   CLAIM         mark the group as changing in the primaries record, with this VM as the holder
  *                 and a new fencing token
- *   LIST_MEMBERS  read the members, any of which may hold a permit to use the current primary
+ *   LIST_MEMBERS  read all members, page by page, since any may hold a permit to use the current
+ *                 primary
  *   QUIESCE       wait until each member has confirmed the mark; revoke the leases of those that
  *                 do not confirm it, and wait until their permits have expired
  *   SELECT        query the servers for their log positions until one can be promoted
@@ -80,7 +81,8 @@
 	uint64_t phase_entered_us;
 	int64_t marked_revision; /**< revision of the primaries record that carries the mark */
 	uint64_t fencing_token;
-	GArray *leases;             /**< struct lease, of all other members */
+	GArray *leases;        /**< struct lease, of all other members on the pages read so far */
+	char *last_member_key; /**< last key of these pages; NULL: none was read */
 	uint64_t leases_revoked_us; /**< when the last necessary revocation was done; 0: not yet */
 	GPtrArray *entries;         /**< struct pw_server_entry, servers of the group */
 	GArray *servers;            /**< struct pw_change_server, parallel to `entries` */
@@ -132,6 +134,7 @@
 	struct change *ch = data;
 
 	g_array_unref(ch->leases);
+	g_free(ch->last_member_key);
 	for (guint i = 0; i < ch->entries->len; i++)
 		pw_server_entry_free(g_ptr_array_index(ch->entries, i));
 	g_ptr_array_unref(ch->entries);
@@ -290,9 +293,14 @@
 	cluster_apply_primaries(c, record);
 }
 
+/* Reads the next page of the member list. */
 static void request_members(struct change *ch)
 {
-	const struct pw_store_range req = { .key = ch->cluster->members_prefix, .prefix = true };
+	const struct pw_store_range req = {
+		.key = ch->cluster->members_prefix,
+		.prefix = true,
+		.after_key = ch->last_member_key,
+	};
 
 	enter_phase(ch, PHASE_LIST_MEMBERS);
 	cluster_send_to_store(ch->cluster,
@@ -355,6 +363,14 @@
 		l.member = g_strdup(m->name);
 		g_array_append_val(ch->leases, l);
 	}
+	if (r->has_more) {
+		if (r->kv_count) {
+			g_free(ch->last_member_key);
+			ch->last_member_key = g_strdup(r->kvs[r->kv_count - 1].key);
+		}
+		request_members(ch);
+		return;
+	}
 	enter_phase(ch, PHASE_QUIESCE);
 }
 
--- a/daemon/control/cluster_member.c
+++ b/daemon/control/cluster_member.c
@@ -27,14 +27,39 @@
 							PW_STORE_CALL_TIMEOUT_US, &req));
 }
 
-static void request_members(struct cluster *c)
+static void request_members_page(struct cluster *c)
 {
-	const struct pw_store_range req = { .key = c->members_prefix, .prefix = true };
+	const struct pw_store_range req = {
+		.key = c->members_prefix,
+		.prefix = true,
+		.after_key = c->last_member_key,
+	};
 
 	cluster_send_to_store(c, pw_store_range_msg_new(c->task.inbox, TAG_MEMBERS_READ,
 							PW_STORE_CALL_TIMEOUT_US, &req));
 }
 
+/* Starts a read of all members, page by page, unless one is in progress. */
+static void request_members(struct cluster *c)
+{
+	GHashTableIter it;
+	gpointer item;
+
+	if (c->members_read_pending)
+		return;
+	c->members_read_pending = true;
+	g_hash_table_iter_init(&it, c->members);
+	while (g_hash_table_iter_next(&it, NULL, &item))
+		((struct member *)item)->listed = false;
+	request_members_page(c);
+}
+
+static void end_members_read(struct cluster *c)
+{
+	c->members_read_pending = false;
+	g_clear_pointer(&c->last_member_key, g_free);
+}
+
 /* Starts over with a new lease, under which the member is then registered. */
 static void request_lease(struct cluster *c)
 {
@@ -265,19 +290,12 @@
 	return m;
 }
 
-static void handle_members_result(struct cluster *c, const struct pw_store_result *base)
+/* Removes the members that are not on the list, except those that still send pulses. */
+static void remove_unlisted_members(struct cluster *c)
 {
-	const struct pw_store_range_result *r = (const struct pw_store_range_result *)base;
 	GHashTableIter it;
 	gpointer item;
 
-	if (base->code)
-		return;
-	g_hash_table_iter_init(&it, c->members);
-	while (g_hash_table_iter_next(&it, NULL, &item))
-		((struct member *)item)->listed = false;
-	for (size_t i = 0; i < r->kv_count; i++)
-		(void)member_add_listed(c, &r->kvs[i]);
 	g_hash_table_iter_init(&it, c->members);
 	while (g_hash_table_iter_next(&it, NULL, &item)) {
 		struct member *m = item;
@@ -288,6 +306,30 @@
 			g_hash_table_iter_remove(&it);
 		}
 	}
+}
+
+/*
+ * Handles a page of the member list. If one cannot be read, the list is incomplete, so no member is
+ * removed, and the next read starts at the first page.
+ */
+static void handle_members_result(struct cluster *c, const struct pw_store_result *base)
+{
+	const struct pw_store_range_result *r = (const struct pw_store_range_result *)base;
+
+	if (base->code || (r->has_more && !r->kv_count)) {
+		end_members_read(c);
+		return;
+	}
+	for (size_t i = 0; i < r->kv_count; i++)
+		(void)member_add_listed(c, &r->kvs[i]);
+	if (r->has_more) {
+		g_free(c->last_member_key);
+		c->last_member_key = g_strdup(r->kvs[r->kv_count - 1].key);
+		request_members_page(c);
+		return;
+	}
+	end_members_read(c);
+	remove_unlisted_members(c);
 	pulse_broadcast(c);
 }
 
@@ -432,6 +474,7 @@
 {
 	pw_loop_timer_clear(c->task.loop, &c->permit_timer);
 	pw_loop_timer_clear(c->task.loop, &c->member_list_timer);
+	g_free(c->last_member_key);
 	g_free(c->members_prefix);
 	g_free(c->own_member_key);
 	g_free(c->primaries_key);
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -111,7 +111,7 @@
 	char *name;
 	struct pw_address address;
 	bool has_address;
-	bool listed; /**< its entry was in the last read of all members */
+	bool listed; /**< its entry was found since the last read of all members began */
 	bool leaving;
 	bool needs_permit;      /**< it cannot renew its permit at the store */
 	uint64_t incarnation;   /**< identifies the process that sent its last pulse; 0: none */
@@ -175,6 +175,8 @@
 	uint64_t own_promise_until_us; /**< this VM has promised to claim no change until then */
 	struct pw_timer permit_timer;  /**< next step towards a permit, or next renewal */
 	struct pw_timer member_list_timer; /**< next read of all members */
+	bool members_read_pending;         /**< a read of all members is in progress */
+	char *last_member_key; /**< last key of the pages of this read; NULL: none was read */
 
 	/* Pulses. */
 	struct pw_source socket_source;
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -101,8 +101,9 @@
 	bool has_watch;
 	uint32_t page_items_max;    /* 0: no limit */
 	uint32_t failed_page_reads; /* number of reads of later pages that are still to fail */
-	bool holds_revocations;     /* revocations of members' leases are not answered */
-	bool loses_own_lease;       /* the next renewal is answered with "not found" */
+	enum cluster_tag failed_page_tag;
+	bool holds_revocations; /* revocations of members' leases are not answered */
+	bool loses_own_lease;   /* the next renewal is answered with "not found" */
 	enum record_answer record_answer;
 	edit_fn edit; /* change by another VM just before the next write with `edit_tag` */
 	enum cluster_tag edit_tag;
@@ -385,7 +386,7 @@
 	struct pw_store_result *r = pw_store_result_new(PW_STORE_RANGE, PW_OK, NULL);
 	struct pw_store_range_result *range = (struct pw_store_range_result *)r;
 
-	if (is_later_page && x->failed_page_reads) {
+	if (is_later_page && x->failed_page_reads && (tag & 0xff) == x->failed_page_tag) {
 		x->failed_page_reads--;
 		pw_store_result_free(r);
 		send_result(x, tag, pw_store_result_new(PW_STORE_RANGE, PW_ETIMEOUT, "no answer"));
@@ -913,6 +914,107 @@
 }
 END_TEST
 
+static const struct {
+	const char *label;
+	uint32_t page_items_max;
+	uint32_t failed_page_reads;
+	uint32_t unconfirmed; /* index of the member that does not confirm the mark */
+} wait_cases[] = {
+	{ "no wait for a member on the only page", 0, 0, 3 },
+	{ "no wait for a member on the first page", 2, 0, 0 },
+	{ "no wait for a member on the last page", 2, 0, 3 },
+	{ "no wait for a member on a page that was read again", 2, 1, 3 },
+	{ "no wait for a member on one of many pages", 1, 1, 2 },
+};
+
+static bool has_revoked_or_promoted(struct fixture *x)
+{
+	return x->revoked_members || x->promote_count;
+}
+
+/* Fails if a server is promoted while some member of the list may still use the former primary. */
+START_TEST(test_change_waits_for_all_listed_members)
+{
+	struct fixture x;
+	bool waited;
+
+	setup(&x);
+	for (uint32_t i = 0; i < MEMBER_COUNT; i++) {
+		x.members[i].listed = true;
+		x.members[i].is_silent = false;
+		x.members[i].confirms = i != wait_cases[_i].unconfirmed;
+	}
+	x.page_items_max = wait_cases[_i].page_items_max;
+	x.failed_page_reads = wait_cases[_i].failed_page_reads;
+	x.failed_page_tag = TAG_CHANGE_MEMBERS;
+	x.holds_revocations = true;
+	start(&x, true);
+	waited = wait_for(&x, has_revoked_or_promoted, 6000);
+	wait_for(&x, never, 300);
+	teardown(&x);
+	ck_assert_msg(waited && !x.promote_count &&
+			      x.revoked_members == UINT32_C(1) << wait_cases[_i].unconfirmed,
+		      "members: %s; %u promotions, revoked leases 0x%x", wait_cases[_i].label,
+		      x.promote_count, x.revoked_members);
+	ck_assert_uint_eq(x.failed_page_reads, 0);
+	pw_primaries_unref(x.record);
+}
+END_TEST
+
+static const struct {
+	const char *label;
+	uint32_t page_items_max[2]; /* in the first and the second read of the list */
+	uint32_t failed_page_reads; /* in the second read */
+	uint32_t gone_count;        /* members that are gone before the second read */
+	uint32_t removed_count;
+} list_cases[] = {
+	{ "members on later pages stay unknown", { 2, 2 }, 0, 0, 0 },
+	{ "members on later pages are removed", { 0, 2 }, 0, 0, 0 },
+	{ "members on a page that could not be read are removed", { 0, 2 }, 1, 0, 0 },
+	{ "member that is gone is kept", { 0, 2 }, 0, 1, 1 },
+	{ "member is removed though a page could not be read", { 0, 2 }, 1, 1, 0 },
+};
+
+static bool knows_all_members(struct fixture *x)
+{
+	return x->member_count == 1 + MEMBER_COUNT;
+}
+
+/* Fails if members that send no pulses are forgotten though their entries exist, or kept without.
+ */
+START_TEST(test_member_list_is_read_in_pages)
+{
+	uint32_t removed_count = list_cases[_i].removed_count;
+	bool known, has_relisted;
+	struct fixture x;
+
+	setup(&x);
+	for (uint32_t i = 0; i < MEMBER_COUNT; i++)
+		x.members[i].listed = true;
+	x.page_items_max = list_cases[_i].page_items_max[0];
+	start(&x, false);
+	known = wait_for(&x, knows_all_members, 2000);
+	/* The VM reads the list again when it registers under a new lease. */
+	x.list_count = 0;
+	x.page_items_max = list_cases[_i].page_items_max[1];
+	x.failed_page_reads = list_cases[_i].failed_page_reads;
+	x.failed_page_tag = TAG_MEMBERS_READ;
+	for (uint32_t i = 0; i < list_cases[_i].gone_count; i++)
+		x.members[MEMBER_COUNT - 1 - i].listed = false;
+	x.min_member_count = UINT32_MAX;
+	x.loses_own_lease = true;
+	wait_for(&x, never, 2000);
+	has_relisted = x.list_count > 0;
+	teardown(&x);
+	ck_assert_msg(known && has_relisted &&
+			      x.min_member_count == 1 + MEMBER_COUNT - removed_count,
+		      "list: %s; all known %d, %u pages read, then %u VMs", list_cases[_i].label,
+		      known, x.list_count, x.min_member_count);
+	ck_assert_uint_eq(x.failed_page_reads, 0);
+	pw_primaries_unref(x.record);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("cluster");
@@ -925,5 +1027,8 @@
 			    PW_ARRAY_LEN(claim_cases));
 	tcase_add_loop_test(tc, test_lost_answer_to_new_primary, 0,
 			    PW_ARRAY_LEN(lost_answer_cases));
+	tcase_add_loop_test(tc, test_change_waits_for_all_listed_members, 0,
+			    PW_ARRAY_LEN(wait_cases));
+	tcase_add_loop_test(tc, test_member_list_is_read_in_pages, 0, PW_ARRAY_LEN(list_cases));
 	return pw_suite_run("cluster", tc);
 }
