Change of primary: one vote for each VM

Each gateway task of this VM had a vote on the loss of a primary, but each other VM had one. The tasks of a VM now have one vote together, with the rule that its pulses already follow: a task that has lost contact overrides those that have not.

--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -203,6 +203,26 @@
 	cluster_publish_primaries(c);
 }
 
+bool cluster_reaches_primary(const struct cluster *c, const struct pw_primary *primary,
+			     uint64_t *unreachable_since_us)
+{
+	uint64_t last_answer_us = 0, since_us = UINT64_MAX;
+
+	for (uint32_t i = 0; i < c->directory->gateway_count; i++) {
+		const struct pw_primary_reachability *reachability =
+			g_hash_table_lookup(c->gateways[i].reachability, primary->group);
+
+		if (!reachability || reachability->generation != primary->generation)
+			continue;
+		last_answer_us = MAX(last_answer_us, reachability->last_answer_us);
+		if (reachability->unreachable_since_us)
+			since_us = MIN(since_us, reachability->unreachable_since_us);
+	}
+	*unreachable_since_us = since_us == UINT64_MAX ? 0 : since_us;
+	return !*unreachable_since_us && last_answer_us &&
+	       cluster_now_us(c) - last_answer_us < PW_CHANGE_LOST_AFTER_US;
+}
+
 int64_t cluster_settled_revision(const struct cluster *c)
 {
 	int64_t settled_revision = c->primaries ? c->primaries->revision : 0;
--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -774,32 +774,20 @@
 }
 
 /*
- * Counts the gateway tasks of this VM and the other live members that reach the primary of a group,
- * and those that do not. Each gateway task of this VM has a vote; a live member has one vote at
- * most, whatever the number of its gateway tasks.
+ * Counts the live VMs, this one included, that reach the primary of a group, and those that do not.
+ * A VM has one vote at most, whatever the number of its gateway tasks.
  */
 static void count_votes(const struct cluster *c, const struct pw_primary *primary,
 			struct pw_change_view *v)
 {
-	uint64_t now_us = cluster_now_us(c), longest_outage_us = 0;
+	uint64_t now_us = cluster_now_us(c), longest_outage_us = 0, since_us;
 	GHashTableIter it;
 	gpointer item;
 
-	for (uint32_t k = 0; k < c->directory->gateway_count; k++) {
-		const struct pw_primary_reachability *reachability =
-			g_hash_table_lookup(c->gateways[k].reachability, primary->group);
-
-		if (!reachability || reachability->generation != primary->generation)
-			continue;
-		if (reachability->unreachable_since_us) {
-			v->lost_vote_count++;
-			longest_outage_us =
-				MAX(longest_outage_us,
-				    now_us - MIN(reachability->unreachable_since_us, now_us));
-		} else if (reachability->last_answer_us &&
-			   now_us - reachability->last_answer_us < PW_CHANGE_LOST_AFTER_US) {
-			v->reached_vote_count++;
-		}
+	v->reached_vote_count += cluster_reaches_primary(c, primary, &since_us);
+	if (since_us) {
+		v->lost_vote_count++;
+		longest_outage_us = now_us - MIN(since_us, now_us);
 	}
 	g_hash_table_iter_init(&it, c->members);
 	while (g_hash_table_iter_next(&it, NULL, &item)) {
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -233,6 +233,15 @@
 uint64_t cluster_record_since_us(const struct cluster *c, const char *group);
 /** @return revision of the newest primaries record that all gateways of this VM have settled */
 int64_t cluster_settled_revision(const struct cluster *c);
+/**
+ * Combines what the gateways of this VM know about the reachability of a group's primary. A gateway
+ * that has lost contact with it overrides gateways that reach it.
+ *
+ * @param unreachable_since_us receives since when contact is lost; 0: it is not
+ * @return whether the primary answered recently and no gateway has lost contact with it
+ */
+bool cluster_reaches_primary(const struct cluster *c, const struct pw_primary *primary,
+			     uint64_t *unreachable_since_us);
 /**
  * @return revision of the newest primaries record that this VM has confirmed; 0 for the first
  *         PW_PERMIT_DURATION_US, while permits that an earlier process of this VM has delegated
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -55,10 +55,6 @@
 		       PULSE_LIVE_INTERVAL_COUNT * pulse_member_interval_us(c);
 }
 
-/*
- * Adds the reachability of each group's primary. A gateway that has lost contact with the primary
- * overrides gateways that reach it.
- */
 static void add_groups(const struct cluster *c, struct pw_pulse *p)
 {
 	uint64_t now_us = cluster_now_us(c);
@@ -67,24 +63,12 @@
 		return;
 	for (guint i = 0; i < c->primaries->entries->len; i++) {
 		const struct pw_primary *primary = g_ptr_array_index(c->primaries->entries, i);
-		uint64_t unreachable_us = 0, last_answer_us = 0;
-
-		for (uint32_t k = 0; k < c->directory->gateway_count; k++) {
-			const struct pw_primary_reachability *reachability =
-				g_hash_table_lookup(c->gateways[k].reachability, primary->group);
-
-			if (!reachability || reachability->generation != primary->generation)
-				continue;
-			last_answer_us = MAX(last_answer_us, reachability->last_answer_us);
-			if (reachability->unreachable_since_us)
-				unreachable_us = MAX(
-					unreachable_us,
-					now_us - MIN(reachability->unreachable_since_us, now_us));
-		}
+		uint64_t since_us;
+		bool is_reachable = cluster_reaches_primary(c, primary, &since_us);
+		uint64_t unreachable_us = since_us ? now_us - MIN(since_us, now_us) : 0;
+
 		pw_pulse_add_group(p, primary->group, primary->generation,
-				   (uint32_t)(unreachable_us / PW_US_PER_MS),
-				   !unreachable_us && last_answer_us &&
-					   now_us - last_answer_us < PW_CHANGE_LOST_AFTER_US);
+				   (uint32_t)(unreachable_us / PW_US_PER_MS), is_reachable);
 	}
 }
 
--- a/decide/include/pw/decide/change.h
+++ b/decide/include/pw/decide/change.h
@@ -61,10 +61,7 @@
 	bool changing;             /**< the primary record says that a change is in progress */
 	uint64_t record_since_us;  /**< when this VM learned of the current record */
 	uint64_t demoted_since_us; /**< since when `demoted` is true; 0: it is not */
-	/**
-	 * Votes that the primary cannot be reached: at most one from each other live VM, and one
-	 * from each gateway task of this VM.
-	 */
+	/** Votes that the primary cannot be reached; each live VM has one at most. */
 	uint32_t lost_vote_count;
 	uint32_t reached_vote_count; /**< votes that it was reached recently, counted likewise */
 	uint32_t live_count;         /**< number of live VMs, this one included */
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -1015,6 +1015,57 @@
 }
 END_TEST
 
+static const struct {
+	const char *label;
+	enum gateway_view views[GATEWAY_COUNT];
+	uint32_t unreachable_ms[2]; /* at the two other live VMs; 0: not in their pulses */
+	bool claimed;
+} vote_cases[] = {
+	{ "VM with two gateway tasks replaces a primary alone",
+	  { VIEW_LOST, VIEW_LOST },
+	  { 0, 0 },
+	  false },
+	{ "VM with two gateway tasks keeps a primary that two others have lost",
+	  { VIEW_REACHED, VIEW_REACHED },
+	  { 2000, 2000 },
+	  true },
+	{ "gateway task that reaches the primary outvotes one that does not",
+	  { VIEW_LOST, VIEW_REACHED },
+	  { 2000, 0 },
+	  true },
+	{ "primary that only one other VM has lost is replaced",
+	  { VIEW_REACHED, VIEW_NONE },
+	  { 2000, 0 },
+	  false },
+};
+
+static bool has_claimed(struct fixture *x)
+{
+	return x->claim_count > 0;
+}
+
+/* Fails if the gateway tasks of one VM have more than one vote on the loss of a primary. */
+START_TEST(test_one_vote_per_vm)
+{
+	struct fixture x;
+	bool claimed;
+
+	setup(&x);
+	for (uint32_t i = 0; i < PW_ARRAY_LEN(vote_cases[_i].unreachable_ms); i++) {
+		x.members[i].is_silent = false;
+		x.members[i].unreachable_ms = vote_cases[_i].unreachable_ms[i];
+	}
+	memcpy(x.views, vote_cases[_i].views, sizeof(x.views));
+	x.lost_since_us = pw_clock_now_us();
+	start(&x, false);
+	claimed = wait_for(&x, has_claimed, 4000);
+	teardown(&x);
+	ck_assert_msg(claimed == vote_cases[_i].claimed, "votes: %s; claimed %d",
+		      vote_cases[_i].label, claimed);
+	pw_primaries_unref(x.record);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("cluster");
@@ -1030,5 +1081,6 @@
 	tcase_add_loop_test(tc, test_change_waits_for_all_listed_members, 0,
 			    PW_ARRAY_LEN(wait_cases));
 	tcase_add_loop_test(tc, test_member_list_is_read_in_pages, 0, PW_ARRAY_LEN(list_cases));
+	tcase_add_loop_test(tc, test_one_vote_per_vm, 0, PW_ARRAY_LEN(vote_cases));
 	return pw_suite_run("cluster", tc);
 }
