--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -3,7 +3,8 @@
  *
  *   CLAIM         mark the group as changing in the primaries record, with this VM as the holder
  *                 and a new fencing token
- *   LIST_MEMBERS  read the members, any of which may hold a permit to use the current primary
+ *   LIST_MEMBERS  read all members, page by page, since any may hold a permit to use the current
+ *                 primary
  *   QUIESCE       wait until each member has confirmed the mark; revoke the leases of those that
  *                 do not confirm it, and wait until their permits have expired
  *   SELECT        query the servers for their log positions until one can be promoted
@@ -80,7 +81,8 @@
 	uint64_t phase_entered_us;
 	int64_t marked_revision; /**< revision of the primaries record that carries the mark */
 	uint64_t fencing_token;
-	GArray *leases;             /**< struct lease, of all other members */
+	GArray *leases;        /**< struct lease, of all other members on the pages read so far */
+	char *last_member_key; /**< last key of these pages; NULL: none was read */
 	uint64_t leases_revoked_us; /**< when the last necessary revocation was done; 0: not yet */
 	GPtrArray *entries;         /**< struct pw_server_entry, servers of the group */
 	GArray *servers;            /**< struct pw_change_server, parallel to `entries` */
@@ -134,6 +136,7 @@
 	struct change *ch = data;
 
 	g_array_unref(ch->leases);
+	g_free(ch->last_member_key);
 	for (guint i = 0; i < ch->entries->len; i++)
 		pw_server_entry_free(g_ptr_array_index(ch->entries, i));
 	g_ptr_array_unref(ch->entries);
@@ -314,9 +317,14 @@
 	cluster_apply_primaries(c, record);
 }
 
+/* Reads the next page of the member list. */
 static void request_members(struct change *ch)
 {
-	const struct pw_store_range req = { .key = ch->cluster->members_prefix, .prefix = true };
+	const struct pw_store_range req = {
+		.key = ch->cluster->members_prefix,
+		.prefix = true,
+		.after_key = ch->last_member_key,
+	};
 
 	enter_phase(ch, PHASE_LIST_MEMBERS);
 	cluster_send_to_store(ch->cluster,
@@ -379,6 +387,14 @@
 		l.member = g_strdup(m->name);
 		g_array_append_val(ch->leases, l);
 	}
+	if (r->has_more) {
+		if (r->kv_count) {
+			g_free(ch->last_member_key);
+			ch->last_member_key = g_strdup(r->kvs[r->kv_count - 1].key);
+		}
+		request_members(ch);
+		return;
+	}
 	enter_phase(ch, PHASE_QUIESCE);
 }
 
@@ -799,32 +815,20 @@
 }
 
 /*
- * Counts the gateway tasks of this VM and the other live members that reach the primary of a group,
- * and those that do not. Each gateway task of this VM has a vote; a live member has one vote at
- * most, whatever the number of its gateway tasks.
+ * Counts the live VMs, this one included, that reach the primary of a group, and those that do not.
+ * A VM has one vote at most, whatever the number of its gateway tasks.
  */
 static void count_votes(const struct cluster *c, const struct pw_primary *primary,
 			struct pw_change_view *v)
 {
-	uint64_t now_us = cluster_now_us(c), longest_outage_us = 0;
+	uint64_t now_us = cluster_now_us(c), longest_outage_us = 0, since_us;
 	GHashTableIter it;
 	gpointer item;
 
-	for (uint32_t k = 0; k < c->directory->gateway_count; k++) {
-		const struct pw_primary_reachability *reachability =
-			g_hash_table_lookup(c->gateways[k].reachability, primary->group);
-
-		if (!reachability || reachability->generation != primary->generation)
-			continue;
-		if (reachability->unreachable_since_us) {
-			v->lost_vote_count++;
-			longest_outage_us =
-				MAX(longest_outage_us,
-				    now_us - MIN(reachability->unreachable_since_us, now_us));
-		} else if (reachability->last_answer_us &&
-			   now_us - reachability->last_answer_us < PW_CHANGE_LOST_AFTER_US) {
-			v->reached_vote_count++;
-		}
+	v->reached_vote_count += cluster_reaches_primary(c, primary, &since_us);
+	if (since_us) {
+		v->lost_vote_count++;
+		longest_outage_us = now_us - MIN(since_us, now_us);
 	}
 	g_hash_table_iter_init(&it, c->members);
 	while (g_hash_table_iter_next(&it, NULL, &item)) {
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -111,7 +111,7 @@
 	char *name;
 	struct pw_address address;
 	bool has_address;
-	bool listed; /**< its entry was in the last read of all members */
+	bool listed; /**< its entry was found since the last read of all members began */
 	bool leaving;
 	bool needs_permit;      /**< it cannot renew its permit at the store */
 	uint64_t incarnation;   /**< identifies the process that sent its last pulse; 0: none */
@@ -178,6 +178,8 @@
 	uint64_t own_promise_until_us; /**< this VM has promised to claim no change until then */
 	struct pw_timer permit_timer;  /**< next step towards a permit, or next renewal */
 	struct pw_timer member_list_timer; /**< next read of all members */
+	bool members_read_pending;         /**< a read of all members is in progress */
+	char *last_member_key; /**< last key of the pages of this read; NULL: none was read */
 
 	/* Pulses. */
 	struct pw_source socket_source;
@@ -235,6 +237,15 @@
 uint64_t cluster_record_since_us(const struct cluster *c, const char *group);
 /** @return revision of the newest primaries record that all gateways of this VM have settled */
 int64_t cluster_settled_revision(const struct cluster *c);
+/**
+ * Combines what the gateways of this VM know about the reachability of a group's primary. A gateway
+ * that has lost contact with it overrides gateways that reach it.
+ *
+ * @param unreachable_since_us receives since when contact is lost; 0: it is not
+ * @return whether the primary answered recently and no gateway has lost contact with it
+ */
+bool cluster_reaches_primary(const struct cluster *c, const struct pw_primary *primary,
+			     uint64_t *unreachable_since_us);
 /**
  * @return revision of the newest primaries record that this VM has confirmed; 0 for the first
  *         PW_PERMIT_DURATION_US, while permits that an earlier process of this VM has delegated
