Membership: a registration that is carried out late does not replace the next one

Cause: the store may carry out a write whose answer was lost seconds later, if its condition still holds, and the registration had none. A VM whose first registration had no answer registered again under a new lease; the late write then tied its entry to the first lease, which nobody renews. The entry went with that lease while the VM renewed its permit with the other one.

Evidence, before: test_cluster, 'the entry has lease 1, the permit lease 2' in both cases.

Why this works: the registration is conditional on the revision of the entry that it replaces, read from the conflict, so that at most one of two registrations takes effect, and the last one that was answered is in force. Looked for elsewhere: all other writes of the fleet compare a revision; lease calls are bound to one lease.

--- a/daemon/control/cluster_member.c
+++ b/daemon/control/cluster_member.c
@@ -65,6 +65,7 @@
 {
 	c->lease_id = 0;
 	c->lease_is_new = true;
+	c->entry_revision = 0;
 	c->registered = false;
 	c->primaries_current = false;
 	cluster_send_to_store(c, pw_store_lease_grant_msg_new(c->task.inbox, TAG_LEASE_GRANT,
@@ -89,7 +90,21 @@
 		.size_bytes = strlen(text),
 		.lease_id = c->lease_id,
 	};
-	const struct pw_store_txn txn = { .changes = &put, .change_count = 1 };
+	/*
+	 * The store may carry out a write whose answer was lost seconds later. The condition keeps
+	 * it from tying the entry to an earlier lease again.
+	 */
+	const struct pw_store_compare compare = {
+		.key = c->own_member_key,
+		.target = PW_STORE_MOD_REVISION,
+		.revision = c->entry_revision,
+	};
+	const struct pw_store_txn txn = {
+		.compares = &compare,
+		.compare_count = 1,
+		.changes = &put,
+		.change_count = 1,
+	};
 
 	cluster_send_to_store(c, pw_store_txn_msg_new(c->task.inbox, TAG_REGISTER,
 						      PW_STORE_CALL_TIMEOUT_US, &txn));
@@ -166,6 +181,14 @@
 
 static void handle_register_result(struct cluster *c, const struct pw_store_result *base)
 {
+	const struct pw_store_txn_result *r = (const struct pw_store_txn_result *)base;
+
+	if (base->code == PW_ECONFLICT && r->kv_count) {
+		/* The entry is that of an earlier lease or process, or it is gone. */
+		c->entry_revision = r->kvs[0].mod_revision;
+		register_member(c);
+		return;
+	}
 	if (base->code) {
 		/* The lease may have expired, so the next attempt starts with a new one. */
 		c->lease_id = 0;
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -159,6 +159,8 @@
 	uint64_t incarnation;   /**< random number that identifies this process of the VM */
 	int64_t lease_id;       /**< lease of this VM's entry; 0: none */
 	bool registered;        /**< the entry was written with the lease */
+	int64_t entry_revision; /**< revision of the entry that the registration replaces; 0: none
+				 */
 	bool primaries_current; /**< the record was read after registration; its watch is intact */
 	bool renewal_pending;   /**< a renewal is in flight */
 	bool renewal_ok;        /**< the last renewal of the permit succeeded */
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -106,6 +106,12 @@
 	enum cluster_tag failed_page_tag;
 	bool holds_revocations; /* revocations of members' leases are not answered */
 	bool loses_own_lease;   /* the next renewal is answered with "not found" */
+	int64_t own_lease_id;   /* last lease that was granted */
+	/* Entry of the VM under test, and a registration that is carried out after the next one. */
+	int64_t entry_revision, entry_lease_id;
+	bool delays_registration, has_late_registration;
+	int64_t late_compare_revision, late_lease_id;
+	uint32_t registration_count; /* that were answered with success */
 	enum record_answer record_answer;
 	edit_fn edit; /* change by another VM just before the next write with `edit_tag` */
 	enum cluster_tag edit_tag;
@@ -475,13 +481,49 @@
 	send_result(x, tag, r);
 }
 
+static bool write_entry(struct fixture *x, int64_t compare_revision, int64_t lease_id)
+{
+	if (compare_revision != x->entry_revision)
+		return false;
+	x->entry_revision = ++x->record->revision;
+	x->entry_lease_id = lease_id;
+	return true;
+}
+
+static void run_registration(struct fixture *x, uint64_t tag, const struct pw_store_txn *req)
+{
+	/* Without a condition the write always takes effect. */
+	int64_t revision = req->compare_count ? req->compares[0].revision : x->entry_revision;
+	struct pw_store_result *r = pw_store_result_new(PW_STORE_TXN, PW_OK, NULL);
+	struct pw_store_txn_result *txn = (struct pw_store_txn_result *)r;
+
+	if (x->delays_registration) {
+		x->delays_registration = false;
+		x->has_late_registration = true;
+		x->late_compare_revision = req->compare_count ? revision : -1;
+		x->late_lease_id = req->changes[0].lease_id;
+		r->code = PW_ETIMEOUT;
+	} else if (write_entry(x, revision, req->changes[0].lease_id)) {
+		r->revision = x->entry_revision;
+		x->registration_count++;
+	} else {
+		r->code = PW_ECONFLICT;
+		txn->kvs = g_new0(struct pw_store_kv, 1);
+		txn->kvs[0].mod_revision = x->entry_revision;
+		txn->kv_count = 1;
+	}
+	send_result(x, tag, r);
+}
+
 static void run_lease_call(struct fixture *x, const struct pw_store_lease_msg *req,
 			   enum pw_store_kind kind)
 {
 	struct pw_store_result *r = pw_store_result_new(kind, PW_OK, NULL);
 	struct pw_store_lease_result *lease = (struct pw_store_lease_result *)r;
 
-	lease->lease_id = 1;
+	if (kind == PW_STORE_LEASE_GRANT)
+		x->own_lease_id++;
+	lease->lease_id = x->own_lease_id;
 	lease->ttl_us = req->ttl_us;
 	if (kind == PW_STORE_LEASE_KEEP_ALIVE && x->loses_own_lease) {
 		x->loses_own_lease = false;
@@ -508,7 +550,7 @@
 	if (!strcmp(kind, "store_range"))
 		run_range(x, req->tag, &((const struct pw_store_range_msg *)m)->range);
 	else if (!strcmp(kind, "store_txn") && req->tag == TAG_REGISTER)
-		send_result(x, req->tag, pw_store_result_new(PW_STORE_TXN, PW_OK, NULL));
+		run_registration(x, req->tag, &((const struct pw_store_txn_msg *)m)->txn);
 	else if (!strcmp(kind, "store_txn"))
 		run_record_write(x, req->tag, &((const struct pw_store_txn_msg *)m)->txn);
 	else if (!strcmp(kind, "store_lease_grant"))
@@ -1133,6 +1175,34 @@
 }
 END_TEST
 
+static bool has_registered(struct fixture *x)
+{
+	return x->registration_count > 0;
+}
+
+/* Guards against a VM with a permit but without an entry, for which no change of primary waits. */
+START_TEST(test_late_registration_keeps_current_lease)
+{
+	struct fixture x;
+	bool registered;
+
+	setup(&x);
+	x.delays_registration = true;
+	x.entry_revision = _i ? x.record->revision : 0; /* entry of an earlier process */
+	start(&x, false);
+	registered = wait_for(&x, has_registered, 3000);
+	if (x.late_compare_revision < 0)
+		x.late_compare_revision = x.entry_revision;
+	(void)write_entry(&x, x.late_compare_revision, x.late_lease_id);
+	teardown(&x);
+	pw_primaries_unref(x.record);
+	ck_assert(registered && x.has_late_registration);
+	ck_assert_msg(x.entry_lease_id == x.own_lease_id,
+		      "the entry has lease %" PRId64 ", the permit lease %" PRId64,
+		      x.entry_lease_id, x.own_lease_id);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("cluster");
@@ -1143,6 +1213,7 @@
 			    PW_ARRAY_LEN(conflict_cases));
 	tcase_add_test(tc, test_second_takeover_waits_for_the_first);
 	tcase_add_test(tc, test_new_lease_does_not_extend_drain);
+	tcase_add_loop_test(tc, test_late_registration_keeps_current_lease, 0, 2);
 	tcase_add_loop_test(tc, test_claim_is_repeated_for_same_primary_only, 0,
 			    PW_ARRAY_LEN(claim_cases));
 	tcase_add_loop_test(tc, test_lost_answer_to_new_primary, 0,
