Primaries: a stored record can be merged with what a VM knows from an earlier era

A store that was restored from a copy may lack changes of primary that were completed, and lack or still carry marks. pw_primaries_merge() compares by generation and fencing token instead of the store's revision, which goes back. The record says in which era it was written and up to which token of earlier eras it contains the changes. Tokens of an era start at the era shifted by 40 bits, so none of a lost era is given out again. A record without the new fields reads as one of era 0. Nothing calls this yet.

--- a/codec/include/pw/codec/primaries.h
+++ b/codec/include/pw/codec/primaries.h
@@ -24,8 +24,14 @@
 struct pw_primaries {
 	int64_t revision;       /**< store revision of the record; 0: not stored yet */
 	uint64_t fencing_token; /**< newest token; increases with every change of any primary */
-	char *holder;           /**< VM that recorded the newest change; NULL: none */
-	GPtrArray *entries;     /**< struct pw_primary */
+	uint32_t era;           /**< era of the store in which the record was written; 0: none */
+	/**
+	 * Newest token of earlier eras whose changes the record contains; 0: none. See
+	 * pw_primaries_merge().
+	 */
+	uint64_t restored_token;
+	char *holder;       /**< VM that recorded the newest change; NULL: none */
+	GPtrArray *entries; /**< struct pw_primary */
 };
 
 struct pw_primaries *pw_primaries_new(void);
@@ -40,6 +46,30 @@
 void pw_primaries_set(struct pw_primaries *p, const char *group, const char *server_id,
 		      uint64_t generation);
 
+/**
+ * Tokens of an era start at the era shifted by this. So they are above those of all earlier eras,
+ * which the restored copy may lack.
+ */
+#define PW_FENCING_TOKEN_ERA_SHIFT 40
+
+/** Makes a record one of the era: sets its era and raises its fencing token to the era's first. */
+void pw_primaries_set_era(struct pw_primaries *p, uint32_t era);
+
+/**
+ * Merges the record that the store has in a new era with one that a VM knows from an earlier era.
+ * The copy that the store was restored from may lack changes of primary that were completed, and
+ * lack or still carry marks. For each group the higher generation wins. With equal generations, the
+ * mark of the record with the higher token counts; a record that was written in the new era keeps
+ * its marks and gets those that it cannot know.
+ *
+ * @param out    record to be written in place of the stored one, with its revision
+ * @param stored NULL: the store has none
+ * @param known  NULL: the VM knows none; otherwise of an era before `era`
+ * @return whether `out` has to be written; false: the stored record contains all that is known
+ */
+bool pw_primaries_merge(struct pw_primaries **out, const struct pw_primaries *stored,
+			const struct pw_primaries *known, uint32_t era);
+
 /** @return JSON text; the caller frees it with g_free() */
 char *pw_primaries_encode(const struct pw_primaries *p);
 /**
--- a/codec/src/primaries.c
+++ b/codec/src/primaries.c
@@ -28,6 +28,8 @@
 
 	copy->revision = p->revision;
 	copy->fencing_token = p->fencing_token;
+	copy->era = p->era;
+	copy->restored_token = p->restored_token;
 	copy->holder = g_strdup(p->holder);
 	for (guint i = 0; i < p->entries->len; i++) {
 		const struct pw_primary *from = g_ptr_array_index(p->entries, i);
@@ -87,6 +89,94 @@
 	item->planned = false;
 }
 
+void pw_primaries_set_era(struct pw_primaries *p, uint32_t era)
+{
+	p->era = era;
+	p->fencing_token = MAX(p->fencing_token, (uint64_t)era << PW_FENCING_TOKEN_ERA_SHIFT);
+}
+
+/* Order of two records of the same lost history, or of what a record contains of it. */
+enum merge_order {
+	KNOWN_IS_OLDER,
+	/* Every mark takes a new token, so of two records with the same one, the later has fewer.
+	 */
+	TOKENS_EQUAL,
+	KNOWN_IS_NEWER,
+};
+
+static enum merge_order compare_tokens(uint64_t known_token, uint64_t stored_token)
+{
+	if (known_token == stored_token)
+		return TOKENS_EQUAL;
+	return known_token > stored_token ? KNOWN_IS_NEWER : KNOWN_IS_OLDER;
+}
+
+/* Returns whether a group whose generation is the same in both records is marked. */
+static bool merge_mark(bool stored, bool known, bool is_written_again, enum merge_order order)
+{
+	if (is_written_again)
+		return stored || (known && order == KNOWN_IS_NEWER);
+	switch (order) {
+	case KNOWN_IS_NEWER:
+		return known;
+	case TOKENS_EQUAL:
+		return stored && known;
+	default:
+		return stored;
+	}
+}
+
+/* Merges the entry of one group. Returns whether the entry in `merged` changed. */
+static bool merge_entry(struct pw_primaries *merged, const struct pw_primary *known,
+			bool is_written_again, enum merge_order order)
+{
+	struct pw_primary *to = pw_primaries_find(merged, known->group);
+	bool changing;
+
+	if (!to || known->generation > to->generation) {
+		pw_primaries_set(merged, known->group, known->server_id, known->generation);
+		to = pw_primaries_find(merged, known->group);
+		to->changing = known->changing;
+		to->planned = known->planned;
+		return true;
+	}
+	if (known->generation < to->generation)
+		return false;
+	changing = merge_mark(to->changing, known->changing, is_written_again, order);
+	if (changing == to->changing)
+		return false;
+	to->changing = changing;
+	to->planned = changing && known->planned;
+	return true;
+}
+
+bool pw_primaries_merge(struct pw_primaries **out, const struct pw_primaries *stored,
+			const struct pw_primaries *known, uint32_t era)
+{
+	struct pw_primaries *merged = stored ? pw_primaries_copy(stored) : pw_primaries_new();
+	bool is_written_again = stored && stored->era >= era;
+	bool changed = !is_written_again;
+	enum merge_order order;
+
+	if (!is_written_again)
+		merged->restored_token = merged->fencing_token;
+	if (known) {
+		order = compare_tokens(known->fencing_token, merged->restored_token);
+		for (guint i = 0; i < known->entries->len; i++)
+			changed |= merge_entry(merged, g_ptr_array_index(known->entries, i),
+					       is_written_again, order);
+		if (order == KNOWN_IS_NEWER) {
+			g_free(merged->holder);
+			merged->holder = g_strdup(known->holder);
+		}
+		merged->restored_token = MAX(merged->restored_token, known->fencing_token);
+		merged->fencing_token = MAX(merged->fencing_token, known->fencing_token);
+	}
+	pw_primaries_set_era(merged, era);
+	*out = merged;
+	return changed;
+}
+
 /* Formats a JSON value and releases the reference to it. */
 static char *json_to_text(json_t *root)
 {
@@ -100,7 +190,7 @@
 
 char *pw_primaries_encode(const struct pw_primaries *p)
 {
-	json_t *list = json_array();
+	json_t *list = json_array(), *root;
 
 	for (guint i = 0; i < p->entries->len; i++) {
 		const struct pw_primary *item = g_ptr_array_index(p->entries, i);
@@ -110,8 +200,13 @@
 						      (json_int_t)item->generation, "changing",
 						      item->changing, "planned", item->planned));
 	}
-	return json_to_text(json_pack("{s:I,s:s,s:o}", "fence", (json_int_t)p->fencing_token,
-				      "holder", p->holder ? p->holder : "", "primaries", list));
+	root = json_pack("{s:I,s:s,s:o}", "fence", (json_int_t)p->fencing_token, "holder",
+			 p->holder ? p->holder : "", "primaries", list);
+	if (p->era) {
+		json_object_set_new(root, "era", json_integer(p->era));
+		json_object_set_new(root, "restored", json_integer((json_int_t)p->restored_token));
+	}
+	return json_to_text(root);
 }
 
 /* Adds the primary of one group. Returns false if the item is malformed. */
@@ -143,6 +238,8 @@
 
 	p->revision = revision;
 	p->fencing_token = (uint64_t)json_integer_value(fence);
+	p->era = (uint32_t)json_integer_value(json_object_get(root, "era"));
+	p->restored_token = (uint64_t)json_integer_value(json_object_get(root, "restored"));
 	p->holder = g_strdup(json_string_value(json_object_get(root, "holder")));
 	json_array_foreach (list, i, item)
 		ok = ok && decode_primary(p, item);
--- a/tests/codec/test_primaries.c
+++ b/tests/codec/test_primaries.c
@@ -17,6 +17,8 @@
 	char *text;
 
 	p->fencing_token = 12;
+	p->era = 3;
+	p->restored_token = 9;
 	p->holder = g_strdup("vm-1");
 	pw_primaries_set(p, "orders", "i-1", 11);
 	pw_primaries_set(p, "fees", "i-2", 12);
@@ -26,6 +28,8 @@
 	ck_assert_int_eq(pw_primaries_decode(&decoded, text, strlen(text), 77), PW_OK);
 	ck_assert_int_eq(decoded->revision, 77);
 	ck_assert_uint_eq(decoded->fencing_token, 12);
+	ck_assert_uint_eq(decoded->era, 3);
+	ck_assert_uint_eq(decoded->restored_token, 9);
 	ck_assert_str_eq(decoded->holder, "vm-1");
 	ck_assert_uint_eq(decoded->entries->len, 2);
 	ck_assert_str_eq(pw_primaries_find(decoded, "orders")->server_id, "i-1");
@@ -95,6 +99,147 @@
 }
 END_TEST
 
+#define ERA          2
+#define ERA_TOKEN(n) (((uint64_t)ERA << PW_FENCING_TOKEN_ERA_SHIFT) + (n))
+
+/* A record with one group. */
+struct merge_record {
+	uint32_t era;
+	uint64_t token, restored_token, generation; /* generation 0: no record */
+	bool changing;
+};
+
+static const struct {
+	const char *label;
+	struct merge_record stored, known;
+	bool must_write;
+	struct merge_record expected;
+} merge_cases[] = {
+	{ "nothing known, record of an earlier era",
+	  { 1, 5, 0, 5, false },
+	  { 0 },
+	  true,
+	  { ERA, ERA_TOKEN(0), 5, 5, false } },
+	{ "record of a build without eras",
+	  { 0, 5, 0, 5, true },
+	  { 0 },
+	  true,
+	  { ERA, ERA_TOKEN(0), 5, 5, true } },
+	{ "nothing known, record of this era",
+	  { ERA, ERA_TOKEN(1), 5, 5, false },
+	  { 0 },
+	  false,
+	  { ERA, ERA_TOKEN(1), 5, 5, false } },
+	{ "no stored record",
+	  { 0 },
+	  { 1, 6, 0, 6, true },
+	  true,
+	  { ERA, ERA_TOKEN(0), 6, 6, true } },
+	{ "the copy lacks a completed change",
+	  { 1, 5, 0, 5, false },
+	  { 1, 6, 0, 6, false },
+	  true,
+	  { ERA, ERA_TOKEN(0), 6, 6, false } },
+	{ "the copy has the mark of a completed change",
+	  { 1, 6, 0, 5, true },
+	  { 1, 6, 0, 6, false },
+	  true,
+	  { ERA, ERA_TOKEN(0), 6, 6, false } },
+	{ "the copy lacks a mark",
+	  { 1, 5, 0, 5, false },
+	  { 1, 6, 0, 5, true },
+	  true,
+	  { ERA, ERA_TOKEN(0), 6, 5, true } },
+	{ "the copy has a mark that was cleared",
+	  { 1, 6, 0, 5, true },
+	  { 1, 6, 0, 5, false },
+	  true,
+	  { ERA, ERA_TOKEN(0), 6, 5, false } },
+	{ "the copy has a newer change than the VM",
+	  { 1, 6, 0, 6, false },
+	  { 1, 5, 0, 5, false },
+	  true,
+	  { ERA, ERA_TOKEN(0), 6, 6, false } },
+	{ "the copy has a newer mark than the VM",
+	  { 1, 6, 0, 5, true },
+	  { 1, 5, 0, 5, false },
+	  true,
+	  { ERA, ERA_TOKEN(0), 6, 5, true } },
+	{ "another VM wrote all that is known",
+	  { ERA, ERA_TOKEN(0), 6, 6, false },
+	  { 1, 6, 0, 6, false },
+	  false,
+	  { ERA, ERA_TOKEN(0), 6, 6, false } },
+	{ "another VM wrote less than is known",
+	  { ERA, ERA_TOKEN(0), 5, 5, false },
+	  { 1, 6, 0, 6, false },
+	  true,
+	  { ERA, ERA_TOKEN(0), 6, 6, false } },
+	{ "another VM did not know a mark",
+	  { ERA, ERA_TOKEN(0), 5, 5, false },
+	  { 1, 6, 0, 5, true },
+	  true,
+	  { ERA, ERA_TOKEN(0), 6, 5, true } },
+	{ "a mark was cleared in this era",
+	  { ERA, ERA_TOKEN(1), 6, 5, false },
+	  { 1, 6, 0, 5, true },
+	  false,
+	  { ERA, ERA_TOKEN(1), 6, 5, false } },
+	{ "a mark of this era is kept",
+	  { ERA, ERA_TOKEN(1), 5, 5, true },
+	  { 1, 6, 0, 5, false },
+	  false,
+	  { ERA, ERA_TOKEN(1), 6, 5, true } },
+	{ "a change of this era wins over a lost one",
+	  { ERA, ERA_TOKEN(1), 5, ERA_TOKEN(1), false },
+	  { 1, 6, 0, 6, false },
+	  false,
+	  { ERA, ERA_TOKEN(1), 6, ERA_TOKEN(1), false } },
+};
+
+static struct pw_primaries *make_record(const struct merge_record *r)
+{
+	struct pw_primaries *p;
+
+	if (!r->generation)
+		return NULL;
+	p = pw_primaries_new();
+	p->era = r->era;
+	p->fencing_token = r->token;
+	p->restored_token = r->restored_token;
+	pw_primaries_set(p, "orders", "i-1", r->generation);
+	pw_primaries_find(p, "orders")->changing = r->changing;
+	return p;
+}
+
+/*
+ * Guards against changes of primary and marks that are lost when the store was restored from a
+ * copy, marks that come back, and fencing tokens that are given out again.
+ */
+START_TEST(test_merge)
+{
+	const struct merge_record *e = &merge_cases[_i].expected;
+	struct pw_primaries *stored = make_record(&merge_cases[_i].stored);
+	struct pw_primaries *known = make_record(&merge_cases[_i].known), *merged = NULL;
+	bool must_write = pw_primaries_merge(&merged, stored, known, ERA);
+	const struct pw_primary *primary = pw_primaries_find(merged, "orders");
+
+	ck_assert_msg(must_write == merge_cases[_i].must_write, "%s: must write: %d",
+		      merge_cases[_i].label, must_write);
+	ck_assert_msg(primary->generation == e->generation && primary->changing == e->changing,
+		      "%s: generation %" G_GUINT64_FORMAT ", changing %d", merge_cases[_i].label,
+		      primary->generation, primary->changing);
+	ck_assert_msg(merged->fencing_token == e->token &&
+			      merged->restored_token == e->restored_token && merged->era == e->era,
+		      "%s: token %" G_GUINT64_FORMAT ", restored %" G_GUINT64_FORMAT ", era %u",
+		      merge_cases[_i].label, merged->fencing_token, merged->restored_token,
+		      merged->era);
+	pw_primaries_unref(merged);
+	pw_primaries_unref(stored);
+	pw_primaries_unref(known);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("primaries");
@@ -102,5 +247,6 @@
 	tcase_add_test(tc, test_round_trip);
 	tcase_add_loop_test(tc, test_malformed_record, 0, PW_ARRAY_LEN(malformed_records));
 	tcase_add_test(tc, test_member_round_trip);
+	tcase_add_loop_test(tc, test_merge, 0, PW_ARRAY_LEN(merge_cases));
 	return pw_suite_run("primaries", tc);
 }
