Cluster: the fleet writes the record of primaries again in a new era of the store

Cause: the VMs kept the record of the lost history, as its revision was higher, and each claim compared that revision, which the store did not have any more. Each conflict was followed by the next claim.

Ruled out: lost leases (renewals succeeded at once, event 3030 at 17.03 s) and the catalogue's watch (it got 410 and was read again within 30 ms).

A VM that sees a new era registers again under a new lease, reads the record, merges it with what it knows and writes the result by compare-and-swap; a record of an earlier era gives no permit. A VM that knows none waits for the others for 2.1 s. No VM claims a change until the permits of the earlier era are over (1.6 s), as the new member list may lack their holders. A change whose promotion request was not sent is aborted; one whose request was sent verifies and records into the new era. A promotion request needs a valid permit from the store, so that it is sent before another VM may claim in a new era.

--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -175,7 +175,8 @@
 
 void cluster_apply_primaries(struct cluster *c, struct pw_primaries *record)
 {
-	if (c->primaries && record->revision <= c->primaries->revision) {
+	if (!era_accept_record(c, record) ||
+	    (c->primaries && record->revision <= c->primaries->revision)) {
 		pw_primaries_unref(record);
 		return;
 	}
@@ -375,6 +376,8 @@
 
 static void handle_store_result(struct cluster *c, const struct pw_store_result_msg *m)
 {
+	if (era_observe(c, m->result))
+		member_register_again(c);
 	if (m->tag >> CHANGE_TAG_SHIFT)
 		change_handle_result(c, m->tag, m->result);
 	else
--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -78,6 +78,7 @@
 	uint64_t phase_entered_us;
 	int64_t marked_revision; /**< revision of the primaries record that carries the mark */
 	uint64_t fencing_token;
+	uint32_t era;               /**< era of the store in which the change was started */
 	GArray *leases;             /**< struct lease, of all other members */
 	uint64_t leases_revoked_us; /**< when the last necessary revocation was done; 0: not yet */
 	GPtrArray *entries;         /**< struct pw_server_entry, servers of the group */
@@ -244,6 +245,11 @@
 	struct pw_primaries *record = pw_primaries_copy(c->primaries);
 	const struct pw_server_entry *e = g_ptr_array_index(ch->entries, (guint)ch->target);
 
+	if (pw_primaries_find(record, ch->group)->generation >= ch->fencing_token) {
+		pw_primaries_unref(record);
+		abort_change(ch, "a newer change was completed");
+		return;
+	}
 	pw_primaries_set(record, ch->group, e->id, ch->fencing_token);
 	enter_phase(ch, PHASE_RECORD);
 	write_record(ch, record, TAG_RECORD_PRIMARY);
@@ -535,11 +541,21 @@
 		.timeout_us = PROMOTION_TIMEOUT_US,
 	};
 
+	if (ch->era != c->era) {
+		abort_change(ch, "the store was restored from a copy");
+		return;
+	}
 	/* While the process was suspended, another VM may have taken the change over. */
 	if (pw_loop_update_now_us(c->task.loop) - ch->started_us > PW_CHANGE_PROMOTE_DEADLINE_US) {
 		abort_change(ch, "the promotion request was not sent in time");
 		return;
 	}
+	/*
+	 * Without a recent renewal the store may have been restored without the mark, and another
+	 * VM may claim a change once the permits of that time are over.
+	 */
+	if (!pw_permit_is_valid(c->permit_until_us, cluster_now_us(c)))
+		return;
 	cancel_queries(ch);
 	enter_phase(ch, PHASE_PROMOTE);
 	pw_histogram_add(PW_HISTOGRAM_PRIMARY_CHANGE_SETTLE, cluster_now_us(c) - ch->started_us);
@@ -620,7 +636,8 @@
 		end_change(ch, PW_EVENT_FAILOVER_DONE, pw_change_reason_name(ch->reason));
 		return;
 	}
-	if (base->code == PW_ECONFLICT) {
+	/* A conflict without items was found by the client: the store was restored. */
+	if (base->code == PW_ECONFLICT && ((const struct pw_store_txn_result *)base)->kv_count) {
 		const struct pw_primary *primary;
 
 		if (apply_conflicting_record(ch->cluster,
@@ -681,6 +698,9 @@
 		abort_change(ch, "the change took too long");
 		return;
 	}
+	/* The primary is recorded once the record was written again in the new era. */
+	if (!era_is_record_current(ch->cluster))
+		return;
 	switch (ch->phase) {
 	case PHASE_QUIESCE:
 		if (!try_quiesce(ch))
@@ -831,6 +851,7 @@
 	ch->cluster = c;
 	ch->group = g_strdup(primary->group);
 	ch->number = ++c->last_change_number;
+	ch->era = c->era;
 	ch->reason = reason;
 	ch->planned = reason != PW_CHANGE_UNREACHABLE && reason != PW_CHANGE_ABANDONED &&
 		      v->reached_vote_count > v->lost_vote_count;
@@ -878,7 +899,8 @@
 {
 	uint64_t now_us = cluster_now_us(c);
 
-	return now_us >= c->own_promise_until_us && now_us >= c->started_us + PW_PERMIT_DURATION_US;
+	return now_us >= c->own_promise_until_us &&
+	       now_us >= c->started_us + PW_PERMIT_DURATION_US && era_may_claim(c);
 }
 
 void change_tick(struct cluster *c)
@@ -914,7 +936,7 @@
 	}
 }
 
-void change_abort_before_promotion(struct cluster *c)
+void change_abort_before_promotion(struct cluster *c, const char *reason)
 {
 	GList *changes = g_hash_table_get_values(c->changes);
 
@@ -922,7 +944,7 @@
 		struct change *ch = l->data;
 
 		if (!ch->promotion_sent)
-			abort_change(ch, "the VM is leaving the fleet");
+			abort_change(ch, reason);
 	}
 	g_list_free(changes);
 }
--- /dev/null
+++ b/daemon/control/cluster_era.c
@@ -0,0 +1,113 @@
+/*
+ * Eras of the store. A store that was restored from a copy has lost what was written since the
+ * copy: leases, members, and changes of primary. This VM then registers again under a new lease and
+ * reads the record of primaries. A record of an earlier era gives no permit. It is first merged
+ * with what this VM knows and written again, by any VM that has known a record before; a VM that
+ * has started since waits for them, since it cannot tell what the copy lacks.
+ */
+#include "cluster_private.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "pw/core/clock.h"
+#include "pw/core/event.h"
+
+/*
+ * Time for which a VM that knows no earlier record leaves a record of an earlier era to the others.
+ * A VM that reaches the store writes it again at its next renewal; without such a renewal its
+ * permit is over after this time.
+ */
+#define RESTORE_WAIT_US (PW_PERMIT_DURATION_US + PW_PERMIT_RENEW_INTERVAL_US)
+
+bool era_observe(struct cluster *c, const struct pw_store_result *r)
+{
+	bool is_first = c->era_since_us == 0;
+
+	if (r->era <= c->era)
+		return false;
+	c->era = r->era;
+	c->era_since_us = cluster_now_us(c);
+	c->restore_wait_until_us = 0;
+	if (is_first)
+		return false;
+	/* The lease may have been given out again to another VM. */
+	c->lease_id = 0;
+	c->registered = false;
+	c->primaries_current = false;
+	c->renewal_pending = false;
+	c->restore_pending = false;
+	change_abort_before_promotion(c, "the store was restored from a copy");
+	return true;
+}
+
+bool era_is_record_current(const struct cluster *c)
+{
+	return !c->primaries || c->primaries->era >= c->era;
+}
+
+bool era_may_claim(const struct cluster *c)
+{
+	return era_is_record_current(c) &&
+	       cluster_now_us(c) >= c->era_since_us + PW_PERMIT_DURATION_US;
+}
+
+/* Whether this VM may write a record of an earlier era again. */
+static bool may_restore(struct cluster *c, const struct pw_primaries *known)
+{
+	uint64_t now_us = cluster_now_us(c);
+
+	if (known)
+		return true;
+	if (!c->restore_wait_until_us)
+		c->restore_wait_until_us = now_us + RESTORE_WAIT_US;
+	return now_us >= c->restore_wait_until_us;
+}
+
+/* Replaces the stored record if the store still has the revision of `record`. */
+static void write_restored_record(struct cluster *c, const struct pw_primaries *record)
+{
+	char *text = pw_primaries_encode(record);
+	const struct pw_store_compare compare = {
+		.key = c->primaries_key,
+		.target = PW_STORE_MOD_REVISION,
+		.revision = record->revision,
+	};
+	const struct pw_store_change put = {
+		.key = c->primaries_key,
+		.kind = PW_STORE_PUT,
+		.value = text,
+		.size_bytes = strlen(text),
+	};
+	const struct pw_store_txn txn = {
+		.compares = &compare,
+		.compare_count = 1,
+		.changes = &put,
+		.change_count = 1,
+	};
+
+	c->restore_pending = true;
+	cluster_send_to_store(c, pw_store_txn_msg_new(c->task.inbox, TAG_PRIMARIES_RESTORE,
+						      PW_STORE_CALL_TIMEOUT_US, &txn));
+	g_free(text);
+}
+
+bool era_accept_record(struct cluster *c, struct pw_primaries *record)
+{
+	const struct pw_primaries *known = era_is_record_current(c) ? NULL : c->primaries;
+	struct pw_primaries *merged = NULL;
+	bool must_write;
+
+	if (!known && (!record || record->era >= c->era))
+		return true;
+	/* The record was current, so this one was written later, by a build without eras. */
+	if (!known && c->primaries) {
+		record->era = c->era;
+		return true;
+	}
+	must_write = pw_primaries_merge(&merged, record, known, c->era);
+	if (must_write && !c->restore_pending && may_restore(c, known))
+		write_restored_record(c, merged);
+	pw_primaries_unref(merged);
+	return !must_write;
+}
--- a/daemon/control/cluster_member.c
+++ b/daemon/control/cluster_member.c
@@ -76,6 +76,7 @@
 		return;
 	c->renewal_pending = true;
 	c->renewal_sent_us = cluster_now_us(c);
+	c->renewal_lease_id = c->lease_id;
 	cluster_send_to_store(c,
 			      pw_store_lease_keep_alive_msg_new(c->task.inbox, TAG_LEASE_RENEW,
 								RENEWAL_TIMEOUT_US, c->lease_id));
@@ -185,14 +186,25 @@
 {
 	const struct pw_store_range_result *r = (const struct pw_store_range_result *)base;
 
+	/* The store was restored after the read was sent, so the VM registers again first. */
+	if (!c->registered)
+		return;
 	if (base->code) {
 		schedule_retry(c);
 		return;
 	}
 	if (r->kv_count)
 		apply_record(c, &r->kvs[0]);
+	else
+		(void)era_accept_record(c, NULL);
 	if (!c->watching_primaries)
 		watch_primaries(c, MAX(base->revision, r->kv_count ? r->kvs[0].mod_revision : 0));
+	/* A record of an earlier era gives no permit. It is read again until one is written. */
+	if (c->restore_pending || !era_is_record_current(c) ||
+	    (c->restore_wait_until_us && !c->primaries)) {
+		schedule_retry(c);
+		return;
+	}
 	c->primaries_current = true;
 	c->permit_until_us =
 		MAX(c->permit_until_us, c->primaries_read_sent_us + PW_PERMIT_DURATION_US);
@@ -219,6 +231,9 @@
 
 static void handle_renewal_result(struct cluster *c, const struct pw_store_result *base)
 {
+	/* The lease was replaced meanwhile. */
+	if (c->renewal_lease_id != c->lease_id)
+		return;
 	c->renewal_pending = false;
 	if (base->code == PW_ENOTFOUND) {
 		set_renewal_ok(c, false);
@@ -319,6 +334,22 @@
 		apply_record(c, &r->kvs[0]);
 }
 
+/* After any outcome the record is read again, which gives the permit. */
+static void handle_restore_result(struct cluster *c)
+{
+	c->restore_pending = false;
+	if (c->registered && !c->primaries_current)
+		set_permit_timer(c, 0);
+}
+
+void member_register_again(struct cluster *c)
+{
+	if (c->leaving)
+		return;
+	set_renewal_ok(c, false);
+	set_permit_timer(c, 0);
+}
+
 static void handle_create_result(struct cluster *c, const struct pw_store_result *base)
 {
 	c->create_pending = false;
@@ -333,9 +364,11 @@
 	bool added = false;
 	char *text;
 
-	if (!c->catalog || !c->servers || !c->primaries_current || c->create_pending)
+	if (!c->catalog || !c->servers || !c->primaries_current || c->create_pending ||
+	    !era_is_record_current(c))
 		return;
 	record = c->primaries ? pw_primaries_copy(c->primaries) : pw_primaries_new();
+	pw_primaries_set_era(record, c->era);
 	for (guint i = 0; i < c->servers->entries->len; i++) {
 		const struct pw_server_entry *e = g_ptr_array_index(c->servers->entries, i);
 
@@ -373,7 +406,7 @@
 void member_leave(struct cluster *c)
 {
 	c->leaving = true;
-	change_abort_before_promotion(c);
+	change_abort_before_promotion(c, "the VM is leaving the fleet");
 	pw_loop_timer_clear(c->task.loop, &c->permit_timer);
 	pulse_broadcast(c);
 	if (c->lease_id)
@@ -406,6 +439,9 @@
 	case TAG_MEMBERS_READ:
 		handle_members_result(c, r);
 		break;
+	case TAG_PRIMARIES_RESTORE:
+		handle_restore_result(c);
+		break;
 	case TAG_PRIMARIES_CREATE:
 		handle_create_result(c, r);
 		break;
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -1,8 +1,9 @@
 /*
  * State and functions that the parts of the cluster task share: membership and the permit to use
  * the primaries (cluster_member.c), heartbeat datagrams or pulses (cluster_pulse.c), log positions
- * of primaries that other VMs have seen (cluster_position.c), and changes of primary
- * (cluster_change.c, cluster_status.c). cluster.c owns the task and dispatches its messages.
+ * of primaries that other VMs have seen (cluster_position.c), eras of the store (cluster_era.c),
+ * and changes of primary (cluster_change.c, cluster_status.c). cluster.c owns the task and
+ * dispatches its messages.
  *
  * Terms: A permit allows this VM to send work to the primaries until a point in time. Renewals of
  * the member's lease at the store extend it; without the store, another VM may delegate its own
@@ -89,6 +90,7 @@
 	TAG_PRIMARIES_REFRESH, /**< read of a newer record that another member has */
 	TAG_MEMBERS_READ,
 	TAG_PRIMARIES_CREATE,
+	TAG_PRIMARIES_RESTORE, /**< record of an earlier era, written again */
 	TAG_REVOKE_OWN_LEASE,
 	/*
 	 * Calls for a change of primary. The tag also holds the index of the lease to revoke, from
@@ -170,12 +172,19 @@
 	uint64_t newer_record_since_us;     /**< when a newer record was first reported; 0: none */
 	uint64_t primaries_read_sent_us;    /**< when the last read for the permit was sent */
 	uint64_t renewal_sent_us;           /**< when the last renewal was sent */
+	int64_t renewal_lease_id;           /**< lease of that renewal */
 	uint64_t permit_until_us;           /**< end of the permit from the store; 0: none yet */
 	uint64_t delegated_permit_until_us; /**< end of the permit that a member has delegated */
 	uint64_t own_promise_until_us; /**< this VM has promised to claim no change until then */
 	struct pw_timer permit_timer;  /**< next step towards a permit, or next renewal */
 	struct pw_timer member_list_timer; /**< next read of all members */
 
+	/* Eras of the store. */
+	uint32_t era;                   /**< newest era seen; 0: none, or the store has none */
+	uint64_t era_since_us;          /**< when it was first seen; 0: none yet */
+	uint64_t restore_wait_until_us; /**< until when a record is left to other VMs; 0: none */
+	bool restore_pending;           /**< the write of a record of an earlier era is in flight */
+
 	/* Pulses. */
 	struct pw_source socket_source;
 	GHashTable *members; /**< name -> struct member */
@@ -244,6 +253,8 @@
 void member_start(struct cluster *c);
 void member_stop(struct cluster *c);
 void member_handle_result(struct cluster *c, uint64_t tag, struct pw_store_result *r);
+/** Registers this VM under a new lease, since the store was restored and may lack its own. */
+void member_register_again(struct cluster *c);
 /** Announces that this VM leaves, and revokes its lease, which removes its entry. */
 void member_leave(struct cluster *c);
 /**
@@ -283,6 +294,30 @@
 /** Sends positions that other VMs have seen to the gateways. */
 void position_publish(struct cluster *c);
 
+/* cluster_era.c */
+/**
+ * Records the era of a result. In a new era this VM has no lease any more, and its changes whose
+ * promotion request was not sent are aborted.
+ *
+ * @return whether the store was restored since the last result
+ */
+bool era_observe(struct cluster *c, const struct pw_store_result *r);
+/** @return whether the record that this VM knows is of the current era, or it knows none */
+bool era_is_record_current(const struct cluster *c);
+/**
+ * Returns whether this VM may claim a change of primary: all permits of an earlier era are over,
+ * whose holders the member list may lack.
+ */
+bool era_may_claim(const struct cluster *c);
+/**
+ * Handles a record that was read. One that lacks what this VM knows of an earlier era, or that was
+ * written in an earlier era, is written again.
+ *
+ * @param record NULL: the store has none
+ * @return whether the record may be applied
+ */
+bool era_accept_record(struct cluster *c, struct pw_primaries *record);
+
 /* cluster_change.c */
 void change_start(struct cluster *c);
 /** Starts, continues and ends changes. */
@@ -290,9 +325,10 @@
 void change_handle_result(struct cluster *c, uint64_t tag, struct pw_store_result *r);
 /**
  * Aborts the changes whose promotion request was not sent. Called before this VM leaves, since the
- * other members then no longer need its promise to claim no change before they use the primaries.
+ * other members then no longer need its promise to claim no change before they use the primaries,
+ * and when the store was restored, since their marks and the member lists may be lost.
  */
-void change_abort_before_promotion(struct cluster *c);
+void change_abort_before_promotion(struct cluster *c, const char *reason);
 /** Ends all changes and frees their state; the promoter was freed before. */
 void change_stop_all(struct cluster *c);
 
--- a/tests/platform/test_platform_fleet.c
+++ b/tests/platform/test_platform_fleet.c
@@ -738,6 +738,83 @@
 }
 END_TEST
 
+/* Replaces the primary, and waits until each VM has written to the new one. */
+static void replace_primary(struct client **c)
+{
+	char *old_primary = find_primary();
+
+	inject_fault("crash", old_primary);
+	ck_assert_msg(PW_HARNESS_WAIT_UNTIL(write_unless_replaced(old_primary, c), 8000),
+		      "no new primary in time");
+	for (uint32_t i = 0; i < VM_COUNT; i++)
+		(void)write_until_ok(&c[i], i, "WRITE replaced v", 8000);
+	g_free(old_primary);
+}
+
+static void open_sessions(struct client **c)
+{
+	for (uint32_t i = 0; i < VM_COUNT; i++) {
+		c[i] = open_session(i, "desk");
+		expect_answer(c[i], "WRITE before v", "ok I");
+	}
+}
+
+static void close_sessions(struct client **c)
+{
+	for (uint32_t i = 0; i < VM_COUNT; i++)
+		client_free(c[i]);
+}
+
+/*
+ * Guards against a record of primaries that cannot be changed any more after the store was restored
+ * from a copy that lacks a change: no VM replaced the next primary that crashed.
+ */
+START_TEST(test_change_after_restoration)
+{
+	struct client *c[VM_COUNT];
+	char *first_primary;
+
+	start_fleet();
+	open_sessions(c);
+	first_primary = find_primary();
+	inject_fault("copy", "1");
+	replace_primary(c);
+	inject_fault("restore", "1");
+	inject_fault("start", first_primary);
+	g_usleep(3000000);
+	replace_primary(c);
+	ck_assert_uint_ge(count_promotion_requests(), 2);
+	close_sessions(c);
+	g_free(first_primary);
+	stop_fleet();
+}
+END_TEST
+
+/*
+ * Guards against a VM that starts after the restoration and takes the primary of the copy for the
+ * current one.
+ */
+START_TEST(test_start_after_restoration)
+{
+	struct client *c[VM_COUNT];
+
+	start_fleet();
+	open_sessions(c);
+	inject_fault("copy", "1");
+	replace_primary(c);
+	pw_harness_kill(vms[2].process);
+	inject_fault("restore", "1");
+	start_vm(2);
+	ck_assert(PW_HARNESS_WAIT_UNTIL(is_ready(&vms[2]), READY_TIMEOUT_MS));
+	client_free(c[2]);
+	c[2] = open_session(2, "desk");
+	(void)write_until_ok(&c[2], 2, "WRITE restarted v", 2500);
+	ck_assert_uint_eq(count_promotion_requests(), 1);
+	close_sessions(c);
+	stop_fleet();
+}
+END_TEST
+
 static const uint32_t fleet_sizes[] = { VM_COUNT, VM_COUNT_MAX };
 
 /*
@@ -1107,6 +1184,8 @@
 	tcase_add_test(tc, test_idle_transaction);
 	tcase_add_test(tc, test_withdrawn_key);
 	tcase_add_test(tc, test_compacted_history);
+	tcase_add_test(tc, test_change_after_restoration);
+	tcase_add_test(tc, test_start_after_restoration);
 	tcase_add_loop_test(tc, test_store_down, 0, PW_ARRAY_LEN(fleet_sizes));
 	tcase_add_test(tc, test_isolated_vm);
 	tcase_add_test(tc, test_commit_without_permit);
