Cluster: a VM clears the mark of a change that it gave up because the store was restored

What callers saw: writes to a group were refused as BUSY for 6.5 s and more if the store was restored while a VM had marked the group but not yet asked for the promotion. After two restorations the VMs also claimed the same change within milliseconds, without regard to their rank.

Cause: the VM aborts such a change, but its mark is in what the other VMs know, so they write it again and wait for the takeover. And after the wait for the permits of the earlier era, the delays by rank were over for all VMs.

The VM remembers the group, and clears the mark in the record that was written again, unless another VM has claimed a change since: the holder and the token show that. The rank counts from the end of the wait. Ruled out: clearing the mark in what this VM knows, since another VM may write the record first.

--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -364,6 +364,7 @@
 	struct cluster *c = (struct cluster *)((char *)t - offsetof(struct cluster, tick_timer));
 
 	pw_loop_timer_set(c->task.loop, t, now_us + CLUSTER_TICK_INTERVAL_US);
+	era_clear_dead_marks(c);
 	change_tick(c);
 	publish_shares(c);
 	pulse_broadcast_demand(c);
@@ -439,6 +440,7 @@
 	if (c->promoter)
 		c->promoter->ops->free(c->promoter);
 	change_stop_all(c);
+	era_stop(c);
 	pulse_stop(c);
 	position_stop(c);
 	pw_loop_timer_clear(c->task.loop, &c->tick_timer);
--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -899,8 +899,7 @@
 {
 	uint64_t now_us = cluster_now_us(c);
 
-	return now_us >= c->own_promise_until_us &&
-	       now_us >= c->started_us + PW_PERMIT_DURATION_US && era_may_claim(c);
+	return now_us >= c->own_promise_until_us && now_us >= c->started_us + PW_PERMIT_DURATION_US;
 }
 
 void change_tick(struct cluster *c)
@@ -929,7 +928,7 @@
 		if (v.lost_vote_count && !primary->changing)
 			cluster_check_primary(c, primary->group);
 		reason = pw_change_due_reason(&v, cluster_now_us(c));
-		if (reason != PW_CHANGE_NONE) {
+		if (reason != PW_CHANGE_NONE && era_may_claim(c, v.rank)) {
 			start_change(c, primary, reason, &v);
 			return;
 		}
@@ -943,8 +942,11 @@
 	for (GList *l = changes; l; l = l->next) {
 		struct change *ch = l->data;
 
-		if (!ch->promotion_sent)
-			abort_change(ch, reason);
+		if (ch->promotion_sent)
+			continue;
+		if (ch->phase > PHASE_CLAIM && !era_is_record_current(c))
+			era_add_dead_mark(c, ch->group);
+		abort_change(ch, reason);
 	}
 	g_list_free(changes);
 }
--- a/daemon/control/cluster_era.c
+++ b/daemon/control/cluster_era.c
@@ -46,10 +46,11 @@
 	return !c->primaries || c->primaries->era >= c->era;
 }
 
-bool era_may_claim(const struct cluster *c)
+bool era_may_claim(const struct cluster *c, uint32_t rank)
 {
 	return era_is_record_current(c) &&
-	       cluster_now_us(c) >= c->era_since_us + PW_PERMIT_DURATION_US;
+	       cluster_now_us(c) >=
+		       c->era_since_us + PW_PERMIT_DURATION_US + rank * PW_CHANGE_RANK_DELAY_US;
 }
 
 /* Whether this VM may write a record of an earlier era again. */
@@ -65,7 +66,7 @@
 }
 
 /* Replaces the stored record if the store still has the revision of `record`. */
-static void write_restored_record(struct cluster *c, const struct pw_primaries *record)
+static void write_record(struct cluster *c, const struct pw_primaries *record)
 {
 	char *text = pw_primaries_encode(record);
 	const struct pw_store_compare compare = {
@@ -107,7 +108,58 @@
 	}
 	must_write = pw_primaries_merge(&merged, record, known, c->era);
 	if (must_write && !c->restore_pending && may_restore(c, known))
-		write_restored_record(c, merged);
+		write_record(c, merged);
 	pw_primaries_unref(merged);
 	return !must_write;
 }
+
+void era_add_dead_mark(struct cluster *c, const char *group)
+{
+	if (!c->dead_marks)
+		c->dead_marks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g_hash_table_add(c->dead_marks, g_strdup(group));
+}
+
+/*
+ * Whether the newest claim in the record is the last one of this VM in an earlier era: no VM has
+ * claimed a change since, and so no other VM relies on a mark of this VM.
+ */
+static bool is_own_claim_of_earlier_era(const struct cluster *c)
+{
+	return g_strcmp0(c->primaries->holder, c->directory->settings->vm_name) == 0 &&
+	       c->primaries->fencing_token == (uint64_t)c->era << PW_FENCING_TOKEN_ERA_SHIFT;
+}
+
+void era_clear_dead_marks(struct cluster *c)
+{
+	struct pw_primaries *record;
+	bool changed = false;
+	GHashTableIter it;
+	gpointer group;
+
+	if (!c->dead_marks || !c->primaries || !era_is_record_current(c) || c->restore_pending)
+		return;
+	record = pw_primaries_copy(c->primaries);
+	g_hash_table_iter_init(&it, c->dead_marks);
+	while (g_hash_table_iter_next(&it, &group, NULL)) {
+		struct pw_primary *primary = pw_primaries_find(record, group);
+
+		if (!primary || !primary->changing)
+			continue;
+		primary->changing = false;
+		primary->planned = false;
+		changed = true;
+	}
+	/* After a failure the next tick tries again. */
+	if (changed && is_own_claim_of_earlier_era(c))
+		write_record(c, record);
+	else
+		g_clear_pointer(&c->dead_marks, g_hash_table_unref);
+	pw_primaries_unref(record);
+}
+
+void era_stop(struct cluster *c)
+{
+	if (c->dead_marks)
+		g_hash_table_unref(c->dead_marks);
+}
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -184,6 +184,7 @@
 	uint64_t era_since_us;          /**< when it was first seen; 0: none yet */
 	uint64_t restore_wait_until_us; /**< until when a record is left to other VMs; 0: none */
 	bool restore_pending;           /**< the write of a record of an earlier era is in flight */
+	GHashTable *dead_marks;         /**< set of groups, see era_add_dead_mark(); NULL: none */
 
 	/* Pulses. */
 	struct pw_source socket_source;
@@ -306,9 +307,14 @@
 bool era_is_record_current(const struct cluster *c);
 /**
  * Returns whether this VM may claim a change of primary: all permits of an earlier era are over,
- * whose holders the member list may lack.
+ * whose holders the member list may lack. The VMs then act in the order of their rank.
  */
-bool era_may_claim(const struct cluster *c);
+bool era_may_claim(const struct cluster *c, uint32_t rank);
+/** Records that this VM has given up a change whose mark other VMs will write again. */
+void era_add_dead_mark(struct cluster *c, const char *group);
+/** Clears such marks once the record was written again. */
+void era_clear_dead_marks(struct cluster *c);
+void era_stop(struct cluster *c);
 /**
  * Handles a record that was read. One that lacks what this VM knows of an earlier era, or that was
  * written in an earlier era, is written again.
--- a/tests/platform/test_platform_fleet.c
+++ b/tests/platform/test_platform_fleet.c
@@ -790,6 +790,39 @@
 }
 END_TEST
 
+/*
+ * Guards against the mark of a change that its VM gave up because the store was restored: the other
+ * VMs knew the mark, wrote it again, and left the group without a primary for 6.5 s. A suspended VM
+ * keeps the change from its promotion request.
+ */
+START_TEST(test_restoration_during_change)
+{
+	struct client *c[VM_COUNT];
+	gint64 restore_us;
+	char *old_primary;
+
+	start_fleet();
+	open_sessions(c);
+	inject_fault("copy", "1");
+	old_primary = find_primary();
+	pw_harness_signal(vms[2].process, SIGSTOP);
+	inject_fault("crash", old_primary);
+	restore_us = g_get_monotonic_time() + 1700000;
+	while (g_get_monotonic_time() < restore_us) {
+		for (uint32_t i = 0; i < 2; i++)
+			g_free(run_statement(c[i], "WRITE meanwhile v"));
+	}
+	ck_assert_uint_eq(count_promotion_requests(), 0);
+	inject_fault("restore", "1");
+	pw_harness_signal(vms[2].process, SIGCONT);
+	for (uint32_t i = 0; i < VM_COUNT; i++)
+		(void)write_until_ok(&c[i], i, "WRITE after v", 5000);
+	close_sessions(c);
+	g_free(old_primary);
+	stop_fleet();
+}
+END_TEST
+
 /*
  * Guards against a VM that starts after the restoration and takes the primary of the copy for the
  * current one.
@@ -1185,6 +1218,7 @@
 	tcase_add_test(tc, test_withdrawn_key);
 	tcase_add_test(tc, test_compacted_history);
 	tcase_add_test(tc, test_change_after_restoration);
+	tcase_add_test(tc, test_restoration_during_change);
 	tcase_add_test(tc, test_start_after_restoration);
 	tcase_add_loop_test(tc, test_store_down, 0, PW_ARRAY_LEN(fleet_sizes));
 	tcase_add_test(tc, test_isolated_vm);
