--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -191,7 +191,8 @@
 
 void cluster_apply_primaries(struct cluster *c, struct pw_primaries *record)
 {
-	if (c->primaries && record->revision <= c->primaries->revision) {
+	if (!era_accept_record(c, record) ||
+	    (c->primaries && record->revision <= c->primaries->revision)) {
 		pw_primaries_unref(record);
 		return;
 	}
@@ -399,6 +400,7 @@
 	struct cluster *c = (struct cluster *)((char *)t - offsetof(struct cluster, tick_timer));
 
 	pw_loop_timer_set(c->task.loop, t, now_us + CLUSTER_TICK_INTERVAL_US);
+	era_clear_dead_marks(c);
 	change_tick(c);
 	publish_shares(c);
 	pulse_broadcast_demand(c);
@@ -411,6 +413,8 @@
 
 static void handle_store_result(struct cluster *c, const struct pw_store_result_msg *m)
 {
+	if (era_observe(c, m->result))
+		member_register_again(c);
 	if (m->tag >> CHANGE_TAG_SHIFT)
 		change_handle_result(c, m->tag, m->result);
 	else
@@ -472,6 +476,7 @@
 	if (c->promoter)
 		c->promoter->ops->free(c->promoter);
 	change_stop_all(c);
+	era_stop(c);
 	pulse_stop(c);
 	position_stop(c);
 	pw_loop_timer_clear(c->task.loop, &c->tick_timer);
--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -81,6 +81,7 @@
 	uint64_t phase_entered_us;
 	int64_t marked_revision; /**< revision of the primaries record that carries the mark */
 	uint64_t fencing_token;
+	uint32_t era;          /**< era of the store in which the change was started */
 	GArray *leases;        /**< struct lease, of all other members on the pages read so far */
 	char *last_member_key; /**< last key of these pages; NULL: none was read */
 	uint64_t leases_revoked_us; /**< when the last necessary revocation was done; 0: not yet */
@@ -273,6 +274,11 @@
 	struct pw_primaries *record = pw_primaries_copy(c->primaries);
 	const struct pw_server_entry *e = g_ptr_array_index(ch->entries, (guint)ch->target);
 
+	if (pw_primaries_find(record, ch->group)->generation >= ch->fencing_token) {
+		pw_primaries_unref(record);
+		abort_change(ch, "a newer change was completed");
+		return;
+	}
 	pw_primaries_set(record, ch->group, e->id, ch->cluster->directory->settings->vm_name,
 			 ch->fencing_token);
 	enter_phase(ch, PHASE_RECORD);
@@ -588,11 +594,21 @@
 		.send_deadline_us = ch->started_us + PW_CHANGE_PROMOTE_DEADLINE_US,
 	};
 
+	if (ch->era != c->era) {
+		abort_change(ch, "the store was restored from a copy");
+		return;
+	}
 	/* While the process was suspended, another VM may have taken the change over. */
 	if (pw_loop_update_now_us(c->task.loop) - ch->started_us > PW_CHANGE_PROMOTE_DEADLINE_US) {
 		abort_change(ch, "the promotion request was not sent in time");
 		return;
 	}
+	/*
+	 * Without a recent renewal the store may have been restored without the mark, and another
+	 * VM may claim a change once the permits of that time are over.
+	 */
+	if (!pw_permit_is_valid(c->permit_until_us, cluster_now_us(c)))
+		return;
 	cancel_queries(ch);
 	ch->target_before = g_array_index(ch->servers, struct pw_change_server, ch->target);
 	g_array_index(ch->servers, struct pw_change_server, ch->target).reported = false;
@@ -693,7 +709,8 @@
 		finish_change(ch);
 		return;
 	}
-	if (base->code == PW_ECONFLICT) {
+	/* A conflict without items was found by the client: the store was restored. */
+	if (base->code == PW_ECONFLICT && ((const struct pw_store_txn_result *)base)->kv_count) {
 		if (apply_conflicting_record(ch->cluster,
 					     (const struct pw_store_txn_result *)base)) {
 			/* The conflict concerned another group. */
@@ -767,6 +784,9 @@
 		abort_change(ch, "the change took too long");
 		return;
 	}
+	/* The primary is recorded once the record was written again in the new era. */
+	if (!era_is_record_current(ch->cluster))
+		return;
 	switch (ch->phase) {
 	case PHASE_QUIESCE:
 		if (!try_quiesce(ch))
@@ -906,6 +926,7 @@
 	ch->cluster = c;
 	ch->group = g_strdup(primary->group);
 	ch->number = ++c->last_change_number;
+	ch->era = c->era;
 	ch->reason = reason;
 	ch->generation = primary->generation;
 	ch->abandoned_token = primary->mark_token;
@@ -984,22 +1005,25 @@
 		if (v.lost_vote_count && !primary->changing)
 			cluster_check_primary(c, primary->group);
 		reason = pw_change_due_reason(&v, cluster_now_us(c));
-		if (reason != PW_CHANGE_NONE) {
+		if (reason != PW_CHANGE_NONE && era_may_claim(c, v.rank)) {
 			start_change(c, primary, reason, &v);
 			return;
 		}
 	}
 }
 
-void change_abort_before_promotion(struct cluster *c)
+void change_abort_before_promotion(struct cluster *c, const char *reason)
 {
 	GList *changes = g_hash_table_get_values(c->changes);
 
 	for (GList *l = changes; l; l = l->next) {
 		struct change *ch = l->data;
 
-		if (!ch->promotion_sent)
-			abort_change(ch, "the VM is leaving the fleet");
+		if (ch->promotion_sent)
+			continue;
+		if (ch->phase > PHASE_CLAIM && !era_is_record_current(c))
+			era_add_dead_mark(c, ch->group);
+		abort_change(ch, reason);
 	}
 	g_list_free(changes);
 }
--- a/tests/platform/test_platform_fleet.c
+++ b/tests/platform/test_platform_fleet.c
@@ -811,6 +811,116 @@
 }
 END_TEST
 
+/* Replaces the primary, and waits until each VM has written to the new one. */
+static void replace_primary(struct client **c)
+{
+	char *old_primary = find_primary();
+
+	inject_fault("crash", old_primary);
+	ck_assert_msg(PW_HARNESS_WAIT_UNTIL(write_unless_replaced(old_primary, c), 8000),
+		      "no new primary in time");
+	for (uint32_t i = 0; i < VM_COUNT; i++)
+		(void)write_until_ok(&c[i], i, "WRITE replaced v", 8000);
+	g_free(old_primary);
+}
+
+static void open_sessions(struct client **c)
+{
+	for (uint32_t i = 0; i < VM_COUNT; i++) {
+		c[i] = open_session(i, "desk");
+		expect_answer(c[i], "WRITE before v", "ok I");
+	}
+}
+
+static void close_sessions(struct client **c)
+{
+	for (uint32_t i = 0; i < VM_COUNT; i++)
+		client_free(c[i]);
+}
+
+/*
+ * Guards against a record of primaries that cannot be changed any more after the store was restored
+ * from a copy that lacks a change: no VM replaced the next primary that crashed.
+ */
+START_TEST(test_change_after_restoration)
+{
+	struct client *c[VM_COUNT];
+	char *first_primary;
+
+	start_fleet();
+	open_sessions(c);
+	first_primary = find_primary();
+	inject_fault("copy", "1");
+	replace_primary(c);
+	inject_fault("restore", "1");
+	inject_fault("start", first_primary);
+	g_usleep(3000000);
+	replace_primary(c);
+	ck_assert_uint_ge(count_promotion_requests(), 2);
+	close_sessions(c);
+	g_free(first_primary);
+	stop_fleet();
+}
+END_TEST
+
+/*
+ * Guards against the mark of a change that its VM gave up because the store was restored: the other
+ * VMs knew the mark, wrote it again, and left the group without a primary for 6.5 s. A suspended VM
+ * keeps the change from its promotion request.
+ */
+START_TEST(test_restoration_during_change)
+{
+	struct client *c[VM_COUNT];
+	gint64 restore_us;
+	char *old_primary;
+
+	start_fleet();
+	open_sessions(c);
+	inject_fault("copy", "1");
+	old_primary = find_primary();
+	pw_harness_signal(vms[2].process, SIGSTOP);
+	inject_fault("crash", old_primary);
+	restore_us = g_get_monotonic_time() + 1700000;
+	while (g_get_monotonic_time() < restore_us) {
+		for (uint32_t i = 0; i < 2; i++)
+			g_free(run_statement(c[i], "WRITE meanwhile v"));
+	}
+	ck_assert_uint_eq(count_promotion_requests(), 0);
+	inject_fault("restore", "1");
+	pw_harness_signal(vms[2].process, SIGCONT);
+	for (uint32_t i = 0; i < VM_COUNT; i++)
+		(void)write_until_ok(&c[i], i, "WRITE after v", 5000);
+	close_sessions(c);
+	g_free(old_primary);
+	stop_fleet();
+}
+END_TEST
+
+/*
+ * Guards against a VM that starts after the restoration and takes the primary of the copy for the
+ * current one.
+ */
+START_TEST(test_start_after_restoration)
+{
+	struct client *c[VM_COUNT];
+
+	start_fleet();
+	open_sessions(c);
+	inject_fault("copy", "1");
+	replace_primary(c);
+	pw_harness_kill(vms[2].process);
+	inject_fault("restore", "1");
+	start_vm(2);
+	ck_assert(PW_HARNESS_WAIT_UNTIL(is_ready(&vms[2]), READY_TIMEOUT_MS));
+	client_free(c[2]);
+	c[2] = open_session(2, "desk");
+	(void)write_until_ok(&c[2], 2, "WRITE restarted v", 2500);
+	ck_assert_uint_eq(count_promotion_requests(), 1);
+	close_sessions(c);
+	stop_fleet();
+}
+END_TEST
+
 static const uint32_t fleet_sizes[] = { VM_COUNT, VM_COUNT_MAX };
 
 /*
@@ -1330,6 +1440,9 @@
 	tcase_add_test(tc, test_idle_transaction);
 	tcase_add_test(tc, test_withdrawn_key);
 	tcase_add_test(tc, test_compacted_history);
+	tcase_add_test(tc, test_change_after_restoration);
+	tcase_add_test(tc, test_restoration_during_change);
+	tcase_add_test(tc, test_start_after_restoration);
 	tcase_add_loop_test(tc, test_store_down, 0, PW_ARRAY_LEN(fleet_sizes));
 	tcase_add_test(tc, test_isolated_vm);
 	tcase_add_test(tc, test_commit_without_permit);
