Members: one with a delegated permit is kept until the permit has ended

A member that was not on the list was removed 1.25 s after its last pulse, with the end of the permit that this VM had delegated to it. Such a member is one that cannot renew its lease, so it is off the list as a rule. This VM then confirmed the mark of a change while the member could still use the former primary, for up to 0.35 s. Found by reading beside the reads of the member list.

Before, 1 of the 3 new cases of daemon/test_cluster failed:

test_member_with_delegated_permit_is_kept:0: removal: member is removed while its delegated permit holds; then 1 VMs

--- a/daemon/control/cluster_member.c
+++ b/daemon/control/cluster_member.c
@@ -290,7 +290,10 @@
 	return m;
 }
 
-/* Removes the members that are not on the list, except those that still send pulses. */
+/*
+ * Removes the members that are not on the list, except those that still send pulses or that may
+ * still use a permit which this VM has delegated to them.
+ */
 static void remove_unlisted_members(struct cluster *c)
 {
 	GHashTableIter it;
@@ -300,7 +303,8 @@
 	while (g_hash_table_iter_next(&it, NULL, &item)) {
 		struct member *m = item;
 
-		if (!m->listed && !pulse_is_member_live(c, m)) {
+		if (!m->listed && !pulse_is_member_live(c, m) &&
+		    !pw_permit_is_valid(m->delegated_until_us, cluster_now_us(c))) {
 			pw_event_log(PW_EVENT_MEMBER_REMOVED, "peer=%s incarnation=%" PRIu64,
 				     m->name, m->incarnation);
 			g_hash_table_iter_remove(&it);
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -64,7 +64,8 @@
 	bool listed, is_silent, confirms;
 	uint32_t unreachable_ms; /* in its pulses, about the primary of GROUP */
 	uint64_t sequence;
-	uint32_t pulse_count; /* pulses received from the VM under test */
+	bool needs_permit;        /* it asks for a delegated permit */
+	uint32_t delegated_count; /* delegated permits that it got from the VM under test */
 };
 
 enum gateway_view { VIEW_NONE, VIEW_REACHED, VIEW_LOST };
@@ -281,6 +282,7 @@
 	p.incarnation = 1;
 	p.sequence = ++m->sequence;
 	p.settled_revision = p.confirmed_revision = m->confirms ? x->record->revision : 0;
+	p.needs_permit = m->needs_permit;
 	if (m->unreachable_ms)
 		pw_pulse_add_group(&p, GROUP, FIRST_GENERATION, m->unreachable_ms, false);
 	size_bytes = pw_pulse_encode(data, &p);
@@ -292,9 +294,15 @@
 static void receive_pulses(struct fake_member *m)
 {
 	uint8_t data[PW_PULSE_MAX_BYTES];
+	ssize_t n;
 
-	while (recv(m->fd, data, sizeof(data), MSG_DONTWAIT) > 0)
-		m->pulse_count++;
+	while ((n = recv(m->fd, data, sizeof(data), MSG_DONTWAIT)) > 0) {
+		struct pw_pulse p;
+
+		ck_assert_int_eq(pw_pulse_decode(&p, data, (size_t)n), PW_OK);
+		m->delegated_count += p.delegated_permit_ms > 0;
+		pw_pulse_dispose(&p);
+	}
 }
 
 static void send_report(struct fixture *x, uint32_t gateway_index)
@@ -1015,6 +1023,53 @@
 }
 END_TEST
 
+static const struct {
+	const char *label;
+	bool delegated;      /* the member has a delegated permit when it goes silent */
+	uint32_t silence_ms; /* from its last pulse to the read of the list without it */
+	bool removed;
+} removal_cases[] = {
+	{ "member is removed while its delegated permit holds", true, 1300, false },
+	{ "member is kept after its delegated permit has ended", true, 3400, true },
+	{ "member without a delegated permit is kept", false, 1300, true },
+};
+
+static bool is_member_ready(struct fixture *x)
+{
+	const struct fake_member *m = &x->members[0];
+
+	return x->member_count == 2 && m->sequence > 10 && (m->delegated_count || !m->needs_permit);
+}
+
+/*
+ * Fails if a VM forgets a member to which it has delegated a permit. It would confirm the mark of a
+ * change although the member may still use the former primary.
+ */
+START_TEST(test_member_with_delegated_permit_is_kept)
+{
+	bool ready, is_removed = removal_cases[_i].removed;
+	struct fixture x;
+
+	setup(&x);
+	x.members[0].is_silent = false;
+	x.members[0].confirms = true;
+	x.members[0].needs_permit = removal_cases[_i].delegated;
+	start(&x, false);
+	ready = wait_for(&x, is_member_ready, 3000);
+	x.members[0].is_silent = true;
+	wait_for(&x, never, removal_cases[_i].silence_ms);
+	x.list_count = 0;
+	x.min_member_count = UINT32_MAX;
+	x.loses_own_lease = true;
+	wait_for(&x, never, 1100);
+	teardown(&x);
+	ck_assert(ready && x.list_count == 1);
+	ck_assert_msg(x.min_member_count == (is_removed ? 1 : 2), "removal: %s; then %u VMs",
+		      removal_cases[_i].label, x.min_member_count);
+	pw_primaries_unref(x.record);
+}
+END_TEST
+
 static const struct {
 	const char *label;
 	enum gateway_view views[GATEWAY_COUNT];
@@ -1081,6 +1136,8 @@
 	tcase_add_loop_test(tc, test_change_waits_for_all_listed_members, 0,
 			    PW_ARRAY_LEN(wait_cases));
 	tcase_add_loop_test(tc, test_member_list_is_read_in_pages, 0, PW_ARRAY_LEN(list_cases));
+	tcase_add_loop_test(tc, test_member_with_delegated_permit_is_kept, 0,
+			    PW_ARRAY_LEN(removal_cases));
 	tcase_add_loop_test(tc, test_one_vote_per_vm, 0, PW_ARRAY_LEN(vote_cases));
 	return pw_suite_run("cluster", tc);
 }
