Change of primary: status queries in flight end with the cluster task

The queries that tell a former primary to step down belong to no change. If the cluster task stopped or was restarted meanwhile, they and their sockets were leaked. All queries in flight are now known and cancelled.

Before, daemon/test_cluster with PW_SANITIZE=address,undefined ended with

SUMMARY: AddressSanitizer: 404 byte(s) leaked in 6 allocation(s).

--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -907,6 +907,7 @@
 	c->changes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, change_free);
 	c->demoted_since_us = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->ended_changes = g_ptr_array_new();
+	c->queries = g_hash_table_new(NULL, NULL);
 	c->ended_queries = g_ptr_array_new_with_free_func(g_free);
 }
 
@@ -980,5 +981,7 @@
 	for (guint i = 0; i < c->ended_changes->len; i++)
 		g_free(g_ptr_array_index(c->ended_changes, i));
 	g_ptr_array_unref(c->ended_changes);
+	status_query_cancel_all(c);
+	g_hash_table_unref(c->queries);
 	g_ptr_array_unref(c->ended_queries);
 }
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -201,6 +201,7 @@
 	GHashTable *demoted_since_us; /**< group -> since when its primary's entry says "replica" */
 	uint64_t last_change_number;
 	GPtrArray *ended_changes; /**< to be freed by the tick */
+	GHashTable *queries;      /**< set of struct status_query in flight */
 	GPtrArray *ended_queries; /**< to be freed by the tick */
 };
 
@@ -330,5 +331,7 @@
 					void *owner);
 /** Cancels a query without calling `done`. */
 void status_query_cancel(struct status_query *q);
+/** Cancels all queries, also those without an owner. */
+void status_query_cancel_all(struct cluster *c);
 
 #endif
--- a/daemon/control/cluster_status.c
+++ b/daemon/control/cluster_status.c
@@ -32,6 +32,7 @@
 	if (q->ended)
 		return;
 	q->ended = true;
+	g_hash_table_remove(q->cluster->queries, q);
 	pw_loop_timer_clear(q->cluster->task.loop, &q->timer);
 	pw_stream_dispose(&q->stream);
 	if (q->owner)
@@ -142,6 +143,7 @@
 		g_free(q);
 		return NULL;
 	}
+	g_hash_table_add(c->queries, q);
 	pw_loop_timer_set(c->task.loop, &q->timer, cluster_now_us(c) + STATUS_QUERY_TIMEOUT_US);
 	return q;
 }
@@ -151,3 +153,12 @@
 	q->owner = NULL;
 	end_query(q);
 }
+
+void status_query_cancel_all(struct cluster *c)
+{
+	GList *queries = g_hash_table_get_keys(c->queries);
+
+	for (GList *l = queries; l; l = l->next)
+		status_query_cancel(l->data);
+	g_list_free(queries);
+}
