--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -217,6 +217,7 @@
 	GHashTable *unfit_since_us;
 	uint64_t last_change_number;
 	GPtrArray *ended_changes; /**< to be freed by the tick */
+	GHashTable *queries;      /**< set of struct status_query in flight */
 	GPtrArray *ended_queries; /**< to be freed by the tick */
 };
 
@@ -378,5 +379,7 @@
 					void *owner);
 /** Cancels a query without calling `done`. */
 void status_query_cancel(struct status_query *q);
+/** Cancels all queries, also those without an owner. */
+void status_query_cancel_all(struct cluster *c);
 
 #endif
