Stored records: numbers below 0 and of other types are refused

A record of primaries with the fence -1 did the same to the fencing token, whose next value is 0, and one whose generation is missing or a text counted as generation 0, which stands for no primary.

Cause: json_integer_value() returns 0 for other types, and the casts to uint64_t had no check.

--- a/codec/src/primaries.c
+++ b/codec/src/primaries.c
@@ -114,17 +114,22 @@
 				      "holder", p->holder ? p->holder : "", "primaries", list));
 }
 
+static bool is_whole_number(const json_t *j)
+{
+	return json_is_integer(j) && json_integer_value(j) >= 0;
+}
+
 /* Adds the primary of one group. Returns false if the item is malformed. */
 static bool decode_primary(struct pw_primaries *p, const json_t *item)
 {
 	const char *group = json_string_value(json_object_get(item, "group"));
 	const char *server = json_string_value(json_object_get(item, "server"));
-	json_int_t generation = json_integer_value(json_object_get(item, "generation"));
+	const json_t *generation = json_object_get(item, "generation");
 	struct pw_primary *primary;
 
-	if (!group || !server || generation < 0)
+	if (!group || !server || !is_whole_number(generation))
 		return false;
-	pw_primaries_set(p, group, server, (uint64_t)generation);
+	pw_primaries_set(p, group, server, (uint64_t)json_integer_value(generation));
 	primary = pw_primaries_find(p, group);
 	primary->changing = json_is_true(json_object_get(item, "changing"));
 	primary->planned = json_is_true(json_object_get(item, "planned"));
@@ -138,7 +143,7 @@
 	const json_t *list = json_object_get(root, "primaries"), *item;
 	const json_t *fence = json_object_get(root, "fence");
 	struct pw_primaries *p = pw_primaries_new();
-	bool ok = json_is_array(list) && json_is_integer(fence);
+	bool ok = json_is_array(list) && is_whole_number(fence);
 	size_t i;
 
 	p->revision = revision;
--- a/tests/codec/test_primaries.c
+++ b/tests/codec/test_primaries.c
@@ -55,6 +55,12 @@
 	"{\"fence\":1,\"primaries\":[{\"group\":\"a\"}]}",
 	"{\"fence\":1,\"primaries\":[{\"group\":\"a\",\"server\":\"b\",\"generation\":-1}]}",
 	"{\"fence\":1,\"primaries\":[5]}",
+	"{\"fence\":-1,\"primaries\":[]}",
+	"{\"fence\":1e3,\"primaries\":[]}",
+	"{\"fence\":9223372036854775808,\"primaries\":[]}",
+	"{\"fence\":1,\"primaries\":[{\"group\":\"a\",\"server\":\"b\"}]}",
+	"{\"fence\":1,\"primaries\":[{\"group\":\"a\",\"server\":\"b\",\"generation\":\"3\"}]}",
+	"{\"fence\":1,\"primaries\":[{\"group\":\"a\",\"server\":\"b\",\"generation\":1e999}]}",
 };
 
 /* Guards against a malformed record being accepted. */
