Catalog task: reads of other VMs no longer keep a removed server in use

What callers would see: for many seconds after a server's entry is gone, some VMs still send it statements and open connections to its address, which another service may have by then.

Cause: a server without an entry stays in use for 2.2 s, and ends at the first own read after that. While it is retained the VM plans a read after 400 ms, but each time another VM reports a read with the same digest, handle_remote_freshness() moves the timer to 1.6 to 2.9 s after that read. The digest covers the entries read, so the VMs that retain a server and the one that has dropped it have the same, and postpone each other.

Ruled out: odd entries as the cause; there were none in these runs. The grace of 2.2 s itself, which lets servers return after an outage.

Why it works: the task keeps the time at which the first retained server ends to be used, and no report moves the timer beyond it: at most 2.9 s until a VM sees the change, 2.2 s, and one read. It costs at most one read of each VM for each removal.

--- a/daemon/control/catalog.c
+++ b/daemon/control/catalog.c
@@ -51,6 +51,8 @@
 	GHashTable *refused_read;    /**< the same for the pages read so far */
 	struct pw_timer catalog_timer;
 	struct pw_timer servers_timer;
+	/** When the first server without an entry ends to be used; UINT64_MAX: all have entries. */
+	uint64_t retained_until_us;
 	uint64_t servers_requested_us; /**< when the last read was requested */
 	uint64_t catalog_requested_us; /**< when the last read was requested */
 	uint64_t catalog_backoff_us;   /**< 0: the last read has not failed */
@@ -357,9 +359,11 @@
 	} else {
 		c->freshness.servers_fresh_us = remote->servers_fresh_us;
 		send_freshness(c);
+		/* The other VM may use a server without an entry for longer than this one. */
 		if (!c->reading_servers)
 			pw_loop_timer_set(c->task.loop, &c->servers_timer,
-					  next_recheck_us(remote->servers_fresh_us));
+					  MIN(next_recheck_us(remote->servers_fresh_us),
+					      c->retained_until_us));
 	}
 }
 
@@ -442,34 +446,33 @@
 
 /*
  * Adds the servers whose entries are missing but may be written again, see pw/decide/registry.h.
- * Returns whether it added any.
  */
-static bool retain_missing_servers(struct catalog_task *c, struct pw_server_list *next)
+static void retain_missing_servers(struct catalog_task *c, struct pw_server_list *next)
 {
-	bool any_retained = false;
-
+	c->retained_until_us = UINT64_MAX;
 	for (guint i = 0; c->servers && i < c->servers->entries->len; i++) {
 		const struct pw_server_entry *e = g_ptr_array_index(c->servers->entries, i);
-		bool is_listed = pw_server_list_find(next, e->id) != NULL;
+		struct pw_registry_state *state;
 
-		if (is_listed)
+		if (pw_server_list_find(next, e->id))
 			continue;
-		if (pw_registry_update(get_registry_state(c, e->id), false, catalog_now_us(c))) {
+		state = get_registry_state(c, e->id);
+		if (pw_registry_update(state, false, catalog_now_us(c))) {
 			g_ptr_array_add(next->entries, pw_server_entry_copy(e));
-			any_retained = true;
+			c->retained_until_us =
+				MIN(c->retained_until_us,
+				    state->missing_since_us + PW_REGISTRY_GRACE_PERIOD_US);
 		} else {
 			pw_event_log(PW_EVENT_SERVER_GONE, "group=%s server=%s", e->group, e->id);
 			g_hash_table_remove(c->registry_states, e->id);
 		}
 	}
-	return any_retained;
 }
 
 /* Publishes the list of servers, now that all pages are read, if it differs from the last one. */
 static void apply_servers(struct catalog_task *c)
 {
 	struct pw_server_list *next = pw_server_list_new();
-	bool any_retained;
 
 	for (guint i = 0; i < c->entries_read->len; i++) {
 		struct pw_server_entry *e = g_ptr_array_index(c->entries_read, i);
@@ -478,7 +481,7 @@
 		g_ptr_array_add(next->entries, e);
 	}
 	g_ptr_array_set_size(c->entries_read, 0);
-	any_retained = retain_missing_servers(c, next);
+	retain_missing_servers(c, next);
 	g_ptr_array_sort(next->entries, compare_entry_ids);
 	if (c->servers && server_lists_equal(c->servers, next)) {
 		pw_server_list_unref(next);
@@ -487,7 +490,7 @@
 		c->servers = next;
 		publish_to_all(c, send_servers);
 	}
-	if (any_retained)
+	if (c->retained_until_us != UINT64_MAX)
 		schedule_servers_refresh(c);
 }
 
@@ -615,6 +618,7 @@
 	c->entries_read = g_ptr_array_new();
 	c->refused_keys = key_set_new();
 	c->refused_read = key_set_new();
+	c->retained_until_us = UINT64_MAX;
 	c->catalog_timer.ops = &catalog_timer_ops;
 	c->servers_timer.ops = &servers_timer_ops;
 	request_catalog(c);
--- a/tests/platform/test_platform_fleet.c
+++ b/tests/platform/test_platform_fleet.c
@@ -1258,6 +1258,32 @@
 }
 END_TEST
 
+/* DrainMs of the platform's settings: after this time a server that is gone gets no statement. */
+#define GONE_TIMEOUT_MS 7000
+
+static bool have_all_logged(const char *text)
+{
+	for (uint32_t i = 0; i < VM_COUNT; i++) {
+		if (!count_log_lines(&vms[i], text))
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Guards against a VM that keeps a server in use after its entry is gone, because the reads of
+ * other VMs, which find the same entries, postpone its own.
+ */
+START_TEST(test_removed_server)
+{
+	start_fleet();
+	inject_fault("gone", "i-core-3");
+	ck_assert(PW_HARNESS_WAIT_UNTIL(
+		have_all_logged("name=server_gone group=core server=i-core-3"), GONE_TIMEOUT_MS));
+	stop_fleet();
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("platform fleet");
@@ -1281,6 +1307,8 @@
 	tcase_add_test(tc, test_stop);
 	tcase_add_test(tc, test_suspended_vm);
 	tcase_add_test(tc, test_delegated_permit);
+	/* Which VM reads when is random, so one run may miss the fault. */
+	tcase_add_loop_test(tc, test_removed_server, 0, 2);
 	tcase_add_loop_test(tc, test_odd_entries, 0, PW_ARRAY_LEN(odd_entry_cases));
 	return pw_suite_run("platform fleet", tc);
 }
