--- a/daemon/control/catalog.c
+++ b/daemon/control/catalog.c
@@ -243,8 +243,12 @@
 		pw_loop_timer_set(c->task.loop, &c->servers_timer, due_us);
 }
 
-/* Publishes the catalogue if it is valid and newer than the one in force. */
-static void apply_catalog(struct catalog_task *c, const struct pw_store_kv *kv)
+/*
+ * Publishes the catalogue if it is valid and newer than the one in force.
+ *
+ * @param watched the watch has delivered it, not a read
+ */
+static void apply_catalog(struct catalog_task *c, const struct pw_store_kv *kv, bool watched)
 {
 	struct pw_catalog *next = NULL;
 	struct pw_findings *f = NULL;
@@ -264,8 +268,9 @@
 		pw_catalog_unref(c->catalog);
 		c->catalog = next;
 		pw_counter_inc(PW_COUNTER_CONFIG_APPLIED);
-		pw_event_log(PW_EVENT_CONFIG_APPLIED, "revision=%" PRId64 " version=%" PRIu64,
-			     kv->mod_revision, next->version);
+		pw_event_log(PW_EVENT_CONFIG_APPLIED,
+			     "revision=%" PRId64 " version=%" PRIu64 " size_bytes=%zu watched=%d",
+			     kv->mod_revision, next->version, kv->size_bytes, watched);
 		publish_to_all(c, send_catalog);
 	}
 	pw_findings_free(f);
@@ -371,7 +376,7 @@
 	if (c->freshness.catalog_fresh_us)
 		pw_histogram_add(PW_HISTOGRAM_CATALOG_AGE,
 				 catalog_now_us(c) - c->freshness.catalog_fresh_us);
-	apply_catalog(c, &r->kvs[0]);
+	apply_catalog(c, &r->kvs[0], false);
 	set_catalog_fresh(c, c->catalog_requested_us);
 	if (!c->watching_catalog)
 		watch_catalog(c, MAX(base->revision, r->kvs[0].mod_revision));
@@ -383,7 +388,7 @@
 
 	for (size_t i = 0; i < r->event_count; i++) {
 		if (r->events[i].kind == PW_STORE_PUT)
-			apply_catalog(c, &r->events[i].kv);
+			apply_catalog(c, &r->events[i].kv, true);
 	}
 	/* Records the version. The time stays, since only a read shows that no newer one exists. */
 	if (r->event_count && c->catalog)
