Catalogue: reads replace the watch while the value changes in quick succession

Callers in the region without the store got a configuration that was up to 11.5 s old (21.5 s with a large one; it has to be in force after 6 s), and refusals "the primary is out of use".

Cause: a watch delivers every version with its whole value, so 34 VMs behind the link between two regions (60 Mbit/s) transfer each version 34 times. A version of 21 KB (28 KB in base64) every 0.12 s needs 65 Mbit/s, one of 81 KB every 0.35 s 84 Mbit/s. The queue of the link grows, calls with a timeout of 1 s fail and are repeated, permits are not renewed, and VMs apply versions that are long replaced, one after the other (18 ms each at 0.12 cores).

Now new versions less than 1 s apart end the watch; reads, which return only the newest version, follow at 1 to 2 s plus jitter until one returns nothing new. Their interval and timeout grow with the time that a read takes. Of several versions in one response only the newest valid one is applied.

The test failed before with "vm-1 refuses the new key after 6014 ms" (test_catalog_storm: six VMs behind a link of 500 kB/s). Longer delays between long polls are ruled out: the next response contains all versions since. Reads that follow every announcement of another VM are ruled out, too: a read may be requested 4 times a second by heartbeats.

--- a/daemon/control/catalog.c
+++ b/daemon/control/catalog.c
@@ -9,6 +9,7 @@
 #include "pw/core/error.h"
 #include "pw/core/event.h"
 #include "pw/core/histogram.h"
+#include "pw/decide/follow.h"
 #include "pw/decide/registry.h"
 #include "store.h"
 
@@ -51,6 +52,7 @@
 	uint64_t catalog_backoff_us;   /**< 0: the last read has not failed */
 	uint64_t servers_backoff_us;   /**< 0: the last read has not failed */
 	struct pw_catalog_freshness freshness;
+	struct pw_follow follow; /**< whether the watch or reads follow the catalogue */
 	bool reading_servers;
 	bool reading_catalog;
 	bool watching_catalog;
@@ -192,9 +194,9 @@
 		return;
 	c->reading_catalog = true;
 	c->catalog_requested_us = catalog_now_us(c);
-	pw_mailbox_send(
-		c->directory->store,
-		pw_store_range_msg_new(c->task.inbox, TAG_CATALOG, PW_STORE_CALL_TIMEOUT_US, &req));
+	pw_mailbox_send(c->directory->store,
+			pw_store_range_msg_new(c->task.inbox, TAG_CATALOG,
+					       pw_follow_timeout_us(&c->follow), &req));
 }
 
 static void catalog_timer_expired(struct pw_timer *t, uint64_t now_us)
@@ -247,14 +249,17 @@
  * Publishes the catalogue if it is valid and newer than the one in force.
  *
  * @param watched the watch has delivered it, not a read
+ * @return whether it is valid
  */
-static void apply_catalog(struct catalog_task *c, const struct pw_store_kv *kv, bool watched)
+static bool apply_catalog(struct catalog_task *c, const struct pw_store_kv *kv, bool watched)
 {
 	struct pw_catalog *next = NULL;
 	struct pw_findings *f = NULL;
+	bool is_valid;
 
 	pw_findings_new(&f);
-	if (c->source->ops->decode_catalog(&next, kv->value, kv->size_bytes, f)) {
+	is_valid = !c->source->ops->decode_catalog(&next, kv->value, kv->size_bytes, f);
+	if (!is_valid) {
 		char *report = pw_findings_format(f);
 
 		pw_counter_inc(PW_COUNTER_CONFIG_REJECTED);
@@ -274,6 +279,7 @@
 		publish_to_all(c, send_catalog);
 	}
 	pw_findings_free(f);
+	return is_valid;
 }
 
 static void watch_catalog(struct catalog_task *c, int64_t revision)
@@ -289,6 +295,29 @@
 					       PW_STORE_CALL_TIMEOUT_US, &req));
 }
 
+/*
+ * Schedules the next read that follows the catalogue in place of the watch. A random part spreads
+ * the reads of the VMs, which see a change at the same time.
+ */
+static void schedule_following_read(struct catalog_task *c)
+{
+	uint64_t interval_us = pw_follow_interval_us(&c->follow);
+
+	pw_loop_timer_set(c->task.loop, &c->catalog_timer,
+			  catalog_now_us(c) + interval_us +
+				  pw_clock_random_u64() % (interval_us / 4));
+}
+
+/* Ends the watch; reads follow the catalogue from now on. */
+static void replace_watch_by_reads(struct catalog_task *c)
+{
+	c->watching_catalog = false;
+	pw_mailbox_send(c->directory->store,
+			pw_store_unwatch_msg_new(c->task.inbox, TAG_CATALOG_WATCH));
+	if (!c->reading_catalog)
+		schedule_following_read(c);
+}
+
 static void send_freshness(struct catalog_task *c)
 {
 	pw_mailbox_send(c->directory->cluster, pw_catalog_freshness_msg_new(&c->freshness));
@@ -316,14 +345,14 @@
 
 /*
  * Gets a newer catalogue that another VM has. While the catalogue is watched, the read is delayed,
- * since the watch usually brings the new version a moment later. After failed reads the backoff is
- * kept.
+ * since the watch usually brings the new version a moment later. Reads that follow the catalogue
+ * keep their interval, and after failed reads the backoff is kept.
  */
 static void fetch_newer_catalog(struct catalog_task *c)
 {
 	uint64_t due_us = catalog_now_us(c) + PW_WATCH_DELAY_US;
 
-	if (c->reading_catalog || c->catalog_backoff_us)
+	if (c->reading_catalog || c->catalog_backoff_us || c->follow.by_reads)
 		return;
 	if (!c->watching_catalog)
 		request_catalog(c);
@@ -345,7 +374,7 @@
 		   remote->catalog_fresh_us > c->freshness.catalog_fresh_us) {
 		c->freshness.catalog_fresh_us = remote->catalog_fresh_us;
 		send_freshness(c);
-		if (!c->reading_catalog)
+		if (!c->reading_catalog && !c->follow.by_reads)
 			pw_loop_timer_set(c->task.loop, &c->catalog_timer,
 					  next_recheck_us(remote->catalog_fresh_us));
 	}
@@ -365,20 +394,27 @@
 static void handle_catalog_result(struct catalog_task *c, const struct pw_store_result *base)
 {
 	const struct pw_store_range_result *r = (const struct pw_store_range_result *)base;
+	uint64_t now_us = catalog_now_us(c), former_version = c->freshness.catalog_version;
+	bool watch;
 
 	c->reading_catalog = false;
+	if (base->code == PW_ETIMEOUT)
+		pw_follow_handle_timeout(&c->follow);
 	if (base->code || !r->kv_count) {
 		pw_loop_timer_set(c->task.loop, &c->catalog_timer,
-				  catalog_now_us(c) + next_retry_delay_us(&c->catalog_backoff_us));
+				  now_us + next_retry_delay_us(&c->catalog_backoff_us));
 		return;
 	}
 	c->catalog_backoff_us = 0;
 	if (c->freshness.catalog_fresh_us)
-		pw_histogram_add(PW_HISTOGRAM_CATALOG_AGE,
-				 catalog_now_us(c) - c->freshness.catalog_fresh_us);
-	apply_catalog(c, &r->kvs[0], false);
+		pw_histogram_add(PW_HISTOGRAM_CATALOG_AGE, now_us - c->freshness.catalog_fresh_us);
+	(void)apply_catalog(c, &r->kvs[0], false);
 	set_catalog_fresh(c, c->catalog_requested_us);
-	if (!c->watching_catalog)
+	watch = pw_follow_handle_read(&c->follow, c->freshness.catalog_version > former_version,
+				      now_us - c->catalog_requested_us, now_us);
+	if (!watch)
+		schedule_following_read(c);
+	else if (!c->watching_catalog)
 		watch_catalog(c, MAX(base->revision, r->kvs[0].mod_revision));
 }
 
@@ -386,13 +422,16 @@
 {
 	const struct pw_store_watch_result *r = (const struct pw_store_watch_result *)base;
 
-	for (size_t i = 0; i < r->event_count; i++) {
-		if (r->events[i].kind == PW_STORE_PUT)
-			apply_catalog(c, &r->events[i].kv, true);
+	/* Of several versions, only the newest valid one is applied: each costs processor time. */
+	for (size_t i = r->event_count; i-- > 0;) {
+		if (r->events[i].kind == PW_STORE_PUT && apply_catalog(c, &r->events[i].kv, true))
+			break;
 	}
 	/* Records the version. The time stays, since only a read shows that no newer one exists. */
 	if (r->event_count && c->catalog)
 		set_catalog_fresh(c, c->freshness.catalog_fresh_us);
+	if (pw_follow_handle_watched(&c->follow, r->event_count, catalog_now_us(c)) && !r->is_last)
+		replace_watch_by_reads(c);
 	/* A watch ends when the history was compacted or the store task was restarted. */
 	if (r->is_last) {
 		c->watching_catalog = false;
--- /dev/null
+++ b/decide/include/pw/decide/follow.h
@@ -0,0 +1,63 @@
+/**
+ * @file follow.h
+ * Decides how a VM follows a value in the store: by a watch, which delivers every version, or by
+ * reads, which skip versions. A watch is fast and costs nothing while the value stays the same.
+ * When a large value changes in quick succession, the versions that all VMs of a region watch
+ * exceed what the links carry, and the newest version comes ever later; reads at a limited rate do
+ * not.
+ */
+#ifndef PW_DECIDE_FOLLOW_H
+#define PW_DECIDE_FOLLOW_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * Minimum time between two reads that follow a value, and the interval of new versions below which
+ * reads replace the watch.
+ */
+#define PW_FOLLOW_INTERVAL_MIN_US UINT64_C(1000000)
+/**
+ * Maximum time between two reads. It leaves time for two attempts of a read within 6 s, the time
+ * in which a change has to be in force.
+ */
+#define PW_FOLLOW_INTERVAL_MAX_US UINT64_C(2000000)
+
+/** Limits of the timeout of a read. */
+#define PW_FOLLOW_TIMEOUT_MIN_US UINT64_C(1000000)
+#define PW_FOLLOW_TIMEOUT_MAX_US UINT64_C(3000000)
+
+/** State that the caller keeps, initially 0. */
+struct pw_follow {
+	uint64_t changed_us;  /**< when the last new version came; 0: none */
+	uint64_t duration_us; /**< of the last successful read */
+	uint64_t timeout_us;  /**< of the next read; 0: the minimum */
+	bool by_reads;        /**< reads follow the value, not the watch */
+};
+
+/**
+ * Records new versions that the watch has delivered at once.
+ *
+ * @return whether the watch is to be ended, with a read after pw_follow_interval_us()
+ */
+bool pw_follow_handle_watched(struct pw_follow *f, uint32_t version_count, uint64_t now_us);
+
+/**
+ * Records a successful read.
+ *
+ * @param is_new  whether it returned a new version
+ * @return whether the value is to be watched from now on; otherwise the next read follows after
+ *         pw_follow_interval_us()
+ */
+bool pw_follow_handle_read(struct pw_follow *f, bool is_new, uint64_t duration_us, uint64_t now_us);
+
+/** Records a read that was not answered within its timeout: the next one gets more time. */
+void pw_follow_handle_timeout(struct pw_follow *f);
+
+/** @return time between the end of a read and the start of the next one */
+uint64_t pw_follow_interval_us(const struct pw_follow *f);
+
+/** @return timeout of the next read */
+uint64_t pw_follow_timeout_us(const struct pw_follow *f);
+
+#endif
--- /dev/null
+++ b/tests/decide/test_follow.c
@@ -0,0 +1,113 @@
+/* Tests of the choice between a watch and reads to follow a value in the store. */
+#include "suite.h"
+
+#include "pw/decide/follow.h"
+
+#define STEPS_MAX 8
+
+enum step_kind {
+	STEP_END,
+	STEP_WATCHED,  /* the watch delivers `count` versions */
+	STEP_SAME,     /* a read of `duration_ms` returns the known version */
+	STEP_NEW,      /* a read of `duration_ms` returns a new version */
+	STEP_TIMEOUT,  /* a read is not answered in time */
+	STEP_INTERVAL, /* checks the interval of reads */
+	STEP_DEADLINE, /* checks the timeout of the next read */
+};
+
+static const struct {
+	const char *label;
+	struct {
+		enum step_kind kind;
+		uint32_t at_ms;
+		uint32_t argument; /* count, duration, or expected time in ms */
+		bool by_reads;     /* expected afterwards */
+	} steps[STEPS_MAX];
+} cases[] = {
+	{ "changes far apart are watched",
+	  { { STEP_WATCHED, 1000, 1, false },
+	    { STEP_WATCHED, 2000, 1, false },
+	    { STEP_WATCHED, 9000, 1, false } } },
+	{ "a read without a change leaves the watch",
+	  { { STEP_WATCHED, 1000, 1, false }, { STEP_SAME, 1100, 10, false } } },
+	{ "an empty update of the watch",
+	  { { STEP_WATCHED, 1000, 1, false }, { STEP_WATCHED, 1100, 0, false } } },
+	{ "changes in quick succession are read until one read returns no new version",
+	  { { STEP_WATCHED, 1000, 1, false },
+	    { STEP_WATCHED, 1300, 1, true },
+	    { STEP_NEW, 2400, 10, true },
+	    { STEP_NEW, 3500, 10, true },
+	    { STEP_SAME, 4600, 10, false },
+	    { STEP_WATCHED, 9000, 1, false } } },
+	{ "several versions at once", { { STEP_WATCHED, 1000, 3, true } } },
+	{ "a read and then the watch bring new versions",
+	  { { STEP_NEW, 1000, 10, false }, { STEP_WATCHED, 1500, 1, true } } },
+	{ "slow reads are rarer and get more time",
+	  { { STEP_INTERVAL, 1, 1000, false },
+	    { STEP_DEADLINE, 1, 1000, false },
+	    { STEP_NEW, 1000, 500, false },
+	    { STEP_INTERVAL, 1000, 1500, false },
+	    { STEP_DEADLINE, 1000, 2000, false },
+	    { STEP_NEW, 3000, 1900, false },
+	    { STEP_INTERVAL, 3000, 2000, false },
+	    { STEP_DEADLINE, 3000, 3000, false } } },
+	{ "a read that was not answered in time gets more time",
+	  { { STEP_TIMEOUT, 1000, 0, false },
+	    { STEP_DEADLINE, 1000, 2000, false },
+	    { STEP_TIMEOUT, 3000, 0, false },
+	    { STEP_DEADLINE, 3000, 3000, false },
+	    { STEP_SAME, 4000, 10, false },
+	    { STEP_DEADLINE, 4000, 1000, false } } },
+};
+
+static void run_step(struct pw_follow *f, enum step_kind kind, uint64_t at_us, uint32_t argument,
+		     const char *label, size_t i)
+{
+	uint64_t argument_us = argument * UINT64_C(1000);
+	bool stays;
+
+	switch (kind) {
+	case STEP_WATCHED:
+		stays = !pw_follow_handle_watched(f, argument, at_us);
+		ck_assert_msg(stays == !f->by_reads, "%s, step %zu", label, i);
+		break;
+	case STEP_SAME:
+	case STEP_NEW:
+		stays = pw_follow_handle_read(f, kind == STEP_NEW, argument_us, at_us);
+		ck_assert_msg(stays == !f->by_reads, "%s, step %zu", label, i);
+		break;
+	case STEP_TIMEOUT:
+		pw_follow_handle_timeout(f);
+		break;
+	case STEP_INTERVAL:
+		ck_assert_msg(pw_follow_interval_us(f) == argument_us, "%s, step %zu", label, i);
+		break;
+	default:
+		ck_assert_msg(pw_follow_timeout_us(f) == argument_us, "%s, step %zu", label, i);
+	}
+}
+
+/*
+ * Guards against a VM that transfers every version of a value which changes in quick succession,
+ * and against reads that go on although nothing changes.
+ */
+START_TEST(test_follow)
+{
+	struct pw_follow f = { 0 };
+
+	for (size_t i = 0; i < STEPS_MAX && cases[_i].steps[i].kind; i++) {
+		run_step(&f, cases[_i].steps[i].kind, cases[_i].steps[i].at_ms * UINT64_C(1000),
+			 cases[_i].steps[i].argument, cases[_i].label, i);
+		ck_assert_msg(f.by_reads == cases[_i].steps[i].by_reads, "%s, step %zu",
+			      cases[_i].label, i);
+	}
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("follow");
+
+	tcase_add_loop_test(tc, test_follow, 0, PW_ARRAY_LEN(cases));
+	return pw_suite_run("follow", tc);
+}
--- a/tests/platform/test_platform_fleet.c
+++ b/tests/platform/test_platform_fleet.c
@@ -170,11 +170,8 @@
 	start_vm_with_store(i, platform->port);
 }
 
-/*
- * Starts a platform with one group of three servers, and a fleet of `count` VMs, and waits until
- * all VMs are ready.
- */
-static void start_fleet_of(uint32_t count)
+/* Starts a platform with one group of three servers. */
+static void start_platform(void)
 {
 	uint16_t port, servers[3];
 	char *port_text, *group;
@@ -192,18 +189,30 @@
 	g_free(group);
 	catalog_version = 0;
 	publish_catalog(BOTH_KEYS, 3000);
+}
+
+/* Starts a fleet of `count` VMs, and waits until all are ready. */
+static void start_vms(uint32_t count, uint16_t store_port)
+{
 	for (uint32_t i = 0; i < count; i++) {
 		vms[i] = (struct vm){ .caller_port = pw_harness_allocate_port(),
 				      .api_port = pw_harness_allocate_port(),
 				      .peer_port = pw_harness_allocate_port(),
 				      .metrics_port = pw_harness_allocate_port() };
-		start_vm(i);
+		start_vm_with_store(i, store_port);
 	}
 	for (uint32_t i = 0; i < count; i++)
 		ck_assert_msg(PW_HARNESS_WAIT_UNTIL(is_ready(&vms[i]), READY_TIMEOUT_MS),
 			      "vm-%u is not ready", i + 1);
 }
 
+/* Starts a platform and a fleet of `count` VMs, and waits until all VMs are ready. */
+static void start_fleet_of(uint32_t count)
+{
+	start_platform();
+	start_vms(count, platform->port);
+}
+
 static void start_fleet(void)
 {
 	start_fleet_of(VM_COUNT);
@@ -998,6 +1007,61 @@
 }
 END_TEST
 
+#define STORM_VMS         6
+#define STORM_CHANGES     80
+#define STORM_KEYS        3500
+#define STORM_BYTES_PER_S 500000
+#define CONFIG_APPLY_US   G_GINT64_CONSTANT(6000000)
+
+/* Whether the VM accepts a session with this key. */
+static bool accepts_key(uint32_t vm, const char *key)
+{
+	struct client *c = client_new(&vms[vm]);
+	char *answer = start_session(c, "desk", key);
+	bool accepted = strcmp(answer, "I") == 0;
+
+	g_free(answer);
+	client_free(c);
+	return accepted;
+}
+
+/*
+ * Guards against a change that comes into force too late because the VMs transfer every version of
+ * a large catalogue over a link that cannot carry them all.
+ */
+START_TEST(test_catalog_storm)
+{
+	struct pw_harness_relay *relay;
+	GString *keys = g_string_new(BOTH_KEYS);
+	gint64 published_us;
+
+	for (int i = 0; i < STORM_KEYS; i++)
+		g_string_append_printf(keys, ",\"key-%05d\"", i);
+	start_platform();
+	relay = pw_harness_relay_new(platform->port);
+	start_vms(STORM_VMS, pw_harness_relay_port(relay));
+	pw_harness_relay_set_rate(relay, STORM_BYTES_PER_S);
+	for (int i = 0; i < STORM_CHANGES; i++) {
+		publish_catalog(keys->str, 3000);
+		g_usleep(50000);
+	}
+	g_string_append(keys, ",\"last-key\"");
+	publish_catalog(keys->str, 3000);
+	published_us = g_get_monotonic_time();
+	for (uint32_t i = 0; i < STORM_VMS; i++) {
+		while (!accepts_key(i, "last-key")) {
+			ck_assert_msg(g_get_monotonic_time() - published_us < CONFIG_APPLY_US,
+				      "vm-%u refuses the new key after %u ms", i + 1,
+				      (uint32_t)((g_get_monotonic_time() - published_us) / 1000));
+			g_usleep(20000);
+		}
+	}
+	g_string_free(keys, TRUE);
+	pw_harness_relay_free(relay);
+	stop_fleet();
+}
+END_TEST
+
 /* A planned stop must let open transactions finish, and close sessions only between operations. */
 START_TEST(test_stop)
 {
@@ -1115,6 +1179,7 @@
 	tcase_add_test(tc, test_metrics);
 	tcase_add_test(tc, test_shared_positions);
 	tcase_add_loop_test(tc, test_catalog_change_burst, 0, PW_ARRAY_LEN(burst_cases));
+	tcase_add_test(tc, test_catalog_storm);
 	tcase_add_test(tc, test_stop);
 	tcase_add_test(tc, test_suspended_vm);
 	tcase_add_test(tc, test_delegated_permit);
--- a/tests/process/harness_relay.c
+++ b/tests/process/harness_relay.c
@@ -22,9 +22,10 @@
 	uint16_t port;
 	uint16_t target_port;
 	int listen_fd;
-	int wake_fd;   /**< eventfd that interrupts the thread's poll() */
-	gint mode;     /**< enum pw_harness_relay_mode; atomic */
-	gint stopping; /**< atomic */
+	int wake_fd;      /**< eventfd that interrupts the thread's poll() */
+	gint mode;        /**< enum pw_harness_relay_mode; atomic */
+	gint stopping;    /**< atomic */
+	gint bytes_per_s; /**< limit of what the target sends; 0 for none; atomic */
 	GThread *thread;
 	GArray *pairs; /**< struct pair */
 	GMutex lock;   /**< guards `sent_bytes` */
@@ -76,14 +77,18 @@
 
 /*
  * Forwards what one side of a pair has sent: 0 is the client, 1 the target. Records what is sent to
- * the target. Returns the same as forward().
+ * the target, and waits for the time that a shared link takes for what the target has sent. Returns
+ * the same as forward().
  */
 static bool forward_side(struct pw_harness_relay *r, const struct pair *p, int side)
 {
 	char bytes[BUFFER_BYTES];
 	ssize_t size;
 	bool is_open = forward(p->fds[side], p->fds[!side], bytes, &size);
+	gint bytes_per_s = g_atomic_int_get(&r->bytes_per_s);
 
+	if (side == 1 && bytes_per_s)
+		g_usleep((gulong)size * G_USEC_PER_SEC / (gulong)bytes_per_s);
 	if (side == 0) {
 		g_mutex_lock(&r->lock);
 		g_byte_array_append(r->sent_bytes, (const guint8 *)bytes, (guint)size);
@@ -183,6 +188,11 @@
 	wake_thread(r);
 }
 
+void pw_harness_relay_set_rate(struct pw_harness_relay *r, uint32_t bytes_per_s)
+{
+	g_atomic_int_set(&r->bytes_per_s, (gint)bytes_per_s);
+}
+
 uint16_t pw_harness_relay_port(const struct pw_harness_relay *r)
 {
 	return r->port;
--- a/tests/process/harness_relay.h
+++ b/tests/process/harness_relay.h
@@ -24,6 +24,11 @@
 uint16_t pw_harness_relay_port(const struct pw_harness_relay *r);
 /** Takes effect within a few milliseconds, also on open connections. */
 void pw_harness_relay_set_mode(struct pw_harness_relay *r, enum pw_harness_relay_mode mode);
+/**
+ * Limits what the target sends on all connections together, as a link that they share does; 0 for
+ * no limit.
+ */
+void pw_harness_relay_set_rate(struct pw_harness_relay *r, uint32_t bytes_per_s);
 /** @return whether the bytes sent to the target so far, on any connection, contain a text */
 bool pw_harness_relay_has_forwarded(struct pw_harness_relay *r, const char *text);
 
