Catalogue: no second transfer of a large value while the first one is under way

VMs of the region without the store fell behind by up to 2.7 s in a storm of changes of 81 KB, and by 18 s with 242 KB.

Cause: a VM that hears of a newer version from another VM reads it after 200 ms, while its watch still transfers the same version. And while a large version is transferred by the watch, further versions come, all of which the next answer of the watch contains.

Now such a read waits for as long as following reads do, and reads replace the watch also if a version takes more than 0.5 s to transfer. The watch ends before the versions are parsed. The limits leave time for a second attempt of a read of up to 0.8 s within 6 s.

--- a/daemon/control/catalog.c
+++ b/daemon/control/catalog.c
@@ -296,26 +296,27 @@
 }
 
 /*
- * Schedules the next read that follows the catalogue in place of the watch. A random part spreads
- * the reads of the VMs, which see a change at the same time.
+ * Returns when to read a change that is being made. A random part spreads the reads of the VMs,
+ * which learn of a change at the same time.
  */
-static void schedule_following_read(struct catalog_task *c)
+static uint64_t next_following_read_us(const struct catalog_task *c)
 {
 	uint64_t interval_us = pw_follow_interval_us(&c->follow);
 
-	pw_loop_timer_set(c->task.loop, &c->catalog_timer,
-			  catalog_now_us(c) + interval_us +
-				  pw_clock_random_u64() % (interval_us / 4));
+	return catalog_now_us(c) + interval_us + pw_clock_random_u64() % (interval_us / 4);
 }
 
-/* Ends the watch; reads follow the catalogue from now on. */
-static void replace_watch_by_reads(struct catalog_task *c)
+/* Schedules the next read that follows the catalogue in place of the watch. */
+static void schedule_following_read(struct catalog_task *c)
+{
+	pw_loop_timer_set(c->task.loop, &c->catalog_timer, next_following_read_us(c));
+}
+
+static void end_watch(struct catalog_task *c)
 {
 	c->watching_catalog = false;
 	pw_mailbox_send(c->directory->store,
 			pw_store_unwatch_msg_new(c->task.inbox, TAG_CATALOG_WATCH));
-	if (!c->reading_catalog)
-		schedule_following_read(c);
 }
 
 static void send_freshness(struct catalog_task *c)
@@ -345,12 +346,13 @@
 
 /*
  * Gets a newer catalogue that another VM has. While the catalogue is watched, the read is delayed,
- * since the watch usually brings the new version a moment later. Reads that follow the catalogue
- * keep their interval, and after failed reads the backoff is kept.
+ * since the watch usually brings the new version, but takes its time for a large one: a read would
+ * transfer it twice. Reads that follow the catalogue keep their interval, and after failed reads
+ * the backoff is kept.
  */
 static void fetch_newer_catalog(struct catalog_task *c)
 {
-	uint64_t due_us = catalog_now_us(c) + PW_WATCH_DELAY_US;
+	uint64_t due_us = next_following_read_us(c);
 
 	if (c->reading_catalog || c->catalog_backoff_us || c->follow.by_reads)
 		return;
@@ -421,7 +423,13 @@
 static void handle_watch_result(struct catalog_task *c, const struct pw_store_result *base)
 {
 	const struct pw_store_watch_result *r = (const struct pw_store_watch_result *)base;
+	bool by_reads = pw_follow_handle_watched(&c->follow, (uint32_t)r->event_count,
+						 r->transfer_us, catalog_now_us(c)) &&
+			!r->is_last;
 
+	/* The watch ends before the versions are parsed, since its next request follows soon. */
+	if (by_reads)
+		end_watch(c);
 	/* Of several versions, only the newest valid one is applied: each costs processor time. */
 	for (size_t i = r->event_count; i-- > 0;) {
 		if (r->events[i].kind == PW_STORE_PUT && apply_catalog(c, &r->events[i].kv, true))
@@ -430,8 +438,8 @@
 	/* Records the version. The time stays, since only a read shows that no newer one exists. */
 	if (r->event_count && c->catalog)
 		set_catalog_fresh(c, c->freshness.catalog_fresh_us);
-	if (pw_follow_handle_watched(&c->follow, r->event_count, catalog_now_us(c)) && !r->is_last)
-		replace_watch_by_reads(c);
+	if (by_reads && !c->reading_catalog)
+		schedule_following_read(c);
 	/* A watch ends when the history was compacted or the store task was restarted. */
 	if (r->is_last) {
 		c->watching_catalog = false;
--- a/decide/include/pw/decide/follow.h
+++ b/decide/include/pw/decide/follow.h
@@ -18,11 +18,15 @@
  */
 #define PW_FOLLOW_INTERVAL_MIN_US UINT64_C(1000000)
 /**
- * Maximum time between two reads. It leaves time for two attempts of a read within 6 s, the time
- * in which a change has to be in force.
+ * Maximum time between two reads. If a read takes up to 0.8 s, a change is in force in 5.5 s even
+ * if one read fails: 2 s with jitter, a timeout of 2.4 s, a backoff of 0.3 s and the next read. It
+ * has to be in force in 6 s.
  */
 #define PW_FOLLOW_INTERVAL_MAX_US UINT64_C(2000000)
 
+/** Reads replace the watch if a version takes longer to transfer. */
+#define PW_FOLLOW_WATCH_TRANSFER_MAX_US UINT64_C(500000)
+
 /** Limits of the timeout of a read. */
 #define PW_FOLLOW_TIMEOUT_MIN_US UINT64_C(1000000)
 #define PW_FOLLOW_TIMEOUT_MAX_US UINT64_C(3000000)
@@ -38,9 +42,12 @@
 /**
  * Records new versions that the watch has delivered at once.
  *
+ * @param transfer_us  how long the transfer took. If it is long, further versions may have come
+ *                     meanwhile, which the next answer of the watch would contain.
  * @return whether the watch is to be ended, with a read after pw_follow_interval_us()
  */
-bool pw_follow_handle_watched(struct pw_follow *f, uint32_t version_count, uint64_t now_us);
+bool pw_follow_handle_watched(struct pw_follow *f, uint32_t version_count, uint64_t transfer_us,
+			      uint64_t now_us);
 
 /**
  * Records a successful read.
--- a/decide/src/follow.c
+++ b/decide/src/follow.c
@@ -3,15 +3,18 @@
 #include <glib.h>
 
 /* The time between two reads is at least this multiple of the time that a read takes. */
-#define INTERVAL_PER_DURATION 3
+#define INTERVAL_PER_DURATION 2
 /* The timeout of a read is at least this multiple of the time that the last one took. */
-#define TIMEOUT_PER_DURATION 4
+#define TIMEOUT_PER_DURATION 3
 
-bool pw_follow_handle_watched(struct pw_follow *f, uint32_t version_count, uint64_t now_us)
+bool pw_follow_handle_watched(struct pw_follow *f, uint32_t version_count, uint64_t transfer_us,
+			      uint64_t now_us)
 {
 	if (!version_count)
 		return false;
-	f->by_reads = version_count > 1 ||
+	f->duration_us = transfer_us;
+	f->timeout_us = transfer_us * TIMEOUT_PER_DURATION;
+	f->by_reads = version_count > 1 || transfer_us > PW_FOLLOW_WATCH_TRANSFER_MAX_US ||
 		      (f->changed_us && now_us - f->changed_us < PW_FOLLOW_INTERVAL_MIN_US);
 	f->changed_us = now_us;
 	return f->by_reads;
--- a/http/include/pw/http/http.h
+++ b/http/include/pw/http/http.h
@@ -27,6 +27,7 @@
 	uint32_t http_status; /**< HTTP status; 0 unless `error_code` is PW_OK */
 	const char *body;     /**< not NUL-terminated; may be NULL if empty */
 	size_t size_bytes;    /**< of the body */
+	uint64_t transfer_us; /**< from the first byte of the response to its end */
 	const char *message;  /**< description of the failure; NULL if `error_code` is PW_OK */
 };
 
--- a/http/src/http.c
+++ b/http/src/http.c
@@ -112,9 +112,13 @@
 	struct pw_http_call *c = t->call;
 	struct pw_http_response response = { .error_code = PW_OK };
 	long status = 0, request_size_bytes = 0;
+	curl_off_t first_byte_us = 0, total_us = 0;
 
 	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
 	curl_easy_getinfo(t->easy, CURLINFO_REQUEST_SIZE, &request_size_bytes);
+	curl_easy_getinfo(t->easy, CURLINFO_STARTTRANSFER_TIME_T, &first_byte_us);
+	curl_easy_getinfo(t->easy, CURLINFO_TOTAL_TIME_T, &total_us);
+	response.transfer_us = (uint64_t)MAX(total_us - first_byte_us, 0);
 	response.body = (const char *)t->response->data;
 	response.size_bytes = t->response->len;
 	if (t->too_large) {
--- a/store/include/pw/store/store.h
+++ b/store/include/pw/store/store.h
@@ -175,8 +175,9 @@
 	struct pw_store_result base;
 	struct pw_store_event *events;
 	size_t event_count;
-	bool just_opened; /**< first update after the watch was opened or reopened */
-	bool is_last;     /**< the watch ended: compacted, oversized, rejected, or store freed */
+	uint64_t transfer_us; /**< time that the transfer of the events took; 0: unknown */
+	bool just_opened;     /**< first update after the watch was opened or reopened */
+	bool is_last; /**< the watch ended: compacted, oversized, rejected, or store freed */
 };
 
 /**
