--- a/http/include/pw/http/http.h
+++ b/http/include/pw/http/http.h
@@ -29,7 +29,8 @@
 	size_t size_bytes;    /**< of the body */
 	/** Value of the header that the request named in `response_header`; NULL: not sent. */
 	const char *header;
-	const char *message; /**< description of the failure; NULL if `error_code` is PW_OK */
+	uint64_t transfer_us; /**< from the first byte of the response to its end */
+	const char *message;  /**< description of the failure; NULL if `error_code` is PW_OK */
 };
 
 struct pw_http_call_ops {
