Change of primary: goes on after the answer to its claim was lost

If the answer to a claim was lost, the change was given up. A mark that had taken effect then stayed without a leader until another VM took the change over, 6.5 s later, with no primary in use meanwhile. The claim is now repeated by the tick; if the record shows the mark, the change goes on with it. Another VM may have taken the same token from the same record, so the mark counts as this VM's only while the record's newest token is the claim's and its holder is this VM. Found while the suite was written.

Before, the 4 new cases of daemon/test_cluster failed (the last one by the number of claims only):

test_lost_answer_to_claim:0: claim: own mark is left without a leader; ended 1, won 0, 1 claims, 0 promotions test_lost_answer_to_claim:1: claim: own mark that the watch shows is left; ended 1, won 0, 1 claims, 0 promotions test_lost_answer_to_claim:2: claim: claim that had no effect is given up; ended 1, won 0, 1 claims, 0 promotions test_lost_answer_to_claim:3: claim: mark of another VM with the same token is taken for an own one; ended 1, won 0, 1 claims, 0 promotions

--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -89,6 +89,7 @@
 	GPtrArray *queries; /**< struct status_query in flight or NULL, parallel to `entries` */
 	uint64_t next_query_us;
 	int32_t target;         /**< index of the server to promote; -1: none yet */
+	bool claim_pending;     /**< a claim is in flight */
 	bool promotion_pending; /**< a promotion request is in flight */
 	bool promotion_sent;    /**< a promotion request was sent and may have taken effect */
 	bool ended;
@@ -242,6 +243,7 @@
 	pw_primaries_mark(record, ch->group, c->directory->settings->vm_name, ch->planned);
 	ch->fencing_token = record->fencing_token;
 	enter_phase(ch, PHASE_CLAIM);
+	ch->claim_pending = true;
 	write_record(ch, record, TAG_CLAIM);
 }
 
@@ -325,22 +327,51 @@
 	       primary->mark_token == ch->abandoned_token;
 }
 
+/*
+ * Whether the group has the mark of a claim whose answer was lost. Another VM may have taken the
+ * same token from the same record, so the holder of that token is compared as well.
+ */
+static bool is_claimed(const struct change *ch)
+{
+	const struct pw_primaries *record = ch->cluster->primaries;
+
+	return is_in_charge(ch) && record->fencing_token == ch->fencing_token &&
+	       g_strcmp0(record->holder, ch->cluster->directory->settings->vm_name) == 0;
+}
+
+/*
+ * Goes on with a change after a conflict of its claim, or after a claim whose outcome is unknown.
+ * The conflict may concern another group, or be one with an earlier attempt of the same claim.
+ */
+static void repeat_claim(struct change *ch)
+{
+	if (is_claimed(ch)) {
+		ch->marked_revision = ch->cluster->primaries->revision;
+		request_members(ch);
+	} else if (is_still_due(ch)) {
+		claim_change(ch);
+	} else {
+		abort_change(ch, "the record was changed by another VM");
+	}
+}
+
 static void handle_claim_result(struct change *ch, const struct pw_store_result *base)
 {
+	ch->claim_pending = false;
+	/* The outcome is unknown; the tick calls repeat_claim(). */
+	if (base->code == PW_ETIMEOUT)
+		return;
 	if (base->code == PW_OK) {
 		ch->marked_revision = base->revision;
 		apply_own_record(ch, base->revision, false);
 		request_members(ch);
-		return;
-	}
-	/* The conflict may concern another group. */
-	if (base->code == PW_ECONFLICT &&
-	    apply_conflicting_record(ch->cluster, (const struct pw_store_txn_result *)base) &&
-	    is_still_due(ch)) {
-		claim_change(ch);
-		return;
+	} else if (base->code == PW_ECONFLICT &&
+		   apply_conflicting_record(ch->cluster,
+					    (const struct pw_store_txn_result *)base)) {
+		repeat_claim(ch);
+	} else {
+		abort_change(ch, base->message);
 	}
-	abort_change(ch, base->message ? base->message : "the record was changed by another VM");
 }
 
 static void handle_members_result(struct change *ch, const struct pw_store_result *base)
@@ -732,6 +763,10 @@
 		return;
 	}
 	switch (ch->phase) {
+	case PHASE_CLAIM:
+		if (!ch->claim_pending)
+			repeat_claim(ch);
+		break;
 	case PHASE_QUIESCE:
 		if (!try_quiesce(ch))
 			return;
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -103,9 +103,10 @@
 	uint32_t page_items_max;    /* 0: no limit */
 	uint32_t failed_page_reads; /* number of reads of later pages that are still to fail */
 	enum cluster_tag failed_page_tag;
-	bool holds_revocations; /* revocations of members' leases are not answered */
-	bool loses_own_lease;   /* the next renewal is answered with "not found" */
-	enum record_answer record_answer;
+	bool holds_revocations;    /* revocations of members' leases are not answered */
+	bool loses_own_lease;      /* the next renewal is answered with "not found" */
+	enum record_answer answer; /* to the next write with `answer_tag` */
+	enum cluster_tag answer_tag;
 	edit_fn edit; /* change by another VM just before the next write with `edit_tag` */
 	enum cluster_tag edit_tag;
 	/* What the VM did. */
@@ -441,7 +442,7 @@
 	struct pw_store_txn_result *txn;
 	struct pw_store_result *r;
 	struct pw_primaries *record;
-	enum record_answer answer = kind == TAG_RECORD_PRIMARY ? x->record_answer : ANSWER_GIVEN;
+	enum record_answer answer = kind == x->answer_tag ? x->answer : ANSWER_GIVEN;
 
 	x->claim_count += kind == TAG_CLAIM;
 	x->clear_count += kind == TAG_CLEAR_MARK;
@@ -450,8 +451,8 @@
 		edit_record(x, x->edit);
 		x->edit = NULL;
 	}
-	if (kind == TAG_RECORD_PRIMARY)
-		x->record_answer = ANSWER_GIVEN;
+	if (kind == x->answer_tag)
+		x->answer = ANSWER_GIVEN;
 	if (answer == ANSWER_LOST_NOOP) {
 		send_result(x, tag, pw_store_result_new(PW_STORE_TXN, PW_ETIMEOUT, "no answer"));
 		return;
@@ -789,8 +790,11 @@
 	}
 	teardown(&x);
 	primary = pw_primaries_find(x.record, GROUP);
-	ck_assert_msg(waited && ended, "abort: %s; waited %d, ended %d", abort_cases[_i].label,
-		      waited, ended);
+	ck_assert_msg(waited && ended,
+		      "abort: %s; waited %d, ended %d, %u VMs, %u lists, %u claims, %u clears, "
+		      "settled %" PRId64 " of %" PRId64,
+		      abort_cases[_i].label, waited, ended, x.member_count, x.list_count,
+		      x.claim_count, x.clear_count, x.settled_revision, x.record->revision);
 	ck_assert_msg(x.clear_count == abort_cases[_i].cleared, "abort: %s; %u writes",
 		      abort_cases[_i].label, x.clear_count);
 	ck_assert_uint_eq(primary->changing,
@@ -900,7 +904,8 @@
 	struct fixture x;
 
 	setup(&x);
-	x.record_answer = lost_answer_cases[_i].answer;
+	x.answer = lost_answer_cases[_i].answer;
+	x.answer_tag = TAG_RECORD_PRIMARY;
 	start(&x, true);
 	ended = wait_for(&x, has_change_ended, 6000);
 	stepped_down = wait_for(&x, has_stepped_down, 1000);
@@ -922,6 +927,44 @@
 }
 END_TEST
 
+static const struct {
+	const char *label;
+	edit_fn edit;              /* by another VM just before the first claim */
+	enum record_answer answer; /* to the first claim */
+	uint32_t claim_count;      /* expected claims */
+	bool won;
+} lost_claim_cases[] = {
+	{ "own mark is left without a leader", NULL, ANSWER_LOST, 2, true },
+	{ "own mark that the watch shows is left", NULL, ANSWER_LOST_WATCH, 1, true },
+	{ "claim that had no effect is given up", NULL, ANSWER_LOST_NOOP, 2, true },
+	{ "mark of another VM with the same token is taken for an own one", edit_take_over,
+	  ANSWER_LOST_NOOP, 2, false },
+};
+
+/* Fails if a change does not go on after the answer to its claim was lost. */
+START_TEST(test_lost_answer_to_claim)
+{
+	bool ended, won;
+	struct fixture x;
+
+	setup(&x);
+	x.edit = lost_claim_cases[_i].edit;
+	x.edit_tag = TAG_CLAIM;
+	x.answer = lost_claim_cases[_i].answer;
+	x.answer_tag = TAG_CLAIM;
+	start(&x, true);
+	ended = wait_for(&x, has_change_ended, 5000);
+	won = pw_counter_get(PW_COUNTER_FAILOVERS_WON) > x.won_before;
+	teardown(&x);
+	ck_assert_msg(ended && won == lost_claim_cases[_i].won &&
+			      x.claim_count == lost_claim_cases[_i].claim_count &&
+			      x.promote_count == lost_claim_cases[_i].won,
+		      "claim: %s; ended %d, won %d, %u claims, %u promotions",
+		      lost_claim_cases[_i].label, ended, won, x.claim_count, x.promote_count);
+	pw_primaries_unref(x.record);
+}
+END_TEST
+
 static const struct {
 	const char *label;
 	uint32_t page_items_max;
@@ -1133,6 +1176,7 @@
 			    PW_ARRAY_LEN(claim_cases));
 	tcase_add_loop_test(tc, test_lost_answer_to_new_primary, 0,
 			    PW_ARRAY_LEN(lost_answer_cases));
+	tcase_add_loop_test(tc, test_lost_answer_to_claim, 0, PW_ARRAY_LEN(lost_claim_cases));
 	tcase_add_loop_test(tc, test_change_waits_for_all_listed_members, 0,
 			    PW_ARRAY_LEN(wait_cases));
 	tcase_add_loop_test(tc, test_member_list_is_read_in_pages, 0, PW_ARRAY_LEN(list_cases));
