Membership: a VM that leaves keeps its lease until its delegated permits have ended

Cause: a VM that leaves revoked its lease at once. A change of primary waits for a delegated permit only through the VM that has delegated it, by its confirmation or its lease, and a VM that has left is not on the list.

Evidence, before: test_cluster, 'left at once: 1, with a delegated permit: 1'.

If the stop ends earlier, the lease expires after these permits.

--- a/daemon/control/cluster_member.c
+++ b/daemon/control/cluster_member.c
@@ -9,6 +9,8 @@
 /* Schedules the next step towards a permit, or the next renewal. */
 static void set_permit_timer(struct cluster *c, uint64_t after_us)
 {
+	if (c->leaving)
+		return;
 	pw_loop_timer_set(c->task.loop, &c->permit_timer, cluster_now_us(c) + after_us);
 }
 
@@ -123,6 +125,14 @@
 								RENEWAL_TIMEOUT_US, c->lease_id));
 }
 
+static void revoke_own_lease(struct cluster *c)
+{
+	if (c->lease_id)
+		cluster_send_to_store(
+			c, pw_store_lease_revoke_msg_new(c->task.inbox, TAG_REVOKE_OWN_LEASE,
+							 PW_STORE_CALL_TIMEOUT_US, c->lease_id));
+}
+
 /* Takes the next step towards a permit, or renews it. */
 static void permit_timer_expired(struct pw_timer *t, uint64_t now_us)
 {
@@ -130,8 +140,8 @@
 
 	(void)now_us;
 	if (c->leaving)
-		return;
-	if (!c->lease_id)
+		revoke_own_lease(c);
+	else if (!c->lease_id)
 		request_lease(c);
 	else if (!c->registered)
 		register_member(c);
@@ -488,14 +498,23 @@
 
 void member_leave(struct cluster *c)
 {
+	uint64_t now_us = cluster_now_us(c), revoke_at_us = now_us;
+	GHashTableIter it;
+	gpointer item;
+
 	c->leaving = true;
 	change_abort_before_promotion(c, "the VM is leaving the fleet");
-	pw_loop_timer_clear(c->task.loop, &c->permit_timer);
 	pulse_broadcast(c);
-	if (c->lease_id)
-		cluster_send_to_store(
-			c, pw_store_lease_revoke_msg_new(c->task.inbox, TAG_REVOKE_OWN_LEASE,
-							 PW_STORE_CALL_TIMEOUT_US, c->lease_id));
+	/* A change of primary waits for a permit that this VM has delegated only by its lease. */
+	g_hash_table_iter_init(&it, c->members);
+	while (g_hash_table_iter_next(&it, NULL, &item))
+		revoke_at_us = MAX(revoke_at_us, ((struct member *)item)->delegated_until_us);
+	if (revoke_at_us > now_us) {
+		pw_loop_timer_set(c->task.loop, &c->permit_timer, revoke_at_us);
+		return;
+	}
+	pw_loop_timer_clear(c->task.loop, &c->permit_timer);
+	revoke_own_lease(c);
 }
 
 void member_handle_result(struct cluster *c, uint64_t tag, struct pw_store_result *r)
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -156,8 +156,9 @@
 	 * A member that is not live or has not settled the current record gets none: this VM could
 	 * not confirm a mark until the delegated permit expires.
 	 */
-	if (!m->needs_permit || !pw_permit_is_valid(until_us, now_us) || !c->primaries ||
-	    !pulse_is_member_live(c, m) || m->settled_revision < c->primaries->revision ||
+	if (c->leaving || !m->needs_permit || !pw_permit_is_valid(until_us, now_us) ||
+	    !c->primaries || !pulse_is_member_live(c, m) ||
+	    m->settled_revision < c->primaries->revision ||
 	    cluster_settled_revision(c) < c->primaries->revision)
 		return 0;
 	m->delegated_until_us = MAX(m->delegated_until_us, until_us);
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -1301,6 +1301,29 @@
 }
 END_TEST
 
+/* Guards against a change of primary that does not wait for a permit of a VM that has left. */
+START_TEST(test_lease_outlives_delegated_permit)
+{
+	bool ready, delegated = _i == 0, left_at_once;
+	struct fixture x;
+
+	setup(&x);
+	x.members[0].is_silent = false;
+	x.members[0].confirms = true;
+	x.members[0].needs_permit = delegated;
+	start(&x, false);
+	ready = wait_for(&x, is_member_ready, 3000);
+	pw_mailbox_send(x.directory.cluster, pw_drain_msg());
+	left_at_once = wait_for(&x, has_left, 300);
+	ck_assert(wait_for(&x, has_left, 2000));
+	teardown(&x);
+	pw_primaries_unref(x.record);
+	ck_assert(ready);
+	ck_assert_msg(left_at_once != delegated, "left at once: %d, with a delegated permit: %d",
+		      left_at_once, delegated);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("cluster");
@@ -1311,6 +1334,7 @@
 			    PW_ARRAY_LEN(conflict_cases));
 	tcase_add_test(tc, test_second_takeover_waits_for_the_first);
 	tcase_add_test(tc, test_new_lease_does_not_extend_drain);
+	tcase_add_loop_test(tc, test_lease_outlives_delegated_permit, 0, 2);
 	tcase_add_loop_test(tc, test_late_registration_keeps_current_lease, 0, 2);
 	tcase_add_loop_test(tc, test_claim_is_repeated_for_same_primary_only, 0,
 			    PW_ARRAY_LEN(claim_cases));
