Promises: a VM without a record promises no member to claim no change

What callers would see: a write acknowledged by a former primary (rule ONE) while the store is down.

Cause: a VM that had just started and could not read the record promised to claim no change of primary. Its earlier process may have had a server promoted, of which the VM that relies on the promise does not know either.

Evidence, before: test_cluster, 'x.members[0].promise_count == 7, 0 == 0'.

Why this works: a promise is given only on a record that this process has read, and only to a VM that has settled the same one. A fleet that starts while the store is down has no permits, as before.

--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -174,14 +174,13 @@
 /*
  * Promises a member that cannot renew its permit to claim no change of primary, if this VM cannot
  * renew its permit either, leads no change, and knows no newer record than the member has
- * settled. Returns the duration in ms, or 0 if nothing is promised.
+ * settled. Without a record it promises nothing, since an earlier process of this VM may have had a
+ * server promoted. Returns the duration in ms, or 0 if nothing is promised.
  */
 static uint32_t grant_promise(struct cluster *c, const struct member *m)
 {
-	int64_t revision = c->primaries ? c->primaries->revision : 0;
-
-	if (!m->needs_permit || c->renewal_ok || !pulse_is_member_live(c, m) ||
-	    g_hash_table_size(c->changes) || m->settled_revision < revision)
+	if (!m->needs_permit || c->renewal_ok || !pulse_is_member_live(c, m) || !c->primaries ||
+	    g_hash_table_size(c->changes) || m->settled_revision < c->primaries->revision)
 		return 0;
 	c->own_promise_until_us = cluster_now_us(c) + PW_PROMISE_DURATION_US;
 	return PW_PROMISE_DURATION_US / PW_US_PER_MS;
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -66,6 +66,7 @@
 	uint64_t sequence;
 	bool needs_permit;        /* it asks for a delegated permit */
 	uint32_t delegated_count; /* delegated permits that it got from the VM under test */
+	uint32_t pulse_count, promise_count; /* pulses of that VM, and those with a promise */
 };
 
 enum gateway_view { VIEW_NONE, VIEW_REACHED, VIEW_LOST };
@@ -104,6 +105,7 @@
 	bool has_watch;
 	uint32_t page_items_max;    /* 0: no limit */
 	uint32_t failed_page_reads; /* number of reads of later pages that are still to fail */
+	bool holds_record;          /* reads of the record are not answered */
 	enum cluster_tag failed_page_tag;
 	bool holds_revocations; /* revocations of members' leases are not answered */
 	bool loses_own_lease;   /* the next renewal is answered with "not found" */
@@ -309,6 +311,8 @@
 		struct pw_pulse p;
 
 		ck_assert_int_eq(pw_pulse_decode(&p, data, (size_t)n), PW_OK);
+		m->pulse_count++;
+		m->promise_count += p.no_change_promise_ms > 0;
 		m->delegated_count += p.delegated_permit_ms > 0;
 		pw_pulse_dispose(&p);
 	}
@@ -406,6 +410,10 @@
 	struct pw_store_result *r = pw_store_result_new(PW_STORE_RANGE, PW_OK, NULL);
 	struct pw_store_range_result *range = (struct pw_store_range_result *)r;
 
+	if (!is_list && x->holds_record) {
+		pw_store_result_free(r);
+		return;
+	}
 	if (is_later_page && x->failed_page_reads && (tag & 0xff) == x->failed_page_tag) {
 		x->failed_page_reads--;
 		pw_store_result_free(r);
@@ -1324,6 +1332,25 @@
 }
 END_TEST
 
+/* Guards against a promise of a VM that does not know whether a server was promoted. */
+START_TEST(test_no_promise_without_record)
+{
+	struct fixture x;
+
+	setup(&x);
+	x.holds_record = true;
+	x.members[0].is_silent = false;
+	x.members[0].listed = true;
+	x.members[0].needs_permit = true;
+	start(&x, false);
+	(void)wait_for(&x, never, 1500);
+	teardown(&x);
+	pw_primaries_unref(x.record);
+	ck_assert_uint_gt(x.members[0].pulse_count, 0);
+	ck_assert_uint_eq(x.members[0].promise_count, 0);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("cluster");
@@ -1335,6 +1362,7 @@
 	tcase_add_test(tc, test_second_takeover_waits_for_the_first);
 	tcase_add_test(tc, test_new_lease_does_not_extend_drain);
 	tcase_add_loop_test(tc, test_lease_outlives_delegated_permit, 0, 2);
+	tcase_add_test(tc, test_no_promise_without_record);
 	tcase_add_loop_test(tc, test_late_registration_keeps_current_lease, 0, 2);
 	tcase_add_loop_test(tc, test_claim_is_repeated_for_same_primary_only, 0,
 			    PW_ARRAY_LEN(claim_cases));
