--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -913,22 +913,31 @@
 		v->lost_since_us = now_us - MIN(longest_outage_us, now_us);
 }
 
-/* Records and returns since when the view shows that the primary is unfit; 0: it is fit. */
-static uint64_t track_unfit_since_us(struct cluster *c, const struct pw_primary *primary,
-				     const struct pw_change_view *v)
+/* What the servers' entries say against a primary, and since when. */
+struct entry_fault {
+	enum pw_change_reason reason;
+	uint64_t generation; /**< of the primary */
+	uint64_t since_us;
+};
+
+/* Records and returns since when the primary's entry has its present fault; 0: it has none. */
+static uint64_t track_entry_fault(struct cluster *c, const struct pw_primary *primary,
+				  enum pw_change_reason reason)
 {
-	uint64_t *since_us = g_hash_table_lookup(c->unfit_since_us, primary->group);
+	struct entry_fault *f = g_hash_table_lookup(c->entry_faults, primary->group);
 
-	if (v->registered && !v->leaving && !v->demoted) {
-		g_hash_table_remove(c->unfit_since_us, primary->group);
+	if (reason == PW_CHANGE_NONE) {
+		g_hash_table_remove(c->entry_faults, primary->group);
 		return 0;
 	}
-	if (!since_us) {
-		since_us = g_new(uint64_t, 1);
-		*since_us = cluster_now_us(c);
-		g_hash_table_insert(c->unfit_since_us, g_strdup(primary->group), since_us);
+	if (!f || f->reason != reason || f->generation != primary->generation) {
+		f = g_new0(struct entry_fault, 1);
+		f->reason = reason;
+		f->generation = primary->generation;
+		f->since_us = cluster_now_us(c);
+		g_hash_table_replace(c->entry_faults, g_strdup(primary->group), f);
 	}
-	return *since_us;
+	return f->since_us;
 }
 
 static void build_change_view(struct cluster *c, const struct pw_primary *primary,
@@ -945,7 +954,7 @@
 		.rank = compute_rank(c, primary),
 		.live_count = 1,
 	};
-	v->unfit_since_us = track_unfit_since_us(c, primary, v);
+	v->entry_fault_since_us = track_entry_fault(c, primary, pw_change_entry_fault(v));
 	for (guint i = 0; i < c->servers->entries->len; i++) {
 		const struct pw_server_entry *s = g_ptr_array_index(c->servers->entries, i);
 
@@ -1000,7 +1009,7 @@
 void change_start(struct cluster *c)
 {
 	c->changes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, change_free);
-	c->unfit_since_us = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	c->entry_faults = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->ended_changes = g_ptr_array_new();
 	c->queries = g_hash_table_new(NULL, NULL);
 	c->ended_queries = g_ptr_array_new_with_free_func(g_free);
@@ -1074,7 +1083,7 @@
 		end_change(l->data, PW_EVENT_FAILOVER_GIVEN_UP, "the process is stopping");
 	g_list_free(changes);
 	g_hash_table_unref(c->changes);
-	g_hash_table_unref(c->unfit_since_us);
+	g_hash_table_unref(c->entry_faults);
 	/* The promoter was freed before, so no promotion request in flight refers to a change. */
 	for (guint i = 0; i < c->ended_changes->len; i++)
 		g_free(g_ptr_array_index(c->ended_changes, i));
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -213,8 +213,7 @@
 	struct pw_promoter *promoter;
 	GHashTable *changes;            /**< group -> struct change */
 	GHashTable *primary_checked_us; /**< group -> time of the last check of its primary */
-	/** Group -> since when its primary has no entry, or one that says leaving or "replica". */
-	GHashTable *unfit_since_us;
+	GHashTable *entry_faults;       /**< group -> struct entry_fault of its primary */
 	uint64_t last_change_number;
 	GPtrArray *ended_changes; /**< to be freed by the tick */
 	GHashTable *queries;      /**< set of struct status_query in flight */
--- a/decide/include/pw/decide/change.h
+++ b/decide/include/pw/decide/change.h
@@ -55,13 +55,13 @@
 
 /** What this VM knows about a group and its primary. */
 struct pw_change_view {
-	bool registered;          /**< the primary is registered */
-	bool leaving;             /**< its entry says that it is about to stop */
-	bool demoted;             /**< its entry says that it is a replica */
-	bool changing;            /**< the primary record says that a change is in progress */
-	uint64_t record_since_us; /**< when this VM learned of the current record */
-	/** Since when the primary is unregistered, leaving or demoted; 0: it is none of these. */
-	uint64_t unfit_since_us;
+	bool registered;               /**< the primary is registered */
+	bool leaving;                  /**< its entry says that it is about to stop */
+	bool demoted;                  /**< its entry says that it is a replica */
+	bool changing;                 /**< the primary record says that a change is in progress */
+	uint64_t record_since_us;      /**< when this VM learned of the current record */
+	uint64_t entry_fault_since_us; /**< since when pw_change_entry_fault() says so; 0: no fault
+					*/
 	/** Votes that the primary cannot be reached; each live VM has one at most. */
 	uint32_t lost_vote_count;
 	uint32_t reached_vote_count; /**< votes that it was reached recently, counted likewise */
@@ -98,6 +98,9 @@
 #define PW_CHANGE_VOTES_MIN      2
 #define PW_CHANGE_VOTES_MIN_LIVE 3
 
+/** @return reason for a change that the primary's entry gives, or PW_CHANGE_NONE */
+enum pw_change_reason pw_change_entry_fault(const struct pw_change_view *v);
+
 /** @return reason for which this VM should change the primary now, or PW_CHANGE_NONE */
 enum pw_change_reason pw_change_due_reason(const struct pw_change_view *v, uint64_t now_us);
 
--- a/decide/src/change.c
+++ b/decide/src/change.c
@@ -21,6 +21,15 @@
 	return v->lost_vote_count > v->reached_vote_count && v->lost_since_us;
 }
 
+enum pw_change_reason pw_change_entry_fault(const struct pw_change_view *v)
+{
+	if (!v->registered)
+		return PW_CHANGE_UNREGISTERED;
+	if (v->leaving)
+		return PW_CHANGE_LEAVING;
+	return v->demoted ? PW_CHANGE_DEMOTED : PW_CHANGE_NONE;
+}
+
 /* Returns the time from which a change is due, and its reason; UINT64_MAX if there is no reason. */
 static uint64_t change_due_us(const struct pw_change_view *v, enum pw_change_reason *reason)
 {
@@ -32,19 +41,16 @@
 		*reason = PW_CHANGE_UNREACHABLE;
 		return v->lost_since_us + PW_CHANGE_LOST_AFTER_US;
 	}
-	if (!v->registered) {
-		*reason = PW_CHANGE_UNREGISTERED;
-		return v->unfit_since_us;
-	}
-	if (v->leaving) {
-		*reason = PW_CHANGE_LEAVING;
-		return v->unfit_since_us;
-	}
-	if (v->demoted && v->unfit_since_us) {
-		*reason = PW_CHANGE_DEMOTED;
-		return v->unfit_since_us + PW_CHANGE_DEMOTED_AFTER_US;
+	*reason = pw_change_entry_fault(v);
+	switch (*reason) {
+	case PW_CHANGE_UNREGISTERED:
+	case PW_CHANGE_LEAVING:
+		return v->entry_fault_since_us;
+	case PW_CHANGE_DEMOTED:
+		return v->entry_fault_since_us + PW_CHANGE_DEMOTED_AFTER_US;
+	default:
+		return UINT64_MAX;
 	}
-	return UINT64_MAX;
 }
 
 enum pw_change_reason pw_change_due_reason(const struct pw_change_view *v, uint64_t now_us)
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -107,9 +107,12 @@
 	uint32_t failed_page_reads; /* number of reads of later pages that are still to fail */
 	bool holds_record;          /* reads of the record are not answered */
 	enum cluster_tag failed_page_tag;
-	bool holds_revocations; /* revocations of members' leases are not answered */
-	bool loses_own_lease;   /* the next renewal is answered with "not found" */
-	int64_t own_lease_id;   /* last lease that was granted */
+	bool holds_revocations;    /* revocations of members' leases are not answered */
+	bool loses_own_lease;      /* the next renewal is answered with "not found" */
+	bool loses_later_renewals; /* all further renewals are answered with "not found" */
+	bool both_groups;          /* OTHER_GROUP has servers, and its primary leaves too */
+	bool leaving_with_spare;   /* the primary leaves, and a third server is a candidate */
+	int64_t own_lease_id;      /* last lease that was granted */
 	/* Entry of the VM under test, and a registration that is carried out after the next one. */
 	int64_t entry_revision, entry_lease_id;
 	bool delays_registration, has_late_registration;
@@ -124,6 +127,7 @@
 	uint32_t revoked_members; /* bit i: the lease of member i */
 	bool revoked_own_lease;
 	uint32_t promote_count;
+	uint64_t first_revoked_us, first_promoted_us; /* 0: not yet */
 	uint64_t won_before, lost_before, started_before;
 };
 
@@ -132,6 +136,7 @@
 	GMutex lock;
 	char server_id[8]; /* of the last request */
 	uint32_t count;
+	int32_t code; /* of the answers */
 } promotions;
 
 struct fake_promoter {
@@ -147,7 +152,7 @@
 		(struct fake_promoter *)((char *)t - offsetof(struct fake_promoter, timer));
 
 	(void)now_us;
-	p->call->ops->done(p->call, PW_OK, "accepted");
+	p->call->ops->done(p->call, promotions.code, "answer");
 }
 
 static const struct pw_timer_ops promoter_timer_ops = { .expire = promoter_timer_expired };
@@ -270,8 +275,10 @@
 static void apply_promotions(struct fixture *x)
 {
 	g_mutex_lock(&promotions.lock);
+	if (promotions.count && !x->first_promoted_us)
+		x->first_promoted_us = pw_clock_now_us();
 	for (size_t i = 0; x->promote_count < promotions.count && i < SERVER_COUNT; i++) {
-		if (strcmp(x->servers[i].id, promotions.server_id) != 0)
+		if (promotions.code || strcmp(x->servers[i].id, promotions.server_id) != 0)
 			continue;
 		x->servers[i].is_primary = true;
 		x->servers[i].term++;
@@ -431,7 +438,8 @@
 		};
 		char *key = g_strconcat(MEMBERS_PREFIX, m->name, NULL);
 
-		if (!m->listed || (req->after_key && strcmp(key, req->after_key) <= 0)) {
+		if (!m->listed || x->revoked_members >> i & 1 ||
+		    (req->after_key && strcmp(key, req->after_key) <= 0)) {
 			g_free(key);
 			continue;
 		}
@@ -542,12 +550,16 @@
 		x->own_lease_id++;
 	lease->lease_id = x->own_lease_id;
 	lease->ttl_us = req->ttl_us;
+	if (kind == PW_STORE_LEASE_KEEP_ALIVE && x->loses_later_renewals)
+		r->code = PW_ENOTFOUND;
 	if (kind == PW_STORE_LEASE_KEEP_ALIVE && x->loses_own_lease) {
 		x->loses_own_lease = false;
 		r->code = PW_ENOTFOUND;
 	}
 	if (kind == PW_STORE_LEASE_REVOKE && req->lease_id >= 100) {
 		x->revoked_members |= UINT32_C(1) << (req->lease_id - 100);
+		if (!x->first_revoked_us)
+			x->first_revoked_us = pw_clock_now_us();
 		if (x->holds_revocations) {
 			pw_store_result_free(r);
 			return;
@@ -581,6 +593,21 @@
 	pw_msg_free(m);
 }
 
+static void add_server(struct pw_server_list *list, const char *id, const char *group,
+		       const char *address, bool leaving, bool claims_primary)
+{
+	struct pw_server_entry *e = g_new0(struct pw_server_entry, 1);
+
+	e->id = g_strdup(id);
+	e->group = g_strdup(group);
+	e->address = g_strdup(address);
+	e->availability_zone = g_strdup("zone-1");
+	e->slots = 3;
+	e->leaving = leaving;
+	e->claims_primary = claims_primary;
+	g_ptr_array_add(list->entries, e);
+}
+
 static void send_catalog(struct fixture *x, bool primary_leaves)
 {
 	struct pw_catalog_msg *catalog_msg = g_new0(struct pw_catalog_msg, 1);
@@ -595,18 +622,14 @@
 	pw_mailbox_send(x->directory.cluster, &catalog_msg->base);
 	servers_msg->base.ops = &pw_servers_msg_ops;
 	servers_msg->servers = pw_server_list_new();
-	for (uint32_t i = 0; i < SERVER_COUNT; i++) {
-		struct pw_server_entry *e = g_new0(struct pw_server_entry, 1);
-
-		e->id = g_strdup(x->servers[i].id);
-		e->group = g_strdup(GROUP);
-		e->address = g_strdup(x->servers[i].address);
-		e->availability_zone = g_strdup("zone-1");
-		e->slots = 3;
-		e->leaving = i == 0 && primary_leaves;
-		e->claims_primary = i == 0;
-		g_ptr_array_add(servers_msg->servers->entries, e);
-	}
+	for (uint32_t i = 0; i < SERVER_COUNT; i++)
+		add_server(servers_msg->servers, x->servers[i].id, GROUP, x->servers[i].address,
+			   i == 0 && (primary_leaves || x->leaving_with_spare), i == 0);
+	if (x->leaving_with_spare)
+		add_server(servers_msg->servers, "s3", GROUP, x->servers[1].address, false, false);
+	for (uint32_t i = 0; x->both_groups && i < SERVER_COUNT; i++)
+		add_server(servers_msg->servers, i ? "f2" : "f1", OTHER_GROUP,
+			   x->servers[i].address, i == 0, i == 0);
 	pw_mailbox_send(x->directory.cluster, &servers_msg->base);
 }
 
@@ -647,6 +670,7 @@
 	pw_primaries_set(x->record, OTHER_GROUP, "f1", NULL, FIRST_TOKEN);
 	close(open_socket(SOCK_DGRAM, x->own_address));
 	promotions.count = 0;
+	promotions.code = PW_OK;
 	x->won_before = pw_counter_get(PW_COUNTER_FAILOVERS_WON);
 	x->lost_before = pw_counter_get(PW_COUNTER_FAILOVERS_LOST);
 	x->started_before = pw_counter_get(PW_COUNTER_FAILOVERS_STARTED);
@@ -1351,6 +1375,31 @@
 }
 END_TEST
 
+static void finish_group(struct pw_primaries *p)
+{
+	pw_primaries_set(p, GROUP, "s2", "vm9", p->fencing_token);
+}
+
+/* Guards against a second change since the entry of a new primary does not say "primary" yet. */
+START_TEST(test_new_primary_has_time_to_update_its_entry)
+{
+	struct fixture x;
+
+	setup(&x);
+	x.leaving_with_spare = true;
+	mark_group(x.record);
+	start(&x, false);
+	(void)wait_for(&x, never, 4500);
+	edit_record(&x, finish_group);
+	publish_record(&x);
+	(void)wait_for(&x, never, 2000);
+	teardown(&x);
+	pw_primaries_unref(x.record);
+	ck_assert_msg(x.claim_count == 0, "claimed %u times, 2 s after the change of primary",
+		      x.claim_count);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("cluster");
@@ -1361,6 +1410,7 @@
 			    PW_ARRAY_LEN(conflict_cases));
 	tcase_add_test(tc, test_second_takeover_waits_for_the_first);
 	tcase_add_test(tc, test_new_lease_does_not_extend_drain);
+	tcase_add_test(tc, test_new_primary_has_time_to_update_its_entry);
 	tcase_add_loop_test(tc, test_lease_outlives_delegated_permit, 0, 2);
 	tcase_add_test(tc, test_no_promise_without_record);
 	tcase_add_loop_test(tc, test_late_registration_keeps_current_lease, 0, 2);
