Change of primary: an unanswered promotion of a former primary is requested again

What callers would see: a write acknowledged by a former primary (rule ONE), recorded 1.5 s after a promotion request that may never have arrived.

Cause: a server that acted as primary before counts as promoted if it keeps its term for 1.5 s after the response, and a timeout counted as a response.

Why this works: without an answer the server's old term shows nothing, so the request is sent again until its deadline; after that the mark stays and another VM takes over.

--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -598,11 +598,15 @@
 	ch->promotion_pending = false;
 	if (ch->ended)
 		return;
-	ch->promotion_answered_us = cluster_now_us(ch->cluster);
 	pw_event_log(PW_EVENT_PROMOTE_ANSWERED, "database=%s term=%" PRIu64 " code=%d text=\"%s\"",
 		     ch->group, ch->fencing_token, code, message);
-	/* After a timeout the request may have been accepted, so the server is queried as well. */
-	if (code == PW_OK || code == PW_ETIMEOUT) {
+	/*
+	 * After a timeout the request may have been accepted, so the server is queried as well. If
+	 * it acted as primary before, that would not show whether it was, so the request is
+	 * repeated.
+	 */
+	if (code == PW_OK || (code == PW_ETIMEOUT && !ch->target_before.acts_as_primary)) {
+		ch->promotion_answered_us = cluster_now_us(ch->cluster);
 		enter_phase(ch, PHASE_VERIFY);
 	} else if (code == PW_ECONFLICT) {
 		g_array_index(ch->servers, struct pw_change_server, ch->target).eligible = false;
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -1400,6 +1400,26 @@
 }
 END_TEST
 
+/* Guards against recording the former primary after a promotion request that has had no effect. */
+START_TEST(test_unanswered_promotion_of_former_primary)
+{
+	struct fixture x;
+	bool ended;
+
+	setup(&x);
+	promotions.code = PW_ETIMEOUT;
+	close(x.servers[1].listener);
+	x.servers[1].listener = open_socket(SOCK_STREAM, x.servers[1].address);
+	mark_group(x.record);
+	start(&x, false);
+	ended = wait_for(&x, has_change_ended, 14000);
+	teardown(&x);
+	pw_primaries_unref(x.record);
+	ck_assert(ended && x.promote_count);
+	ck_assert_msg(!x.record_count, "the former primary was recorded");
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("cluster");
@@ -1411,6 +1431,7 @@
 	tcase_add_test(tc, test_second_takeover_waits_for_the_first);
 	tcase_add_test(tc, test_new_lease_does_not_extend_drain);
 	tcase_add_test(tc, test_new_primary_has_time_to_update_its_entry);
+	tcase_add_test(tc, test_unanswered_promotion_of_former_primary);
 	tcase_add_loop_test(tc, test_lease_outlives_delegated_permit, 0, 2);
 	tcase_add_test(tc, test_no_promise_without_record);
 	tcase_add_loop_test(tc, test_late_registration_keeps_current_lease, 0, 2);
