Permit: a read of the record extends it only under a lease granted just now

What callers would see: a commit acknowledged by a former primary (rule ONE), by a VM whose lease the leader of a change had revoked and whose watch ended after that.

Cause: when its watch ends, a VM reads the record again, and the read gave a permit of 1.6 s, also under a lease that had existed before and was revoked meanwhile.

Why this works: the read after a registration follows the grant of its lease; any other read is followed by a renewal at once, which shows whether the lease exists.

--- a/daemon/control/cluster_member.c
+++ b/daemon/control/cluster_member.c
@@ -275,8 +275,13 @@
 		return;
 	}
 	c->primaries_current = true;
-	if (c->lease_is_new)
-		c->marked_until_us = has_marked_group(c) ? c->permit_until_us : UINT64_MAX;
+	/* Only a renewal shows that a lease still exists that was not granted just now. */
+	if (!c->lease_is_new) {
+		cluster_publish_primaries(c);
+		set_permit_timer(c, 0);
+		return;
+	}
+	c->marked_until_us = has_marked_group(c) ? c->permit_until_us : UINT64_MAX;
 	c->lease_is_new = false;
 	c->permit_until_us =
 		MAX(c->permit_until_us, c->primaries_read_sent_us + PW_PERMIT_DURATION_US);
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -1420,6 +1420,40 @@
 }
 END_TEST
 
+static void end_watch(struct fixture *x)
+{
+	struct pw_store_result *r = pw_store_result_new(PW_STORE_WATCH, PW_EUNAVAILABLE, "cut");
+
+	((struct pw_store_watch_result *)r)->is_last = true;
+	x->has_watch = false;
+	send_result(x, TAG_PRIMARIES_WATCH, r);
+}
+
+/* Guards against a permit from a read of the record after the lease was revoked. */
+START_TEST(test_read_under_revoked_lease_does_not_extend_drain)
+{
+	uint64_t permit_until_us;
+	struct fixture x;
+	bool had_permit, limited;
+
+	setup(&x);
+	start(&x, false);
+	had_permit = wait_for(&x, has_permit, 3000);
+	x.has_watch = false;
+	edit_record(&x, mark_group_planned);
+	x.loses_later_renewals = true;
+	permit_until_us = x.permit_until_us;
+	end_watch(&x);
+	limited = wait_for(&x, has_permit_for_marked_record, 3000);
+	teardown(&x);
+	pw_primaries_unref(x.record);
+	ck_assert(had_permit);
+	ck_assert_msg(limited && x.marked_until_us <= permit_until_us,
+		      "a permit of %" PRIu64 " ms more covers the group that is being changed",
+		      (x.permit_until_us - permit_until_us) / PW_US_PER_MS);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("cluster");
@@ -1432,6 +1466,7 @@
 	tcase_add_test(tc, test_new_lease_does_not_extend_drain);
 	tcase_add_test(tc, test_new_primary_has_time_to_update_its_entry);
 	tcase_add_test(tc, test_unanswered_promotion_of_former_primary);
+	tcase_add_test(tc, test_read_under_revoked_lease_does_not_extend_drain);
 	tcase_add_loop_test(tc, test_lease_outlives_delegated_permit, 0, 2);
 	tcase_add_test(tc, test_no_promise_without_record);
 	tcase_add_loop_test(tc, test_late_registration_keeps_current_lease, 0, 2);
