Membership: one registration at a time

What callers would see: as with a late registration, a VM that has a permit but no entry under its lease.

Cause: when a renewal found that the lease had ended, the VM asked for a new one; if its watch ended in the meantime, it asked for another one and registered under both, in an order that nothing fixes.

--- a/daemon/control/cluster_member.c
+++ b/daemon/control/cluster_member.c
@@ -70,6 +70,7 @@
 	c->entry_revision = 0;
 	c->registered = false;
 	c->primaries_current = false;
+	c->registration_pending = true;
 	cluster_send_to_store(c, pw_store_lease_grant_msg_new(c->task.inbox, TAG_LEASE_GRANT,
 							      PW_STORE_CALL_TIMEOUT_US,
 							      MEMBER_LEASE_TTL_US));
@@ -108,6 +109,7 @@
 		.change_count = 1,
 	};
 
+	c->registration_pending = true;
 	cluster_send_to_store(c, pw_store_txn_msg_new(c->task.inbox, TAG_REGISTER,
 						      PW_STORE_CALL_TIMEOUT_US, &txn));
 	g_free(text);
@@ -141,6 +143,8 @@
 	(void)now_us;
 	if (c->leaving)
 		revoke_own_lease(c);
+	else if (c->registration_pending)
+		return;
 	else if (!c->lease_id)
 		request_lease(c);
 	else if (!c->registered)
@@ -182,6 +186,7 @@
 
 static void handle_grant_result(struct cluster *c, const struct pw_store_result *base)
 {
+	c->registration_pending = false;
 	if (base->code) {
 		schedule_retry(c);
 		return;
@@ -194,14 +199,15 @@
 {
 	const struct pw_store_txn_result *r = (const struct pw_store_txn_result *)base;
 
-	if (base->code == PW_ECONFLICT && r->kv_count) {
+	c->registration_pending = false;
+	if (base->code == PW_ECONFLICT && r->kv_count && c->lease_id) {
 		/* The entry is that of an earlier lease or process, or it is gone. */
 		c->entry_revision = r->kvs[0].mod_revision;
 		register_member(c);
 		return;
 	}
-	if (base->code) {
-		/* The lease may have expired, so the next attempt starts with a new one. */
+	if (base->code || !c->lease_id) {
+		/* The lease may have ended, so the next attempt starts with a new one. */
 		c->lease_id = 0;
 		schedule_retry(c);
 		return;
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -158,9 +158,10 @@
 	char *own_member_key;
 	char *members_prefix;
 	char *primaries_key;
-	uint64_t incarnation;   /**< random number that identifies this process of the VM */
-	int64_t lease_id;       /**< lease of this VM's entry; 0: none */
-	bool registered;        /**< the entry was written with the lease */
+	uint64_t incarnation;      /**< random number that identifies this process of the VM */
+	int64_t lease_id;          /**< lease of this VM's entry; 0: none */
+	bool registration_pending; /**< a grant of a lease, or a registration, is in flight */
+	bool registered;           /**< the entry was written with the lease */
 	int64_t entry_revision; /**< revision of the entry that the registration replaces; 0: none
 				 */
 	bool primaries_current; /**< the record was read after registration; its watch is intact */
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -109,6 +109,7 @@
 	enum cluster_tag failed_page_tag;
 	bool holds_revocations;    /* revocations of members' leases are not answered */
 	bool loses_own_lease;      /* the next renewal is answered with "not found" */
+	bool holds_grants;         /* grants of leases are not answered */
 	bool loses_later_renewals; /* all further renewals are answered with "not found" */
 	bool both_groups;          /* OTHER_GROUP has servers, and its primary leaves too */
 	bool leaving_with_spare;   /* the primary leaves, and a third server is a candidate */
@@ -548,6 +549,10 @@
 
 	if (kind == PW_STORE_LEASE_GRANT)
 		x->own_lease_id++;
+	if (kind == PW_STORE_LEASE_GRANT && x->holds_grants) {
+		pw_store_result_free(r);
+		return;
+	}
 	lease->lease_id = x->own_lease_id;
 	lease->ttl_us = req->ttl_us;
 	if (kind == PW_STORE_LEASE_KEEP_ALIVE && x->loses_later_renewals)
@@ -1454,6 +1459,27 @@
 }
 END_TEST
 
+/* Guards against two registrations at a time, whose order at the store is not known. */
+START_TEST(test_one_registration_at_a_time)
+{
+	struct fixture x;
+	bool had_permit;
+
+	setup(&x);
+	start(&x, false);
+	had_permit = wait_for(&x, has_permit, 3000);
+	x.loses_own_lease = true;
+	x.holds_grants = true;
+	(void)wait_for(&x, never, 700);
+	end_watch(&x);
+	(void)wait_for(&x, never, 300);
+	teardown(&x);
+	pw_primaries_unref(x.record);
+	ck_assert(had_permit);
+	ck_assert_int_eq(x.own_lease_id, 2);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("cluster");
@@ -1467,6 +1493,7 @@
 	tcase_add_test(tc, test_new_primary_has_time_to_update_its_entry);
 	tcase_add_test(tc, test_unanswered_promotion_of_former_primary);
 	tcase_add_test(tc, test_read_under_revoked_lease_does_not_extend_drain);
+	tcase_add_test(tc, test_one_registration_at_a_time);
 	tcase_add_loop_test(tc, test_lease_outlives_delegated_permit, 0, 2);
 	tcase_add_test(tc, test_no_promise_without_record);
 	tcase_add_loop_test(tc, test_late_registration_keeps_current_lease, 0, 2);
