Change of primary: waits for permits whose leases another change has revoked

What callers would see: a commit acknowledged by a former primary (rule ONE) when two groups change at about the same time, or a second VM claims a group right after the first one gave it up.

Cause: a change waits for the members on the list. The revocation of a lease ends the entry of a VM at once, but not its permit, which holds for up to 1.6 s more. A change that reads the list in that time does not see the VM.

Why this works: if another group is marked or has changed less than 1.6 s ago, a member that this VM knows but that is not on the list, and has not confirmed the mark, is waited for until 1.6 s after the list. Without another change, an entry that is missing has expired by itself, after its permit.

--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -84,6 +84,8 @@
 	uint32_t era;          /**< era of the store in which the change was started */
 	GArray *leases;        /**< struct lease, of all other members on the pages read so far */
 	char *last_member_key; /**< last key of these pages; NULL: none was read */
+	uint64_t listed_us;    /**< when the list of members was complete */
+	bool follows_change;   /**< the record of the group changed just before the claim */
 	uint64_t leases_revoked_us; /**< when the last necessary revocation was done; 0: not yet */
 	GPtrArray *entries;         /**< struct pw_server_entry, servers of the group */
 	GArray *servers;            /**< struct pw_change_server, parallel to `entries` */
@@ -434,9 +436,66 @@
 		request_members(ch);
 		return;
 	}
+	ch->listed_us = cluster_now_us(ch->cluster);
 	enter_phase(ch, PHASE_QUIESCE);
 }
 
+static bool is_listed(const struct change *ch, const char *name)
+{
+	for (guint i = 0; i < ch->leases->len; i++) {
+		if (strcmp(g_array_index(ch->leases, struct lease, i).member, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool is_recent(const struct cluster *c, const char *group, uint64_t at_us)
+{
+	return cluster_record_since_us(c, group) + PW_PERMIT_DURATION_US > at_us;
+}
+
+/* Whether another change may have revoked a lease whose permit held when the members were listed.
+ */
+static bool may_have_revoked_leases(const struct change *ch)
+{
+	const struct cluster *c = ch->cluster;
+
+	if (ch->follows_change)
+		return true;
+	for (guint i = 0; i < c->primaries->entries->len; i++) {
+		const struct pw_primary *p = g_ptr_array_index(c->primaries->entries, i);
+
+		if (strcmp(p->group, ch->group) != 0 &&
+		    (p->changing || is_recent(c, p->group, ch->listed_us)))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Whether a member that is not on the list may still have a permit: another change has revoked its
+ * lease, which ends its entry at once, but not the permit.
+ */
+static bool has_unlisted_permit(const struct change *ch)
+{
+	struct cluster *c = ch->cluster;
+	GHashTableIter it;
+	gpointer item;
+
+	if (!pw_permit_is_valid(ch->listed_us + PW_PERMIT_DURATION_US, cluster_now_us(c)) ||
+	    !may_have_revoked_leases(ch))
+		return false;
+	g_hash_table_iter_init(&it, c->members);
+	while (g_hash_table_iter_next(&it, NULL, &item)) {
+		const struct member *m = item;
+
+		if (!m->leaving && m->confirmed_revision < ch->marked_revision &&
+		    !is_listed(ch, m->name))
+			return true;
+	}
+	return false;
+}
+
 /* Whether a member has confirmed the record of this revision, or a newer one. */
 static bool has_confirmed(struct cluster *c, const char *name, int64_t revision)
 {
@@ -524,6 +583,7 @@
 /*
  * Returns whether no VM can use the current primary any more: this VM has confirmed the mark, and
  * each member has confirmed it as well, or its lease was revoked and its last permit has expired.
+ * All permits whose leases were revoked before the list was read have expired as well by then.
  * Once this VM has confirmed the mark, revokes the leases of members that have not confirmed it, if
  * they are silent or have had enough time to do so.
  */
@@ -545,7 +605,7 @@
 		all_revoked = all_revoked && l->revoked;
 	}
 	if (all_confirmed)
-		return true;
+		return !has_unlisted_permit(ch);
 	revoke_unconfirmed_leases(
 		ch, now_us - ch->phase_entered_us <
 			    (ch->planned ? PLANNED_CONFIRM_TIMEOUT_US : CONFIRM_TIMEOUT_US));
@@ -983,6 +1043,7 @@
 	ch->planned = reason != PW_CHANGE_UNREACHABLE && reason != PW_CHANGE_ABANDONED &&
 		      v->reached_vote_count > v->lost_vote_count;
 	ch->started_us = pw_loop_update_now_us(c->task.loop);
+	ch->follows_change = is_recent(c, ch->group, ch->started_us);
 	ch->target = -1;
 	ch->leases = g_array_new(FALSE, TRUE, sizeof(struct lease));
 	g_array_set_clear_func(ch->leases, lease_clear);
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -1405,6 +1405,34 @@
 }
 END_TEST
 
+static bool has_promoted(struct fixture *x)
+{
+	return x->first_promoted_us != 0;
+}
+
+/* Guards against a promotion while a permit holds whose lease another change has revoked. */
+START_TEST(test_second_group_waits_for_revoked_permit)
+{
+	struct fixture x;
+	bool promoted;
+
+	setup(&x);
+	x.members[0].listed = true;
+	start(&x, true);
+	(void)wait_for(&x, has_revoked_member, 5000);
+	(void)wait_for(&x, never, 200);
+	x.both_groups = true;
+	send_catalog(&x, true);
+	promoted = wait_for(&x, has_promoted, 6000);
+	teardown(&x);
+	pw_primaries_unref(x.record);
+	ck_assert(promoted && x.first_revoked_us);
+	ck_assert_msg(x.first_promoted_us >= x.first_revoked_us + PW_PERMIT_DURATION_US,
+		      "promotion request %" PRIu64 " ms after the lease was revoked",
+		      (x.first_promoted_us - x.first_revoked_us) / PW_US_PER_MS);
+}
+END_TEST
+
 /* Guards against recording the former primary after a promotion request that has had no effect. */
 START_TEST(test_unanswered_promotion_of_former_primary)
 {
@@ -1491,6 +1519,7 @@
 	tcase_add_test(tc, test_second_takeover_waits_for_the_first);
 	tcase_add_test(tc, test_new_lease_does_not_extend_drain);
 	tcase_add_test(tc, test_new_primary_has_time_to_update_its_entry);
+	tcase_add_test(tc, test_second_group_waits_for_revoked_permit);
 	tcase_add_test(tc, test_unanswered_promotion_of_former_primary);
 	tcase_add_test(tc, test_read_under_revoked_lease_does_not_extend_drain);
 	tcase_add_test(tc, test_one_registration_at_a_time);
