Change of primary: a former primary without the newest commits is the last resort

Cause: the candidate with the longest log was chosen among those that had answered, without a look at what this VM knew of the commits of the present primary.

Evidence, before: test_change, 'only a former primary without the newest commits has reported: 1' (promoted).

Why this works: the VMs know the newest term in which some VM saw a commit of the present primary. A server whose log ends in an earlier term lacks all of them, and is promoted only if no other server has answered 2.8 s after the start, 0.7 s before the request has to be sent.

--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -730,10 +730,13 @@
 	struct cluster *c = ch->cluster;
 	uint64_t now_us = cluster_now_us(c);
 	const struct pw_catalog_group *g = pw_catalog_find_group(c->catalog, ch->group);
+	const struct pw_primary *primary = pw_primaries_find(c->primaries, ch->group);
+	bool last_resort = now_us - ch->started_us >= PW_CHANGE_LAST_RESORT_AFTER_US;
 	uint32_t target = 0;
 
 	switch (pw_change_choose(&target, (struct pw_change_server *)(void *)ch->servers->data,
-				 ch->servers->len, g ? g->sync_replica_count : 0, ch->planned,
+				 ch->servers->len, g ? g->sync_replica_count : 0,
+				 last_resort ? 0 : position_seen_term(c, primary), ch->planned,
 				 now_us - ch->phase_entered_us >= CATCH_UP_TIMEOUT_US)) {
 	case PW_CHANGE_PROMOTE:
 		ch->target = (int32_t)target;
--- a/daemon/control/cluster_position.c
+++ b/daemon/control/cluster_position.c
@@ -149,3 +149,10 @@
 	}
 	g_hash_table_remove_all(c->changed_position_groups);
 }
+
+uint64_t position_seen_term(const struct cluster *c, const struct pw_primary *primary)
+{
+	const struct pw_seen_position *seen = g_hash_table_lookup(c->positions, primary->group);
+
+	return seen && seen->generation == primary->generation ? seen->position.term : 0;
+}
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -312,6 +312,8 @@
 void position_handle_pulse(struct cluster *c, const struct member *m, const struct pw_pulse *p);
 /** Sends positions that other VMs have seen to the gateways. */
 void position_publish(struct cluster *c);
+/** @return term of the newest position that some VM has seen at this primary; 0: none */
+uint64_t position_seen_term(const struct cluster *c, const struct pw_primary *primary);
 
 /* cluster_era.c */
 /**
--- a/decide/include/pw/decide/change.h
+++ b/decide/include/pw/decide/change.h
@@ -88,6 +88,11 @@
  * another VM may have taken the change over.
  */
 #define PW_CHANGE_PROMOTE_DEADLINE_US UINT64_C(3500000)
+/**
+ * Time since the start of a change after which a server without the commits of the current primary
+ * may be promoted, if no other one has answered. It leaves time for the promotion request.
+ */
+#define PW_CHANGE_LAST_RESORT_AFTER_US UINT64_C(2800000)
 /** Another VM takes over a change that has not finished after this time. */
 #define PW_CHANGE_TAKEOVER_AFTER_US UINT64_C(6500000)
 
@@ -141,12 +146,14 @@
  * @param server        index of the chosen server; valid unless PW_CHANGE_WAIT is returned
  * @param sync_replicas number of replicas that have every commit; 0: asynchronous replication
  * @param planned       the current primary is alive: wait until a replica has its whole log
+ * @param min_term      term of the newest known commit: a server whose log ends in an earlier term
+ *                      lacks all commits of the current primary and is not chosen; 0: any
  * @param urgent        time is short: choose the best replica even if it lags or others are silent;
  *                      with sync_replicas, enough replicas to show every commit must still answer
  */
 enum pw_change_choice pw_change_choose(uint32_t *server, const struct pw_change_server *servers,
-				       uint32_t count, uint32_t sync_replicas, bool planned,
-				       bool urgent);
+				       uint32_t count, uint32_t sync_replicas, uint64_t min_term,
+				       bool planned, bool urgent);
 
 /**
  * Time after the response to a promotion request in which the promotion takes effect. The service
--- a/decide/src/change.c
+++ b/decide/src/change.c
@@ -103,8 +103,8 @@
 }
 
 enum pw_change_choice pw_change_choose(uint32_t *server, const struct pw_change_server *servers,
-				       uint32_t count, uint32_t sync_replicas, bool planned,
-				       bool urgent)
+				       uint32_t count, uint32_t sync_replicas, uint64_t min_term,
+				       bool planned, bool urgent)
 {
 	const struct pw_change_server *best = NULL, *current = NULL;
 	uint32_t replica_count = 0, report_count = 0;
--- a/tests/decide/test_change.c
+++ b/tests/decide/test_change.c
@@ -182,6 +182,7 @@
 	bool urgent;
 	enum pw_change_choice choice;
 	uint32_t server;
+	uint64_t min_term;
 } choose_cases[] = {
 	{ "no server has reported",
 	  { { .is_primary = true }, { .eligible = true }, { .eligible = true } },
@@ -299,6 +300,26 @@
 	  false,
 	  PW_CHANGE_WAIT,
 	  0 },
+	{ "only a former primary without the newest commits has reported",
+	  { { .is_primary = true },
+	    { .eligible = true, .acts_as_primary = true, REPORTED(3, 9) },
+	    { .eligible = true } },
+	  0,
+	  false,
+	  true,
+	  PW_CHANGE_WAIT,
+	  0,
+	  4 },
+	{ "a replica has reported beside a former primary without the newest commits",
+	  { { .is_primary = true },
+	    { .eligible = true, .acts_as_primary = true, REPORTED(3, 9) },
+	    { .eligible = true, REPORTED(4, 5) } },
+	  0,
+	  false,
+	  true,
+	  PW_CHANGE_PROMOTE,
+	  2,
+	  4 },
 	{ "the server that may have been promoted does not report",
 	  { { .is_primary = true, .eligible = true, .acts_as_primary = true, REPORTED(3, 9) },
 	    { .eligible = true },
@@ -315,7 +336,7 @@
 	uint32_t server = UINT32_MAX;
 	enum pw_change_choice choice = pw_change_choose(
 		&server, choose_cases[_i].servers, SERVERS_MAX, choose_cases[_i].sync_replicas,
-		choose_cases[_i].planned, choose_cases[_i].urgent);
+		choose_cases[_i].min_term, choose_cases[_i].planned, choose_cases[_i].urgent);
 
 	ck_assert_msg(choice == choose_cases[_i].choice, "%s: %d", choose_cases[_i].label, choice);
 	if (choice != PW_CHANGE_WAIT)
