--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -129,7 +129,7 @@
 	m->primaries = c->primaries ? pw_primaries_ref(c->primaries) : NULL;
 	m->permit_until_us = MAX(MAX(c->permit_until_us, c->delegated_permit_until_us),
 				 cluster_promised_permit_until_us(c));
-	m->marked_until_us = c->marked_until_us;
+	m->drain_limit_us = c->drain_limit_us;
 	m->member_count = fleet_size(c);
 	pw_mailbox_send(to, &m->base);
 }
@@ -189,6 +189,32 @@
 	}
 }
 
+void cluster_write_primaries(struct cluster *c, const struct pw_primaries *record, uint64_t tag)
+{
+	char *text = pw_primaries_encode(record);
+	const struct pw_store_compare compare = {
+		.key = c->primaries_key,
+		.target = PW_STORE_MOD_REVISION,
+		.revision = record->revision,
+	};
+	const struct pw_store_change put = {
+		.key = c->primaries_key,
+		.kind = PW_STORE_PUT,
+		.value = text,
+		.size_bytes = strlen(text),
+	};
+	const struct pw_store_txn txn = {
+		.compares = &compare,
+		.compare_count = 1,
+		.changes = &put,
+		.change_count = 1,
+	};
+
+	cluster_send_to_store(
+		c, pw_store_txn_msg_new(c->task.inbox, tag, PW_STORE_CALL_TIMEOUT_US, &txn));
+	g_free(text);
+}
+
 void cluster_apply_primaries(struct cluster *c, struct pw_primaries *record)
 {
 	if (!era_accept_record(c, record) ||
@@ -506,7 +532,7 @@
 	c->primary_checked_us = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->tick_timer.ops = &tick_ops;
 	c->started_us = cluster_now_us(c);
-	c->marked_until_us = UINT64_MAX;
+	c->drain_limit_us = UINT64_MAX;
 	change_start(c);
 	position_start(c);
 	rc = pulse_start(c);
--- a/daemon/control/cluster.h
+++ b/daemon/control/cluster.h
@@ -28,7 +28,7 @@
 	 * the change waits only for permits of the leases that it has found. UINT64_MAX: no limit,
 	 * since this VM has been registered since before the mark.
 	 */
-	uint64_t marked_until_us;
+	uint64_t drain_limit_us;
 	uint32_t member_count; /**< VMs that share the servers' connections, this one included */
 };
 
--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -195,40 +195,17 @@
 	}
 }
 
-/*
- * Replaces the primaries record if the store still has the revision that this VM knows
- * (compare-and-swap). Frees `record`.
- */
+/* Writes the record for a change, see cluster_write_primaries(). Frees `record`. */
 static void write_record(struct change *ch, struct pw_primaries *record, enum cluster_tag tag)
 {
-	struct cluster *c = ch->cluster;
-	char *text = pw_primaries_encode(record);
-	const struct pw_store_compare compare = {
-		.key = c->primaries_key,
-		.target = PW_STORE_MOD_REVISION,
-		.revision = c->primaries->revision,
-	};
-	const struct pw_store_change put = {
-		.key = c->primaries_key,
-		.kind = PW_STORE_PUT,
-		.value = text,
-		.size_bytes = strlen(text),
-	};
-	const struct pw_store_txn txn = {
-		.compares = &compare,
-		.compare_count = 1,
-		.changes = &put,
-		.change_count = 1,
-	};
+	const struct pw_primaries *current = ch->cluster->primaries;
 
-	cluster_send_to_store(c, pw_store_txn_msg_new(c->task.inbox, change_tag(ch, tag),
-						      PW_STORE_CALL_TIMEOUT_US, &txn));
+	cluster_write_primaries(ch->cluster, record, change_tag(ch, tag));
 	pw_event_log(PW_EVENT_RECORD_WRITE_SENT,
 		     "database=%s term=%" PRIu64 " write=%s revision=%" PRId64
 		     " holder=%s token=%" PRIu64,
-		     ch->group, ch->fencing_token, record_write_name(tag), c->primaries->revision,
-		     c->primaries->holder ? c->primaries->holder : "", c->primaries->fencing_token);
-	g_free(text);
+		     ch->group, ch->fencing_token, record_write_name(tag), current->revision,
+		     current->holder ? current->holder : "", current->fencing_token);
 	pw_primaries_unref(record);
 }
 
--- a/daemon/control/cluster_era.c
+++ b/daemon/control/cluster_era.c
@@ -67,32 +67,10 @@
 	return now_us >= c->restore_wait_until_us;
 }
 
-/* Replaces the stored record if the store still has the revision of `record`. */
 static void write_record(struct cluster *c, const struct pw_primaries *record)
 {
-	char *text = pw_primaries_encode(record);
-	const struct pw_store_compare compare = {
-		.key = c->primaries_key,
-		.target = PW_STORE_MOD_REVISION,
-		.revision = record->revision,
-	};
-	const struct pw_store_change put = {
-		.key = c->primaries_key,
-		.kind = PW_STORE_PUT,
-		.value = text,
-		.size_bytes = strlen(text),
-	};
-	const struct pw_store_txn txn = {
-		.compares = &compare,
-		.compare_count = 1,
-		.changes = &put,
-		.change_count = 1,
-	};
-
 	c->restore_pending = true;
-	cluster_send_to_store(c, pw_store_txn_msg_new(c->task.inbox, TAG_PRIMARIES_RESTORE,
-						      PW_STORE_CALL_TIMEOUT_US, &txn));
-	g_free(text);
+	cluster_write_primaries(c, record, TAG_PRIMARIES_RESTORE);
 }
 
 bool era_accept_record(struct cluster *c, struct pw_primaries *record)
--- a/daemon/control/cluster_member.c
+++ b/daemon/control/cluster_member.c
@@ -66,7 +66,7 @@
 static void request_lease(struct cluster *c)
 {
 	c->lease_id = 0;
-	c->lease_is_new = true;
+	c->lease_without_permit = true;
 	c->entry_revision = 0;
 	c->registered = false;
 	c->primaries_current = false;
@@ -282,13 +282,13 @@
 	}
 	c->primaries_current = true;
 	/* Only a renewal shows that a lease still exists that was not granted just now. */
-	if (!c->lease_is_new) {
+	if (!c->lease_without_permit) {
 		cluster_publish_primaries(c);
 		set_permit_timer(c, 0);
 		return;
 	}
-	c->marked_until_us = has_marked_group(c) ? c->permit_until_us : UINT64_MAX;
-	c->lease_is_new = false;
+	c->drain_limit_us = has_marked_group(c) ? c->permit_until_us : UINT64_MAX;
+	c->lease_without_permit = false;
 	c->permit_until_us =
 		MAX(c->permit_until_us, c->primaries_read_sent_us + PW_PERMIT_DURATION_US);
 	set_renewal_ok(c, true);
@@ -466,7 +466,6 @@
 {
 	struct pw_primaries *record;
 	bool added = false;
-	char *text;
 
 	if (!c->catalog || !c->servers || !c->primaries_current || c->create_pending ||
 	    !era_is_record_current(c))
@@ -483,26 +482,8 @@
 		added = true;
 	}
 	if (added) {
-		const struct pw_store_compare compare = {
-			.key = c->primaries_key,
-			.target = PW_STORE_MOD_REVISION,
-			.revision = record->revision,
-		};
-		struct pw_store_change put = { .key = c->primaries_key, .kind = PW_STORE_PUT };
-		const struct pw_store_txn txn = {
-			.compares = &compare,
-			.compare_count = 1,
-			.changes = &put,
-			.change_count = 1,
-		};
-
-		text = pw_primaries_encode(record);
-		put.value = text;
-		put.size_bytes = strlen(text);
 		c->create_pending = true;
-		cluster_send_to_store(c, pw_store_txn_msg_new(c->task.inbox, TAG_PRIMARIES_CREATE,
-							      PW_STORE_CALL_TIMEOUT_US, &txn));
-		g_free(text);
+		cluster_write_primaries(c, record, TAG_PRIMARIES_CREATE);
 	}
 	pw_primaries_unref(record);
 }
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -177,9 +177,9 @@
 	uint64_t renewal_sent_us;        /**< when the last renewal was sent */
 	int64_t renewal_lease_id;        /**< lease of that renewal */
 	uint64_t permit_until_us;        /**< end of the permit from the store; 0: none yet */
-	bool lease_is_new;               /**< no permit was derived from the lease yet */
+	bool lease_without_permit;       /**< no permit was derived from the lease yet */
 	/** End of the permit under the lease before that one, if a group was marked then. */
-	uint64_t marked_until_us;
+	uint64_t drain_limit_us;
 	uint64_t delegated_permit_until_us; /**< end of the permit that a member has delegated */
 	uint64_t own_promise_until_us; /**< this VM has promised to claim no change until then */
 	struct pw_timer permit_timer;  /**< next step towards a permit, or next renewal */
@@ -244,6 +244,12 @@
  * PRIMARY_CHECK_MIN_INTERVAL_US.
  */
 void cluster_check_primary(struct cluster *c, const char *group);
+/**
+ * Replaces the primaries record if the store still has the revision of `record` (compare-and-swap).
+ *
+ * @param tag of the result
+ */
+void cluster_write_primaries(struct cluster *c, const struct pw_primaries *record, uint64_t tag);
 /** Applies a primaries record if it is newer than the current one. Takes ownership of it. */
 void cluster_apply_primaries(struct cluster *c, struct pw_primaries *record);
 /** @return since when this VM knows the current entry of a group in the record; 0: no entry */
--- a/daemon/traffic/gateway.c
+++ b/daemon/traffic/gateway.c
@@ -213,9 +213,9 @@
 
 	g->permit_until_us = m->permit_until_us;
 	g->member_count = m->member_count;
-	if (m->marked_until_us != g->marked_until_us) {
-		g->marked_until_us = m->marked_until_us;
-		gw_group_limit_drains(g, m->marked_until_us);
+	if (m->drain_limit_us != g->drain_limit_us) {
+		g->drain_limit_us = m->drain_limit_us;
+		gw_group_limit_drains(g, m->drain_limit_us);
 	}
 	if (changed) {
 		pw_primaries_unref(g->primaries);
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -142,7 +142,7 @@
 	struct pw_server_list *servers; /**< registered servers; NULL: not known yet */
 	struct pw_primaries *primaries; /**< NULL: not known yet */
 	uint64_t permit_until_us;    /**< no work is sent to a primary from then on; 0: no permit */
-	uint64_t marked_until_us;    /**< last limit for drains; see struct pw_primaries_msg */
+	uint64_t drain_limit_us;     /**< last limit for drains; see struct pw_primaries_msg */
 	uint32_t member_count;       /**< VMs that share the servers' connections, with this one */
 	GHashTable *sessions;        /**< set of struct session */
 	GHashTable *groups;          /**< name -> struct group; entries are never removed */
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -98,8 +98,8 @@
 	uint32_t member_count; /* in the last message to the gateways */
 	uint32_t min_member_count;
 	int64_t settled_revision;
-	uint64_t permit_until_us, marked_until_us; /* in the last message to the gateways */
-	bool is_marked;                            /* GROUP in that message */
+	uint64_t permit_until_us, drain_limit_us; /* in the last message to the gateways */
+	bool is_marked;                           /* GROUP in that message */
 	/* Store. */
 	struct pw_primaries *record;
 	bool has_watch;
@@ -351,7 +351,7 @@
 	if (m->ops == &pw_primaries_msg_ops) {
 		x->member_count = msg->member_count;
 		x->permit_until_us = msg->permit_until_us;
-		x->marked_until_us = msg->marked_until_us;
+		x->drain_limit_us = msg->drain_limit_us;
 		x->is_marked = msg->primaries && pw_primaries_find(msg->primaries, GROUP)->changing;
 		x->min_member_count = MIN(x->min_member_count, msg->member_count);
 		if (msg->primaries)
@@ -1047,7 +1047,7 @@
 
 static bool has_permit_for_marked_record(struct fixture *x)
 {
-	return x->is_marked && x->permit_until_us > x->marked_until_us;
+	return x->is_marked && x->permit_until_us > x->drain_limit_us;
 }
 
 /* Guards against commits at a former primary by a VM whose new lease the leader does not know. */
@@ -1068,7 +1068,7 @@
 	teardown(&x);
 	pw_primaries_unref(x.record);
 	ck_assert(had_permit);
-	ck_assert_msg(limited && x.marked_until_us <= permit_until_us,
+	ck_assert_msg(limited && x.drain_limit_us <= permit_until_us,
 		      "the permit of the new lease covers the group that is being changed");
 }
 END_TEST
@@ -1481,7 +1481,7 @@
 	teardown(&x);
 	pw_primaries_unref(x.record);
 	ck_assert(had_permit);
-	ck_assert_msg(limited && x.marked_until_us <= permit_until_us,
+	ck_assert_msg(limited && x.drain_limit_us <= permit_until_us,
 		      "a permit of %" PRIu64 " ms more covers the group that is being changed",
 		      (x.permit_until_us - permit_until_us) / PW_US_PER_MS);
 }
