--- a/decide/src/change.c
+++ b/decide/src/change.c
@@ -120,7 +120,8 @@
 			replica_count++;
 			report_count += s->reported;
 		}
-		if (s->eligible && s->reported && (!best || is_better_candidate(s, best))) {
+		if (s->eligible && s->reported && s->log_end.term >= min_term &&
+		    (!best || is_better_candidate(s, best))) {
 			best = s;
 			*server = i;
 		}
