Counters of the bytes by kind, and a log line of them every 10 s

What crosses regions could not be told from logs or metrics: only the bytes to peers were counted. Bytes to and from servers, those of other regions apart, and of calls to the store are counted now, and messages to all peers at once.

--- a/core/include/pw/core/counter.h
+++ b/core/include/pw/core/counter.h
@@ -64,6 +64,14 @@
 	X(PEER_BYTES_SENT, "peer_bytes_sent_total", "bytes sent to peers")                         \
 	X(PEER_MESSAGES_DROPPED, "peer_messages_dropped_total",                                    \
 	  "peer messages dropped: unknown version or malformed")                                   \
+	X(PEER_BROADCASTS, "peer_broadcasts_total", "messages sent to all peers at once")          \
+	X(UPSTREAM_BYTES_SENT, "upstream_bytes_sent_total", "bytes sent to upstreams")             \
+	X(UPSTREAM_BYTES_RECEIVED, "upstream_bytes_received_total",                                \
+	  "bytes received from upstreams")                                                         \
+	X(UPSTREAM_BYTES_REMOTE, "upstream_bytes_remote_total",                                    \
+	  "bytes to and from upstreams in other regions")                                          \
+	X(HTTP_BYTES_SENT, "http_bytes_sent_total", "bytes of requests to the store")              \
+	X(HTTP_BYTES_RECEIVED, "http_bytes_received_total", "bytes of responses of the store")     \
 	X(STORE_READS, "store_reads_total", "range calls to the store")                            \
 	X(STORE_WRITES, "store_writes_total", "transactions and lease calls to the store")         \
 	X(STORE_WATCHES, "store_watches_total", "watches opened at the store")                     \
--- a/core/include/pw/core/event.h
+++ b/core/include/pw/core/event.h
@@ -27,6 +27,7 @@
 	X(SUPERVISOR_FAILED, 1012, G_LOG_LEVEL_CRITICAL, "supervisor_failed") \
 	X(LISTENING, 1020, G_LOG_LEVEL_MESSAGE, "listening")                  \
 	X(RELOAD_IGNORED, 1021, G_LOG_LEVEL_MESSAGE, "reload_ignored")        \
+	X(TRAFFIC, 1022, G_LOG_LEVEL_INFO, "traffic")                         \
 	X(TLS_LOADED, 1030, G_LOG_LEVEL_MESSAGE, "tls_loaded")                \
 	X(TLS_FAILED, 1031, G_LOG_LEVEL_WARNING, "tls_failed")                \
 	X(CONFIG_APPLIED, 2001, G_LOG_LEVEL_MESSAGE, "config_applied")        \
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -240,6 +240,7 @@
 	gpointer item, demand;
 
 	build_pulse(c, &p);
+	pw_counter_inc(PW_COUNTER_PEER_BROADCASTS);
 	c->broadcast_confirmed_revision = p.confirmed_revision;
 	c->last_broadcast_us = cluster_now_us(c);
 	g_hash_table_iter_init(&it, c->demands);
--- a/daemon/control/metrics.c
+++ b/daemon/control/metrics.c
@@ -16,12 +16,15 @@
 /* Maximum number of open connections, and the idle time after which one is closed. */
 #define CONNECTIONS_MAX      8
 #define CONNECTION_TIMEOUT_S 10
+/* Interval of the log line about traffic, for operators who keep logs only. */
+#define TRAFFIC_LOG_INTERVAL_US (10 * PW_US_PER_S)
 
 struct metrics {
 	struct pw_task task;
 	struct MHD_Daemon *mhd;  /**< daemon of the HTTP library (libmicrohttpd) */
 	struct pw_source source; /**< epoll descriptor of the daemon */
 	struct pw_timer timer;   /**< next timeout of the daemon */
+	struct pw_timer traffic_timer;
 };
 
 char *pw_metrics_format(void)
@@ -97,6 +100,32 @@
 	run_daemon((struct metrics *)((char *)t - offsetof(struct metrics, timer)));
 }
 
+/* Logs the totals of the counters that tell what the process sends to whom. */
+static void traffic_timer_expired(struct pw_timer *t, uint64_t now_us)
+{
+	struct metrics *m = (struct metrics *)((char *)t - offsetof(struct metrics, traffic_timer));
+
+	pw_event_log(PW_EVENT_TRAFFIC,
+		     "peer_bytes=%" PRIu64 " peer_messages=%" PRIu64 " peer_broadcasts=%" PRIu64
+		     " upstream_bytes_sent=%" PRIu64 " upstream_bytes_received=%" PRIu64
+		     " upstream_bytes_remote=%" PRIu64 " upstream_connects=%" PRIu64
+		     " store_bytes_sent=%" PRIu64 " store_bytes_received=%" PRIu64
+		     " store_reads=%" PRIu64 " store_writes=%" PRIu64 " store_watches=%" PRIu64,
+		     pw_counter_get(PW_COUNTER_PEER_BYTES_SENT),
+		     pw_counter_get(PW_COUNTER_PEER_MESSAGES_SENT),
+		     pw_counter_get(PW_COUNTER_PEER_BROADCASTS),
+		     pw_counter_get(PW_COUNTER_UPSTREAM_BYTES_SENT),
+		     pw_counter_get(PW_COUNTER_UPSTREAM_BYTES_RECEIVED),
+		     pw_counter_get(PW_COUNTER_UPSTREAM_BYTES_REMOTE),
+		     pw_counter_get(PW_COUNTER_UPSTREAM_CONNECTS),
+		     pw_counter_get(PW_COUNTER_HTTP_BYTES_SENT),
+		     pw_counter_get(PW_COUNTER_HTTP_BYTES_RECEIVED),
+		     pw_counter_get(PW_COUNTER_STORE_READS), pw_counter_get(PW_COUNTER_STORE_WRITES),
+		     pw_counter_get(PW_COUNTER_STORE_WATCHES));
+	pw_loop_timer_set(m->task.loop, t, now_us + TRAFFIC_LOG_INTERVAL_US);
+}
+
+static const struct pw_timer_ops traffic_timer_ops = { .expire = traffic_timer_expired };
 static const struct pw_source_ops daemon_source_ops = { .ready = daemon_ready };
 static const struct pw_timer_ops daemon_timer_ops = { .expire = daemon_timer_expired };
 
@@ -112,6 +141,7 @@
 	if (rc)
 		return rc;
 	m->timer.ops = &daemon_timer_ops;
+	m->traffic_timer.ops = &traffic_timer_ops;
 	m->mhd = MHD_start_daemon(
 		MHD_USE_EPOLL | (listen_address.socket.ss_family == AF_INET6 ? MHD_USE_IPv6 : 0), 0,
 		NULL, NULL, handle_request, m, MHD_OPTION_SOCK_ADDR, &listen_address.socket,
@@ -122,6 +152,8 @@
 		return pw_error_set(PW_ESYSTEM, "cannot listen on %s for metrics", address);
 	info = MHD_get_daemon_info(m->mhd, MHD_DAEMON_INFO_EPOLL_FD);
 	m->source = (struct pw_source){ .ops = &daemon_source_ops, .fd = info->epoll_fd };
+	pw_loop_timer_set(t->loop, &m->traffic_timer,
+			  pw_loop_now_us(t->loop) + TRAFFIC_LOG_INTERVAL_US);
 	pw_event_log(PW_EVENT_LISTENING, "task=metrics address=%s", address);
 	return pw_loop_watch(t->loop, &m->source, EPOLLIN);
 }
@@ -137,6 +169,7 @@
 	struct metrics *m = (struct metrics *)t;
 
 	pw_loop_timer_clear(t->loop, &m->timer);
+	pw_loop_timer_clear(t->loop, &m->traffic_timer);
 	pw_loop_unwatch(t->loop, &m->source);
 	MHD_stop_daemon(m->mhd);
 }
--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -40,8 +40,16 @@
 	pw_loop_timer_clear(gateway_of(c)->task.loop, &c->timer);
 }
 
+static void count_bytes(const struct conn *c, enum pw_counter direction, uint64_t size_bytes)
+{
+	pw_counter_add(direction, size_bytes);
+	if (c->server->distance == PW_DISTANCE_OTHER_REGION)
+		pw_counter_add(PW_COUNTER_UPSTREAM_BYTES_REMOTE, size_bytes);
+}
+
 static void send_bytes(struct conn *c, GByteArray *b)
 {
+	count_bytes(c, PW_COUNTER_UPSTREAM_BYTES_SENT, b->len);
 	gw_group_record_sent(c->server);
 	pw_stream_send(&c->stream, b->data, b->len);
 	g_byte_array_unref(b);
@@ -502,6 +510,7 @@
 			return;
 		}
 		pw_stream_consume(stream, used_bytes);
+		count_bytes(c, PW_COUNTER_UPSTREAM_BYTES_RECEIVED, used_bytes);
 		handle_reply(c, &r);
 		pw_reply_dispose(&r);
 	}
--- a/http/src/http.c
+++ b/http/src/http.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 
 #include "pw/core/clock.h"
+#include "pw/core/counter.h"
 #include "pw/core/error.h"
 
 /*
@@ -89,6 +90,20 @@
 	return pw_clock_now_us() > t->send_deadline_us ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
+/* Counts the bytes of a request and its response, headers included. */
+static void count_bytes(const struct transfer *t)
+{
+	curl_off_t sent_bytes = 0, received_bytes = 0;
+	long request_bytes = 0, header_bytes = 0;
+
+	curl_easy_getinfo(t->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+	curl_easy_getinfo(t->easy, CURLINFO_SIZE_UPLOAD_T, &sent_bytes);
+	curl_easy_getinfo(t->easy, CURLINFO_HEADER_SIZE, &header_bytes);
+	curl_easy_getinfo(t->easy, CURLINFO_SIZE_DOWNLOAD_T, &received_bytes);
+	pw_counter_add(PW_COUNTER_HTTP_BYTES_SENT, (uint64_t)(request_bytes + sent_bytes));
+	pw_counter_add(PW_COUNTER_HTTP_BYTES_RECEIVED, (uint64_t)(header_bytes + received_bytes));
+}
+
 /*
  * Detaches a transfer from its call and from libcurl. The memory is freed later, by
  * free_released_transfers(), since a handler may cancel the call that is being delivered.
@@ -98,6 +113,7 @@
 	if (t->queued)
 		g_queue_remove(&t->owner->undelivered, t);
 	t->queued = false;
+	count_bytes(t);
 	curl_multi_remove_handle(t->owner->multi, t->easy);
 	curl_easy_cleanup(t->easy);
 	t->easy = NULL;
