Fleet: only what is news goes to all members

Cause: a VM that heard of a read of the catalogue or the servers announced it to all again, as if it had read itself, so each read cost 68 times 67 whole pulses. Demand was announced whenever a VM saw two requests of a small account within a second.

Change: only the VM that has read announces it. Pulses to all members of a large fleet are notices: without groups, and with only the accounts whose demand is news. Demand is announced if it has grown and the fleet's demand is expected near the rate (decide/share.h). When a flood begins, what a VM has spent of the burst is taken off its part, since the smallest buckets of many VMs add up to more than the burst. The demand of the others is summed up once a tick, not once for each account and member.

--- a/codec/include/pw/codec/pulse.h
+++ b/codec/include/pw/codec/pulse.h
@@ -56,9 +56,11 @@
 	 * has delegated a permit.
 	 */
 	int64_t confirmed_revision;
-	bool needs_permit;        /**< the sender cannot renew its permit at the store */
-	bool wants_reply;         /**< the sender needs a reply at once */
-	bool leaving;             /**< the sender is in a planned stop */
+	bool needs_permit; /**< the sender cannot renew its permit at the store */
+	bool wants_reply;  /**< the sender needs a reply at once */
+	bool leaving;      /**< the sender is in a planned stop */
+	/** It has no groups, and only those accounts whose demand has changed. */
+	bool notice;
 	uint64_t catalog_version; /**< of the sender's catalogue; 0: none */
 	uint32_t catalog_age_ms;  /**< time since that version was known to be the newest */
 	uint64_t servers_digest;  /**< of the sender's list of servers; 0: none */
@@ -72,6 +74,8 @@
 void pw_pulse_add_group(struct pw_pulse *p, const char *name, uint64_t generation,
 			uint32_t unreachable_ms, bool is_reachable);
 void pw_pulse_add_account(struct pw_pulse *p, const char *name, float demand_per_s);
+/** Sets the demand for an account, which is added if it is new. */
+void pw_pulse_set_account(struct pw_pulse *p, const char *name, float demand_per_s);
 
 /**
  * Encodes a pulse. If it does not fit into a datagram, accounts are left out, the last ones first.
--- a/codec/src/pulse.c
+++ b/codec/src/pulse.c
@@ -56,6 +56,20 @@
 	g_array_append_val(p->accounts, a);
 }
 
+void pw_pulse_set_account(struct pw_pulse *p, const char *name, float demand_per_s)
+{
+	for (guint i = 0; i < p->accounts->len; i++) {
+		struct pw_pulse_account *a =
+			&g_array_index(p->accounts, struct pw_pulse_account, i);
+
+		if (strcmp(a->name, name) == 0) {
+			a->demand_per_s = demand_per_s;
+			return;
+		}
+	}
+	pw_pulse_add_account(p, name, demand_per_s);
+}
+
 /* The protobuf-c message and its lists. The strings belong to the struct pw_pulse. */
 struct wire_pulse {
 	Pw__Pulse message;
@@ -83,6 +97,7 @@
 	wire->message.needs_permit = p->needs_permit;
 	wire->message.asks = p->wants_reply;
 	wire->message.leaving = p->leaving;
+	wire->message.notice = p->notice;
 	wire->message.catalog_version = p->catalog_version;
 	wire->message.catalog_age_ms = p->catalog_age_ms;
 	wire->message.servers_digest = p->servers_digest;
@@ -166,6 +181,7 @@
 	out->needs_permit = message->needs_permit;
 	out->wants_reply = message->asks;
 	out->leaving = message->leaving;
+	out->notice = message->notice;
 	out->catalog_version = message->catalog_version;
 	out->catalog_age_ms = message->catalog_age_ms;
 	out->servers_digest = message->servers_digest;
--- a/daemon/control/catalog.c
+++ b/daemon/control/catalog.c
@@ -127,12 +127,14 @@
 	.destroy = shallow_destroy,
 };
 
-struct pw_msg *pw_catalog_freshness_msg_new(const struct pw_catalog_freshness *freshness)
+struct pw_msg *pw_catalog_freshness_msg_new(const struct pw_catalog_freshness *freshness,
+					    bool is_own_read)
 {
 	struct pw_catalog_freshness_msg *m = g_new0(struct pw_catalog_freshness_msg, 1);
 
 	m->base.ops = &pw_catalog_freshness_msg_ops;
 	m->freshness = *freshness;
+	m->is_own_read = is_own_read;
 	return &m->base;
 }
 
@@ -327,9 +329,10 @@
 			pw_store_unwatch_msg_new(c->task.inbox, TAG_CATALOG_WATCH));
 }
 
-static void send_freshness(struct catalog_task *c)
+static void send_freshness(struct catalog_task *c, bool is_own_read)
 {
-	pw_mailbox_send(c->directory->cluster, pw_catalog_freshness_msg_new(&c->freshness));
+	pw_mailbox_send(c->directory->cluster,
+			pw_catalog_freshness_msg_new(&c->freshness, is_own_read));
 }
 
 /* Records that the version in force was the newest one at that time. */
@@ -340,7 +343,7 @@
 	c->freshness.catalog_version = c->catalog->version;
 	c->freshness.catalog_fresh_us = at_us;
 	pw_loop_timer_set(c->task.loop, &c->catalog_timer, next_recheck_us(at_us));
-	send_freshness(c);
+	send_freshness(c, true);
 }
 
 /* Records that the servers had this digest at that time. */
@@ -349,7 +352,7 @@
 	c->freshness.servers_digest = digest;
 	c->freshness.servers_fresh_us = at_us;
 	pw_loop_timer_set(c->task.loop, &c->servers_timer, next_recheck_us(at_us));
-	send_freshness(c);
+	send_freshness(c, true);
 }
 
 /*
@@ -383,7 +386,7 @@
 	} else if (remote->catalog_version == c->freshness.catalog_version &&
 		   remote->catalog_fresh_us > c->freshness.catalog_fresh_us) {
 		c->freshness.catalog_fresh_us = remote->catalog_fresh_us;
-		send_freshness(c);
+		send_freshness(c, false);
 		if (!c->reading_catalog && !c->follow.by_reads)
 			pw_loop_timer_set(c->task.loop, &c->catalog_timer,
 					  next_recheck_us(remote->catalog_fresh_us));
@@ -394,7 +397,7 @@
 		schedule_servers_refresh(c);
 	} else {
 		c->freshness.servers_fresh_us = remote->servers_fresh_us;
-		send_freshness(c);
+		send_freshness(c, false);
 		/* The other VM may use a server without an entry for longer than this one. */
 		if (!c->reading_servers)
 			pw_loop_timer_set(c->task.loop, &c->servers_timer,
--- a/daemon/control/catalog.h
+++ b/daemon/control/catalog.h
@@ -37,9 +37,11 @@
 struct pw_catalog_freshness_msg {
 	struct pw_msg base;
 	struct pw_catalog_freshness freshness;
+	bool is_own_read; /**< this VM has just read it; false: another VM has told it */
 };
 
-struct pw_msg *pw_catalog_freshness_msg_new(const struct pw_catalog_freshness *freshness);
+struct pw_msg *pw_catalog_freshness_msg_new(const struct pw_catalog_freshness *freshness,
+					    bool is_own_read);
 
 extern const struct pw_msg_ops pw_catalog_freshness_msg_ops;
 extern const struct pw_msg_ops pw_catalog_msg_ops;
--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -326,28 +326,37 @@
 	g_free(data);
 }
 
-/* Returns the demand of the other live members for an account. */
-static double sum_others_demand(const struct cluster *c, const char *account)
+/*
+ * Sums up the demand of the other live members for each account, and returns the number of these
+ * members. Each report is looked at once, so that the cost grows with their number only.
+ */
+static uint32_t sum_others_demand(struct cluster *c)
 {
-	double sum = 0;
+	uint32_t live_count = 0;
 	GHashTableIter it;
 	gpointer item;
 
+	g_hash_table_iter_init(&it, c->demands);
+	while (g_hash_table_iter_next(&it, NULL, &item))
+		((struct account_demand *)item)->others_per_s = 0;
 	g_hash_table_iter_init(&it, c->members);
 	while (g_hash_table_iter_next(&it, NULL, &item)) {
 		const struct member *m = item;
 
-		if (!pulse_is_member_live(c, m) || !m->pulse.accounts)
+		if (!pulse_is_member_live(c, m))
 			continue;
-		for (guint i = 0; i < m->pulse.accounts->len; i++) {
+		live_count++;
+		for (guint i = 0; m->pulse.accounts && i < m->pulse.accounts->len; i++) {
 			const struct pw_pulse_account *a =
 				&g_array_index(m->pulse.accounts, struct pw_pulse_account, i);
+			struct account_demand *d = g_hash_table_lookup(c->demands, a->name);
 
-			if (strcmp(a->name, account) == 0)
-				sum += a->demand_per_s;
+			/* compute_shares() adds the accounts of the catalogue. */
+			if (d)
+				d->others_per_s += a->demand_per_s;
 		}
 	}
-	return sum;
+	return live_count;
 }
 
 /*
@@ -357,14 +366,14 @@
 static GArray *compute_shares(struct cluster *c)
 {
 	GArray *shares = g_array_new(FALSE, FALSE, sizeof(struct pw_account_share));
-	uint32_t reporting_vm_count = 0;
-	GHashTableIter it;
-	gpointer item;
+	uint32_t reporting_vm_count;
 
 	g_array_set_clear_func(shares, share_clear);
-	g_hash_table_iter_init(&it, c->members);
-	while (g_hash_table_iter_next(&it, NULL, &item))
-		reporting_vm_count += pulse_is_member_live(c, item);
+	for (guint i = 0; i < c->catalog->accounts->len; i++)
+		(void)get_account_demand(c, ((const struct pw_catalog_account *)g_ptr_array_index(
+						     c->catalog->accounts, i))
+						    ->name);
+	reporting_vm_count = sum_others_demand(c);
 	for (guint i = 0; i < c->catalog->accounts->len; i++) {
 		const struct pw_catalog_account *a = g_ptr_array_index(c->catalog->accounts, i);
 		struct account_demand *d = get_account_demand(c, a->name);
@@ -375,7 +384,7 @@
 				now_us - d->last_within_rate_us),
 			.burst = a->burst,
 			.own_demand_per_s = pw_demand_per_s_at(&d->own, now_us),
-			.others_demand_per_s = sum_others_demand(c, a->name),
+			.others_demand_per_s = d->others_per_s,
 			.reporting_vm_count = reporting_vm_count,
 			.silent_vm_count = g_hash_table_size(c->members) - reporting_vm_count,
 		};
@@ -429,7 +438,7 @@
 	era_clear_dead_marks(c);
 	change_tick(c);
 	publish_shares(c);
-	pulse_broadcast_demand(c);
+	pulse_announce_demand(c);
 	position_publish(c);
 	if (has_group_without_primary(c))
 		member_create_primaries(c);
@@ -454,19 +463,20 @@
 }
 
 /*
- * Handles the catalogue task's report of the newest state that it knows. A read that is newer by
- * more than FRESHNESS_BROADCAST_STEP_US is announced to the members at once, which saves them their
- * own reads.
+ * Handles the catalogue task's report of the newest state that it knows. A read of this VM that is
+ * newer by more than FRESHNESS_BROADCAST_STEP_US is announced to the members at once, which saves
+ * them their own reads. What another VM has announced goes on with the regular pulses only.
  */
-static void handle_local_freshness(struct cluster *c, const struct pw_catalog_freshness *freshness)
+static void handle_local_freshness(struct cluster *c, const struct pw_catalog_freshness_msg *m)
 {
-	bool is_new_read = freshness->catalog_fresh_us >
-				   c->freshness.catalog_fresh_us + FRESHNESS_BROADCAST_STEP_US ||
-			   freshness->servers_fresh_us >
-				   c->freshness.servers_fresh_us + FRESHNESS_BROADCAST_STEP_US;
+	const struct pw_catalog_freshness *freshness = &m->freshness;
+	bool is_news = freshness->catalog_fresh_us >
+			       c->freshness.catalog_fresh_us + FRESHNESS_BROADCAST_STEP_US ||
+		       freshness->servers_fresh_us >
+			       c->freshness.servers_fresh_us + FRESHNESS_BROADCAST_STEP_US;
 
 	c->freshness = *freshness;
-	if (is_new_read)
+	if (is_news && m->is_own_read)
 		pulse_broadcast(c);
 }
 
@@ -489,7 +499,7 @@
 	} else if (m->ops == &pw_traffic_report_ops) {
 		handle_traffic_report(c, (struct pw_traffic_report *)m);
 	} else if (m->ops == &pw_catalog_freshness_msg_ops) {
-		handle_local_freshness(c, &((struct pw_catalog_freshness_msg *)m)->freshness);
+		handle_local_freshness(c, (struct pw_catalog_freshness_msg *)m);
 	} else if (m->ops == &pw_drain_ops) {
 		member_leave(c);
 	}
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -62,10 +62,8 @@
  * One would be enough; the second one covers for its failure.
  */
 #define PROMISE_COLLECTOR_COUNT 2
-/* Demand for an account that has grown by this factor is sent to all members at once. */
-#define DEMAND_BROADCAST_GROWTH 1.5
-/* Minimum time from any broadcast to one that is sent only because demand has grown. */
-#define DEMAND_BROADCAST_MIN_INTERVAL_US (500 * PW_US_PER_MS)
+/* Minimum time between two announcements of demand. */
+#define DEMAND_ANNOUNCE_MIN_INTERVAL_US (500 * PW_US_PER_MS)
 /* Minimum interval of checks of a group's primary that some VM cannot reach. */
 #define PRIMARY_CHECK_MIN_INTERVAL_US (400 * PW_US_PER_MS)
 /* A member counts as live for this many of its pulse intervals after its last pulse. */
@@ -138,7 +136,8 @@
 struct account_demand {
 	struct pw_demand own;
 	double rate_per_s;            /**< limit of the account in the catalogue */
-	double broadcast_per_s;       /**< demand in the last broadcast */
+	double others_per_s;          /**< total of the other live members, as of the last tick */
+	double announced_per_s;       /**< demand in the last announcement */
 	uint64_t last_within_rate_us; /**< when the fleet's demand was last within the rate */
 };
 
@@ -199,8 +198,8 @@
 	GHashTable *members; /**< name -> struct member */
 	struct pw_timer pulse_timer;
 	uint32_t next_pulse_member;           /**< index by name; for round-robin */
-	uint64_t last_broadcast_us;           /**< when the last pulse to all members was sent */
-	int64_t broadcast_confirmed_revision; /**< confirmed revision in that pulse */
+	uint64_t demand_announced_us;         /**< when demand was last announced */
+	int64_t broadcast_confirmed_revision; /**< in the last pulse to all members */
 
 	/* Log positions of primaries that this VM or others have seen. */
 	GHashTable *positions;               /**< group -> newest struct pw_seen_position */
@@ -293,12 +292,12 @@
 /* cluster_pulse.c */
 int pulse_start(struct cluster *c);
 void pulse_stop(struct cluster *c);
-/** Sends a pulse to every member now. */
+/** Sends a pulse to every member now; in a large fleet a notice without groups and accounts. */
 void pulse_broadcast(struct cluster *c);
 /** @return interval between two pulses from one member to another */
 uint64_t pulse_member_interval_us(const struct cluster *c);
-/** In a large fleet, sends a pulse to all members if the demand for an account has grown much. */
-void pulse_broadcast_demand(struct cluster *c);
+/** In a large fleet, announces demand to all members; see pw_demand_should_announce(). */
+void pulse_announce_demand(struct cluster *c);
 /** @return member of that name, which is added if it is new */
 struct member *pulse_get_member(struct cluster *c, const char *name);
 /** @return whether a pulse from the member has arrived recently and it is not leaving */
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -9,11 +9,6 @@
 #include "pw/core/error.h"
 #include "pw/core/event.h"
 
-/* Demand below this is not sent, since it hardly changes the shares of the others. */
-#define DEMAND_MIN_PER_S 0.05
-/* In a large fleet, demand is sent if it is above this fraction of an even share of the rate. */
-#define DEMAND_REPORT_FRACTION 0.7
-
 /* Maximum number of datagrams received before other sources get their turn. */
 #define RECV_BATCH_MAX 64
 
@@ -72,20 +67,9 @@
 	}
 }
 
-/*
- * Whether the demand for an account is sent to the other members. In a large fleet a datagram has
- * no room for all accounts, so the demand is sent only if the fleet's total would come near the
- * rate with the same demand at every VM.
- */
-static bool is_demand_relevant(const struct cluster *c, const struct account_demand *d,
-			       double demand_per_s)
+static bool is_large_fleet(const struct cluster *c)
 {
-	uint32_t vm_count = g_hash_table_size(c->members) + 1;
-
-	if (demand_per_s < DEMAND_MIN_PER_S)
-		return false;
-	return vm_count <= PULSE_FULL_MESH_MAX ||
-	       demand_per_s * vm_count > d->rate_per_s * DEMAND_REPORT_FRACTION;
+	return g_hash_table_size(c->members) > PULSE_FULL_MESH_MAX;
 }
 
 static void add_accounts(const struct cluster *c, struct pw_pulse *p)
@@ -98,7 +82,9 @@
 		const struct account_demand *d = demand;
 		double demand_per_s = pw_demand_per_s_at(&d->own, cluster_now_us(c));
 
-		if (is_demand_relevant(c, d, demand_per_s))
+		/* In a small fleet a datagram has room for all accounts. */
+		if (pw_demand_should_report(demand_per_s, is_large_fleet(c) ? d->rate_per_s : 0,
+					    g_hash_table_size(c->members) + 1))
 			pw_pulse_add_account(p, name, (float)demand_per_s);
 	}
 }
@@ -139,7 +125,7 @@
 	    remote.catalog_fresh_us < own->catalog_fresh_us + PULSE_INTERVAL_US &&
 	    remote.servers_fresh_us < own->servers_fresh_us + PULSE_INTERVAL_US)
 		return;
-	pw_mailbox_send(c->directory->catalog, pw_catalog_freshness_msg_new(&remote));
+	pw_mailbox_send(c->directory->catalog, pw_catalog_freshness_msg_new(&remote, false));
 }
 
 /*
@@ -213,8 +199,8 @@
 	pw_counter_add(PW_COUNTER_PEER_BYTES_SENT, size_bytes);
 }
 
-/* Builds a pulse without the fields that differ between receivers, which send_pulse() sets. */
-static void build_pulse(struct cluster *c, struct pw_pulse *p)
+/* Builds a notice without the fields that differ between receivers, which send_pulse() sets. */
+static void build_notice(struct cluster *c, struct pw_pulse *p)
 {
 	const struct pw_process_settings *s = c->directory->settings;
 
@@ -227,33 +213,45 @@
 	p->confirmed_revision = cluster_confirmed_revision(c);
 	p->needs_permit = !c->renewal_ok;
 	p->leaving = c->leaving;
+	p->notice = true;
 	add_freshness(c, p);
+}
+
+/* Builds a regular pulse, likewise. */
+static void build_pulse(struct cluster *c, struct pw_pulse *p)
+{
+	build_notice(c, p);
+	p->notice = false;
 	add_groups(c, p);
 	position_add_to_pulse(c, p);
 	add_accounts(c, p);
 }
 
-void pulse_broadcast(struct cluster *c)
+static void send_to_all(struct cluster *c, struct pw_pulse *p)
 {
-	struct pw_pulse p;
 	GHashTableIter it;
-	gpointer item, demand;
+	gpointer item;
 
-	build_pulse(c, &p);
 	pw_counter_inc(PW_COUNTER_PEER_BROADCASTS);
-	c->broadcast_confirmed_revision = p.confirmed_revision;
-	c->last_broadcast_us = cluster_now_us(c);
-	g_hash_table_iter_init(&it, c->demands);
-	while (g_hash_table_iter_next(&it, NULL, &demand)) {
-		struct account_demand *d = demand;
-
-		d->broadcast_per_s = pw_demand_per_s_at(&d->own, cluster_now_us(c));
-	}
+	c->broadcast_confirmed_revision = p->confirmed_revision;
 	g_hash_table_iter_init(&it, c->members);
 	while (g_hash_table_iter_next(&it, NULL, &item))
-		send_pulse(c, item, &p);
+		send_pulse(c, item, p);
+}
+
+void pulse_broadcast(struct cluster *c)
+{
+	struct pw_pulse p;
+
+	if (is_large_fleet(c)) {
+		build_notice(c, &p);
+	} else {
+		build_pulse(c, &p);
+		pw_loop_timer_set(c->task.loop, &c->pulse_timer,
+				  cluster_now_us(c) + PULSE_INTERVAL_US);
+	}
+	send_to_all(c, &p);
 	pw_pulse_dispose(&p);
-	pw_loop_timer_set(c->task.loop, &c->pulse_timer, cluster_now_us(c) + PULSE_INTERVAL_US);
 }
 
 static gint compare_member_names(gconstpointer a, gconstpointer b)
@@ -322,27 +320,45 @@
 	pw_loop_timer_set(c->task.loop, &c->pulse_timer, cluster_now_us(c) + PULSE_INTERVAL_US);
 }
 
-void pulse_broadcast_demand(struct cluster *c)
+/* Adds the accounts whose demand has to be announced. */
+static void add_announced_accounts(struct cluster *c, struct pw_pulse *p)
 {
 	uint64_t now_us = cluster_now_us(c);
 	GHashTableIter it;
-	gpointer item;
+	gpointer name, item;
 
-	/* In a small fleet, the next regular pulse to all members follows soon. */
-	if (g_hash_table_size(c->members) <= PULSE_FULL_MESH_MAX ||
-	    now_us - c->last_broadcast_us < DEMAND_BROADCAST_MIN_INTERVAL_US)
-		return;
 	g_hash_table_iter_init(&it, c->demands);
-	while (g_hash_table_iter_next(&it, NULL, &item)) {
-		const struct account_demand *d = item;
-		double demand_per_s = pw_demand_per_s_at(&d->own, now_us);
+	while (g_hash_table_iter_next(&it, &name, &item)) {
+		struct account_demand *d = item;
+		const struct pw_demand_view view = {
+			.own_per_s = pw_demand_per_s_at(&d->own, now_us),
+			.announced_per_s = d->announced_per_s,
+			.others_per_s = d->others_per_s,
+			.rate_per_s = d->rate_per_s,
+		};
+
+		if (!pw_demand_should_announce(&view))
+			continue;
+		d->announced_per_s = view.own_per_s;
+		pw_pulse_add_account(p, name, (float)view.own_per_s);
+	}
+}
 
-		if (demand_per_s > d->broadcast_per_s * DEMAND_BROADCAST_GROWTH + 1.0 &&
-		    demand_per_s * (g_hash_table_size(c->members) + 1) > d->rate_per_s) {
-			pulse_broadcast(c);
-			return;
-		}
+void pulse_announce_demand(struct cluster *c)
+{
+	struct pw_pulse p;
+
+	/* In a small fleet, the next regular pulse to all members follows soon. */
+	if (!is_large_fleet(c) ||
+	    cluster_now_us(c) - c->demand_announced_us < DEMAND_ANNOUNCE_MIN_INTERVAL_US)
+		return;
+	build_notice(c, &p);
+	add_announced_accounts(c, &p);
+	if (p.accounts->len) {
+		c->demand_announced_us = cluster_now_us(c);
+		send_to_all(c, &p);
 	}
+	pw_pulse_dispose(&p);
 }
 
 bool pulse_has_known_echo(const struct cluster *c, const struct member *m, const struct pw_pulse *p)
@@ -390,6 +406,19 @@
 		cluster_publish_primaries(c);
 }
 
+/* Adds the accounts of a notice to what is known of a member. */
+static void apply_notice(struct member *m, const struct pw_pulse *p)
+{
+	if (!m->pulse.accounts)
+		pw_pulse_init(&m->pulse);
+	for (guint i = 0; i < p->accounts->len; i++) {
+		const struct pw_pulse_account *a =
+			&g_array_index(p->accounts, struct pw_pulse_account, i);
+
+		pw_pulse_set_account(&m->pulse, a->name, a->demand_per_s);
+	}
+}
+
 /* Replies at once to a member whose permit could expire before its turn in the round-robin. */
 static void reply_to_member(struct cluster *c, struct member *m)
 {
@@ -441,15 +470,19 @@
 	handle_remote_freshness(c, p);
 	if (c->primaries && p->primaries_revision > c->primaries->revision)
 		member_refresh_primaries(c);
-	pw_pulse_dispose(&m->pulse);
-	m->pulse = *p;
-	pw_pulse_init(p);
+	if (p->notice) {
+		apply_notice(m, p);
+	} else {
+		pw_pulse_dispose(&m->pulse);
+		m->pulse = *p;
+		pw_pulse_init(p);
+	}
 	/*
 	 * In a small fleet a pulse to all members lets the new one learn of this VM at once. In a
 	 * large fleet the new member learns of this VM by a regular pulse, or by the reply if it
 	 * wants one.
 	 */
-	if (is_new && g_hash_table_size(c->members) <= PULSE_FULL_MESH_MAX)
+	if (is_new && !is_large_fleet(c))
 		pulse_broadcast(c);
 	else if (wants_reply)
 		reply_to_member(c, m);
@@ -484,10 +517,10 @@
 	struct cluster *c = (struct cluster *)((char *)t - offsetof(struct cluster, pulse_timer));
 
 	(void)now_us;
-	if (g_hash_table_size(c->members) <= PULSE_FULL_MESH_MAX)
-		pulse_broadcast(c);
-	else
+	if (is_large_fleet(c))
 		send_round_robin(c);
+	else
+		pulse_broadcast(c);
 }
 
 static const struct pw_timer_ops pulse_timer_ops = { .expire = pulse_timer_expired };
--- a/daemon/control/metrics.c
+++ b/daemon/control/metrics.c
@@ -120,7 +120,8 @@
 		     pw_counter_get(PW_COUNTER_UPSTREAM_CONNECTS),
 		     pw_counter_get(PW_COUNTER_HTTP_BYTES_SENT),
 		     pw_counter_get(PW_COUNTER_HTTP_BYTES_RECEIVED),
-		     pw_counter_get(PW_COUNTER_STORE_READS), pw_counter_get(PW_COUNTER_STORE_WRITES),
+		     pw_counter_get(PW_COUNTER_STORE_READS),
+		     pw_counter_get(PW_COUNTER_STORE_WRITES),
 		     pw_counter_get(PW_COUNTER_STORE_WATCHES));
 	pw_loop_timer_set(m->task.loop, t, now_us + TRAFFIC_LOG_INTERVAL_US);
 }
--- a/daemon/traffic/gateway_account.c
+++ b/daemon/traffic/gateway_account.c
@@ -50,15 +50,17 @@
 		const struct pw_account_share *s =
 			&g_array_index(shares, struct pw_account_share, i);
 		struct account *a = gw_account_get(g, s->account);
+		struct pw_share next = s->share;
 
-		if (a->has_share)
-			pw_share_bucket_refill(&a->tokens, &a->share, gateway_now_us(g));
-		a->share = s->share;
 		/* Each gateway task gets an equal part of the VM's share. */
-		a->share.rate_per_s /= g->directory->gateway_count;
-		a->share.burst /= g->directory->gateway_count;
-		if (!a->has_share)
-			pw_share_bucket_init(&a->tokens, &a->share, gateway_now_us(g));
+		next.rate_per_s /= g->directory->gateway_count;
+		next.burst /= g->directory->gateway_count;
+		next.burst_part /= g->directory->gateway_count;
+		if (a->has_share)
+			pw_share_bucket_change(&a->tokens, &a->share, &next, gateway_now_us(g));
+		else
+			pw_share_bucket_init(&a->tokens, &next, gateway_now_us(g));
+		a->share = next;
 		a->has_share = true;
 	}
 }
--- a/decide/include/pw/decide/share.h
+++ b/decide/include/pw/decide/share.h
@@ -31,6 +31,13 @@
 	double rate_per_s;
 	double burst;
 	bool contended; /**< known demand above the rate minus the part reserved for silent VMs */
+	bool flooded;   /**< known demand far above that, which random variation does not explain */
+	/**
+	 * This VM's part of the account's burst. `burst` is above it in a large fleet, where the
+	 * smallest bursts of all VMs add up to more than the account's.
+	 */
+	double burst_part;
+	double account_burst; /**< of the whole account */
 };
 
 /** Computes the share of this VM. */
@@ -62,16 +69,48 @@
 /** @return arrivals per second, decayed to `now_us` */
 double pw_demand_per_s_at(const struct pw_demand *d, uint64_t now_us);
 
+/**
+ * Decides whether regular reports to the other VMs contain the demand for an account. In a large
+ * fleet a report has no room for accounts whose demand hardly matters: those that would stay far
+ * below their rate with the same demand at every VM.
+ */
+bool pw_demand_should_report(double own_per_s, double rate_per_s, uint32_t vm_count);
+
+/** Demand for an account at this VM, and what the other VMs know and have said of it. */
+struct pw_demand_view {
+	double own_per_s;
+	double announced_per_s; /**< own demand as the others know it */
+	double others_per_s;    /**< total of the other VMs, as last reported */
+	double rate_per_s;      /**< of the account */
+};
+
+/**
+ * Decides whether the demand at this VM is announced to all others at once, before its next regular
+ * reports. This is for an account that suddenly sends several times its rate: until the VMs know of
+ * each other's demand, their shares add up to more than the rate. While the fleet's demand stays
+ * within the rate, shares need not be exact, so that in a large fleet the usual variation of small
+ * accounts, most of whose VMs see a request now and then, is not announced.
+ */
+bool pw_demand_should_announce(const struct pw_demand_view *v);
+
 /** Token bucket of one account at this VM; its rate and burst are the VM's share. */
 struct pw_share_bucket {
 	double level; /**< available tokens; may be negative, see pw_share_bucket_take() */
 	uint64_t last_refill_us;
+	/* Since the demand was last within the rate: */
+	double spent;       /**< tokens by which the bucket was not full when that ended */
+	bool flood_charged; /**< these were taken off this VM's part of the burst */
 };
 
 /** Initialises the bucket with half of the burst, since the rest may have been spent elsewhere. */
 void pw_share_bucket_init(struct pw_share_bucket *t, const struct pw_share *s, uint64_t now_us);
-/** Adds the tokens that the share has accrued; to be called before the share changes. */
-void pw_share_bucket_refill(struct pw_share_bucket *t, const struct pw_share *s, uint64_t now_us);
+/**
+ * Adds the tokens that the share has accrued, and changes to the next share. When a flood begins,
+ * what this VM has spent of the burst is taken off its part, unless the demand is a flood only
+ * because the limit was lowered: what was saved under the former limit may be used.
+ */
+void pw_share_bucket_change(struct pw_share_bucket *t, const struct pw_share *from,
+			    const struct pw_share *to, uint64_t now_us);
 /**
  * Takes a token. While the share is not contended, the level may become negative.
  *
--- a/decide/src/share.c
+++ b/decide/src/share.c
@@ -16,6 +16,20 @@
 /* Factor on the burst of a VM under contention, at whose start the account spent its burst. */
 #define CONTENDED_BURST_FACTOR 0.25
 
+/* Demand below this is not reported, since it hardly changes the shares of the others. */
+#define REPORT_MIN_PER_S 0.05
+/* Smallest fraction of the rate that the demand of all VMs together would have. */
+#define REPORT_FRACTION 0.2
+
+/* Demand is announced only if it has grown by this factor and by one request per second. */
+#define ANNOUNCE_GROWTH       1.25
+#define ANNOUNCE_GROWTH_PER_S 1.0
+/* Expected demand of the fleet above this fraction of the rate makes the shares matter. */
+#define ANNOUNCE_FRACTION 0.8
+
+/* Demand above the available rate by this factor is a flood. */
+#define FLOOD_FACTOR 1.75
+
 /* A smaller bucket overflows and loses tokens while no request happens to arrive at this VM. */
 #define BURST_MIN_TOKENS 2.5
 
@@ -25,7 +39,8 @@
 	double reserved = in->rate_per_s * in->silent_vm_count / members;
 	double available = in->rate_per_s - reserved;
 	double demand = in->own_demand_per_s + in->others_demand_per_s;
-	struct pw_share s = { .contended = demand > available };
+	struct pw_share s = { .contended = demand > available,
+			      .flooded = demand > available * FLOOD_FACTOR };
 
 	if (s.contended)
 		s.rate_per_s = available * in->own_demand_per_s / demand;
@@ -33,6 +48,8 @@
 		s.rate_per_s =
 			in->own_demand_per_s + (available - demand) / (1 + in->reporting_vm_count);
 	s.burst = in->rate_per_s > 0 ? in->burst * s.rate_per_s / in->rate_per_s : 0;
+	s.burst_part = s.burst;
+	s.account_burst = in->burst;
 	if (demand <= available * LOW_DEMAND_FRACTION)
 		s.burst = fmax(s.burst, in->burst * LOW_DEMAND_BURST_FRACTION / sqrt(members));
 	else if (s.contended)
@@ -50,6 +67,21 @@
 	return rate_per_s + burst * 1e6 / (double)window_us;
 }
 
+bool pw_demand_should_report(double own_per_s, double rate_per_s, uint32_t vm_count)
+{
+	return own_per_s >= REPORT_MIN_PER_S && own_per_s * vm_count > rate_per_s * REPORT_FRACTION;
+}
+
+bool pw_demand_should_announce(const struct pw_demand_view *v)
+{
+	/* The same growth is expected at the others; a single request is no growth by a factor. */
+	double growth = v->own_per_s / (v->announced_per_s + ANNOUNCE_GROWTH_PER_S);
+
+	return v->own_per_s > v->announced_per_s * ANNOUNCE_GROWTH + ANNOUNCE_GROWTH_PER_S &&
+	       v->own_per_s + v->others_per_s * fmax(growth, 1.0) >
+		       v->rate_per_s * ANNOUNCE_FRACTION;
+}
+
 void pw_demand_add_arrivals(struct pw_demand *d, uint32_t arrivals, uint64_t now_us)
 {
 	d->per_s =
@@ -73,7 +105,7 @@
 	t->last_refill_us = now_us;
 }
 
-void pw_share_bucket_refill(struct pw_share_bucket *t, const struct pw_share *s, uint64_t now_us)
+static void refill(struct pw_share_bucket *t, const struct pw_share *s, uint64_t now_us)
 {
 	if (now_us > t->last_refill_us) {
 		t->level += s->rate_per_s * (double)(now_us - t->last_refill_us) / 1e6;
@@ -82,6 +114,23 @@
 	t->level = fmin(t->level, s->burst);
 }
 
+void pw_share_bucket_change(struct pw_share_bucket *t, const struct pw_share *from,
+			    const struct pw_share *to, uint64_t now_us)
+{
+	refill(t, from, now_us);
+	if (!to->contended) {
+		t->flood_charged = false;
+	} else if (to->account_burst < from->account_burst) {
+		t->flood_charged = true;
+	} else if (!from->contended) {
+		t->spent = from->burst - t->level;
+	}
+	if (to->flooded && !t->flood_charged) {
+		t->flood_charged = true;
+		t->level = fmin(t->level, to->burst_part - t->spent);
+	}
+}
+
 /*
  * While the share is not contended, the bucket may be overdrawn by the tokens of OVERDRAFT_S, but
  * at least by OVERDRAFT_MIN_TOKENS: other VMs have tokens to spare.
@@ -94,7 +143,7 @@
 	double overdraft =
 		s->contended ? 0 : fmax(s->rate_per_s * OVERDRAFT_S, OVERDRAFT_MIN_TOKENS);
 
-	pw_share_bucket_refill(t, s, now_us);
+	refill(t, s, now_us);
 	if (t->level + overdraft < 1)
 		return false;
 	t->level -= 1;
