Gateway: a statement behind a refused SET is not answered as if it had run with it

The statement behind it, sent in the same write, ran without the session's variables and was answered with success, or was retried until it was refused as busy.

Change: the connection fails at once. A read is run again on another one, a write outside a transaction has an unknown outcome, and a transaction's first statement is run again, since nothing was begun.

test_refused_set plays it with a stand-in that refuses a SET; on the code before the read returned no variables and the write was answered ok. The stand-in also survives a promotion request without a service now.

--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -457,8 +457,12 @@
 		gw_conn_fail(c, "the server refused the connection");
 		return;
 	}
+	/*
+	 * The statement behind the proxy's own SET or PREPARE was sent in the same write, and would
+	 * run without the session's variables or names.
+	 */
 	if (c->proxy_answers_pending) {
-		c->discard_when_idle = true;
+		gw_conn_fail(c, "the server refused the state of the session");
 		return;
 	}
 	if (!w)
--- a/standins/platform/database.c
+++ b/standins/platform/database.c
@@ -60,6 +60,7 @@
 	uint64_t lag_us;             /**< replication lag */
 	uint64_t promotion_delay_us; /**< time from a promotion request until it takes effect */
 	uint64_t run_time_us;        /**< run time of a statement */
+	uint32_t refused_sets;       /**< number of the next SET statements that fail */
 	uint64_t last_signature;     /**< number in the signature of the last result */
 };
 
@@ -298,6 +299,11 @@
 {
 	char *argument = strchr(args, ' ');
 
+	if (strcmp(verb, "SET") == 0 && c->server->databases->refused_sets) {
+		c->server->databases->refused_sets--;
+		send_error(c, "FAILED");
+		return true;
+	}
 	if (strcmp(verb, "SET") == 0 && argument) {
 		*argument++ = '\0';
 		g_hash_table_replace(c->settings, g_strdup(args), g_strdup(argument));
@@ -711,6 +717,10 @@
 		d->promotion_delay_us = g_ascii_strtoull(argument, NULL, 10) * 1000;
 		return true;
 	}
+	if (strcmp(name, "refuse-set") == 0) {
+		d->refused_sets = (uint32_t)g_ascii_strtoull(argument, NULL, 10);
+		return true;
+	}
 	if (strcmp(name, "work") == 0) {
 		d->run_time_us = g_ascii_strtoull(argument, NULL, 10) * 1000;
 		return true;
@@ -750,7 +760,7 @@
 			      json_pack("{s:s,s:s,s:s,s:I}", "group", group ? group : "", "id",
 					id ? id : "", "holder", holder ? holder : "", "fence",
 					(json_int_t)fencing_token));
-	if (!s || !s->running || strcmp(s->group->name, group) != 0)
+	if (!s || !s->running || g_strcmp0(s->group->name, group) != 0)
 		return 409;
 	g = s->group;
 	if (g->appointed ? g->appointed == s && (s->primary || s->promotion_due_us) : s->primary)
--- a/standins/platform/database.h
+++ b/standins/platform/database.h
@@ -40,6 +40,8 @@
  * - "leave" sets the server to draining;
  * - "gone" stops the server and removes its registration.
  *
+ * The argument of "refuse-set" is a number: so many of the next SET statements fail.
+ *
  * The argument of these faults is a time in milliseconds:
  *
  * - "lag" sets the replication lag;
--- a/tests/platform/test_platform_fleet.c
+++ b/tests/platform/test_platform_fleet.c
@@ -474,6 +474,40 @@
 }
 END_TEST
 
+static const struct {
+	const char *label;
+	const char *before; /* statement before the refused SET; NULL: none */
+	const char *statement, *expected;
+} refused_set_cases[] = {
+	{ "a read is run again", NULL, "READ @values", "zone=north; ok I" },
+	{ "a write that ran without the variable", NULL, "WRITE a8 v", "INDOUBT I" },
+	{ "a transaction", "BEGIN", "READ @values", "zone=north; ok T" },
+};
+
+/*
+ * Guards against a statement that runs without the session's variables because the server has
+ * refused the proxy's own SET, and is answered as if it had run with them.
+ */
+START_TEST(test_refused_set)
+{
+	struct client *c;
+	char *actual;
+
+	start_fleet();
+	c = open_session(0, "desk");
+	g_free(run_statement(c, "SET zone north"));
+	if (refused_set_cases[_i].before)
+		g_free(run_statement(c, refused_set_cases[_i].before));
+	inject_fault("refuse-set", "1");
+	actual = run_statement(c, refused_set_cases[_i].statement);
+	ck_assert_msg(strcmp(actual, refused_set_cases[_i].expected) == 0, "%s: %s, not %s",
+		      refused_set_cases[_i].label, actual, refused_set_cases[_i].expected);
+	g_free(actual);
+	client_free(c);
+	stop_fleet();
+}
+END_TEST
+
 static const struct {
 	const char *label, *line, *expected;
 } invalid_starts[] = {
@@ -1515,6 +1549,7 @@
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	tcase_add_test(tc, test_sessions);
+	tcase_add_loop_test(tc, test_refused_set, 0, PW_ARRAY_LEN(refused_set_cases));
 	tcase_add_test(tc, test_invalid_starts);
 	tcase_add_loop_test(tc, test_failover, 0, PW_ARRAY_LEN(primary_faults));
 	tcase_add_test(tc, test_takeover_after_promotion);
