Change of primary: VMs that the store turns away learn of it from the others

What callers saw: while the store turned a third of the VMs away, these served with delegated permits; once any primary was changed, they refused all statements that need a primary, of all databases, until the store served them again. The change itself waited 1.6 to 2 s for their permits.

Cause: a permit is delegated for one revision of the record of primaries, and a VM without the store could not read the next one, so it could neither confirm the mark nor get a permit.

Change: a pulse to a VM that needs a permit and knows an older record contains the newest. The leader of a change sends it at once. It is applied if the VM cannot renew at the store and the record is of the same era.

--- a/codec/include/pw/codec/pulse.h
+++ b/codec/include/pw/codec/pulse.h
@@ -16,6 +16,8 @@
 
 /** Maximum size of a datagram, which common networks do not fragment. */
 #define PW_PULSE_MAX_BYTES 1400
+/** Maximum size of one with a record of primaries, which is seldom sent. */
+#define PW_PULSE_RECORD_MAX_BYTES 16384
 
 /** What the sender knows about the primary of a group. */
 struct pw_pulse_group {
@@ -65,8 +67,10 @@
 	uint32_t catalog_age_ms;  /**< time since that version was known to be the newest */
 	uint64_t servers_digest;  /**< of the sender's list of servers; 0: none */
 	uint32_t servers_age_ms;  /**< time since that list was known to be the newest */
-	GArray *groups;           /**< struct pw_pulse_group */
-	GArray *accounts;         /**< struct pw_pulse_account */
+	/** Text of the record of `primaries_revision`, for a receiver that needs it; NULL: none. */
+	char *primaries_record;
+	GArray *groups;   /**< struct pw_pulse_group */
+	GArray *accounts; /**< struct pw_pulse_account */
 };
 
 void pw_pulse_init(struct pw_pulse *p);
@@ -80,9 +84,10 @@
 /**
  * Encodes a pulse. If it does not fit into a datagram, accounts are left out, the last ones first.
  *
- * @return size in bytes, or 0 if it does not fit even without accounts
+ * @return size in bytes, at most PW_PULSE_MAX_BYTES without a record; 0 if it does not fit even
+ *         without accounts
  */
-size_t pw_pulse_encode(uint8_t out[PW_PULSE_MAX_BYTES], const struct pw_pulse *p);
+size_t pw_pulse_encode(uint8_t out[PW_PULSE_RECORD_MAX_BYTES], const struct pw_pulse *p);
 
 /** Decodes a pulse. @return 0, or PW_EINVALID with `out` zeroed */
 int pw_pulse_decode(struct pw_pulse *out, const uint8_t *data, size_t size_bytes);
--- a/codec/src/pulse.c
+++ b/codec/src/pulse.c
@@ -29,6 +29,7 @@
 {
 	g_free(p->sender);
 	g_free(p->address);
+	g_free(p->primaries_record);
 	if (p->groups)
 		g_array_unref(p->groups);
 	if (p->accounts)
@@ -98,6 +99,8 @@
 	wire->message.asks = p->wants_reply;
 	wire->message.leaving = p->leaving;
 	wire->message.notice = p->notice;
+	if (p->primaries_record)
+		wire->message.primaries_record = p->primaries_record;
 	wire->message.catalog_version = p->catalog_version;
 	wire->message.catalog_age_ms = p->catalog_age_ms;
 	wire->message.servers_digest = p->servers_digest;
@@ -135,18 +138,19 @@
 	wire->message.accounts = wire->account_pointers;
 }
 
-size_t pw_pulse_encode(uint8_t out[PW_PULSE_MAX_BYTES], const struct pw_pulse *p)
+size_t pw_pulse_encode(uint8_t out[PW_PULSE_RECORD_MAX_BYTES], const struct pw_pulse *p)
 {
+	size_t max_bytes = p->primaries_record ? PW_PULSE_RECORD_MAX_BYTES : PW_PULSE_MAX_BYTES;
 	struct wire_pulse wire;
 	size_t size_bytes;
 
 	wire_pulse_init(&wire, p);
 	size_bytes = pw__pulse__get_packed_size(&wire.message);
-	while (size_bytes > PW_PULSE_MAX_BYTES && wire.message.n_accounts) {
+	while (size_bytes > max_bytes && wire.message.n_accounts) {
 		wire.message.n_accounts--;
 		size_bytes = pw__pulse__get_packed_size(&wire.message);
 	}
-	size_bytes = size_bytes > PW_PULSE_MAX_BYTES ? 0 : pw__pulse__pack(&wire.message, out);
+	size_bytes = size_bytes > max_bytes ? 0 : pw__pulse__pack(&wire.message, out);
 	g_free(wire.groups);
 	g_free(wire.group_pointers);
 	g_free(wire.accounts);
@@ -182,6 +186,8 @@
 	out->wants_reply = message->asks;
 	out->leaving = message->leaving;
 	out->notice = message->notice;
+	if (message->primaries_record[0])
+		out->primaries_record = g_strdup(message->primaries_record);
 	out->catalog_version = message->catalog_version;
 	out->catalog_age_ms = message->catalog_age_ms;
 	out->servers_digest = message->servers_digest;
--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -306,6 +306,7 @@
 				  c->incarnation, ch->planned);
 	}
 	cluster_apply_primaries(c, record);
+	pulse_send_record(c);
 }
 
 /* Reads the next page of the member list. */
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -121,6 +121,7 @@
 	uint64_t sent_us[PULSE_SENT_TIME_COUNT]; /**< send times, by sequence number modulo size */
 	uint64_t delegated_until_us; /**< latest end of a permit that this VM delegated to it */
 	uint64_t promised_until_us; /**< it has promised to claim no change of primary until then */
+	int64_t primaries_revision; /**< of the record that it knows; 0: none */
 	int64_t settled_revision;   /**< newest record that it has settled */
 	int64_t confirmed_revision; /**< newest record that it has confirmed */
 	struct pw_pulse pulse;      /**< the last one from it; `groups` is NULL before the first */
@@ -294,6 +295,11 @@
 void pulse_stop(struct cluster *c);
 /** Sends a pulse to every member now; in a large fleet a notice without groups and accounts. */
 void pulse_broadcast(struct cluster *c);
+/**
+ * Sends the record of primaries to the members that cannot read it at the store, so that a change
+ * that this VM leads need not wait for the end of their permits.
+ */
+void pulse_send_record(struct cluster *c);
 /** @return interval between two pulses from one member to another */
 uint64_t pulse_member_interval_us(const struct cluster *c);
 /** In a large fleet, announces demand to all members; see pw_demand_should_announce(). */
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -172,9 +172,16 @@
 	return PW_PROMISE_DURATION_US / PW_US_PER_MS;
 }
 
+/* Whether a member cannot read the record of primaries at the store and knows an older one. */
+static bool needs_record(const struct cluster *c, const struct member *m)
+{
+	return m->needs_permit && c->primaries && era_is_record_current(c) &&
+	       m->primaries_revision && m->primaries_revision < c->primaries->revision;
+}
+
 static void send_pulse(struct cluster *c, struct member *m, struct pw_pulse *p)
 {
-	uint8_t data[PW_PULSE_MAX_BYTES];
+	uint8_t data[PW_PULSE_RECORD_MAX_BYTES];
 	size_t size_bytes;
 
 	if (!m->has_address)
@@ -186,7 +193,12 @@
 	p->delegated_permit_ms = delegate_permit(c, m);
 	p->no_change_promise_ms = grant_promise(c, m);
 	m->sent_us[p->sequence % PULSE_SENT_TIME_COUNT] = cluster_now_us(c);
+	if (needs_record(c, m))
+		p->primaries_record = pw_primaries_encode(c->primaries);
 	size_bytes = pw_pulse_encode(data, p);
+	g_clear_pointer(&p->primaries_record, g_free);
+	if (!size_bytes)
+		size_bytes = pw_pulse_encode(data, p);
 	if (!size_bytes)
 		return;
 	/* Errors are only counted: datagrams can get lost anyway, and the next one follows soon. */
@@ -320,6 +332,21 @@
 	pw_loop_timer_set(c->task.loop, &c->pulse_timer, cluster_now_us(c) + PULSE_INTERVAL_US);
 }
 
+void pulse_send_record(struct cluster *c)
+{
+	struct pw_pulse p;
+	GHashTableIter it;
+	gpointer item;
+
+	build_notice(c, &p);
+	g_hash_table_iter_init(&it, c->members);
+	while (g_hash_table_iter_next(&it, NULL, &item)) {
+		if (needs_record(c, item))
+			send_pulse(c, item, &p);
+	}
+	pw_pulse_dispose(&p);
+}
+
 /* Adds the accounts whose demand has to be announced. */
 static void add_announced_accounts(struct cluster *c, struct pw_pulse *p)
 {
@@ -367,6 +394,29 @@
 	       p->echo_sequence + PULSE_SENT_TIME_COUNT >= m->next_sequence;
 }
 
+/*
+ * Applies the record of primaries that a pulse contains if this VM cannot read it at the store. It
+ * has to be of the same era, since revisions of two eras cannot be compared.
+ */
+static void handle_record(struct cluster *c, const struct pw_pulse *p)
+{
+	struct pw_primaries *record;
+
+	if (!p->primaries_record || c->renewal_ok || !c->primaries ||
+	    p->primaries_revision <= c->primaries->revision)
+		return;
+	if (pw_primaries_decode(&record, p->primaries_record, strlen(p->primaries_record),
+				p->primaries_revision)) {
+		pw_event_log(PW_EVENT_RECORD_MALFORMED, "peer=%s revision=%" PRId64, p->sender,
+			     p->primaries_revision);
+		return;
+	}
+	if (record->era == c->primaries->era && era_is_record_current(c))
+		cluster_apply_primaries(c, record);
+	else
+		pw_primaries_unref(record);
+}
+
 /*
  * Handles a permit that the sender has delegated. Its remaining time is counted from when this VM
  * sent the pulse that is echoed. The sender replied after that, so the delegated permit ends no
@@ -432,7 +482,7 @@
 static void handle_pulse(struct cluster *c, struct pw_pulse *p)
 {
 	struct member *m;
-	bool is_new, wants_reply = p->wants_reply;
+	bool is_new, has_settled, wants_reply = p->wants_reply;
 
 	if (strcmp(p->sender, c->directory->settings->vm_name) == 0)
 		return;
@@ -445,6 +495,7 @@
 		 */
 		m->incarnation = p->incarnation;
 		m->last_heard_sequence = 0;
+		m->primaries_revision = 0;
 		m->settled_revision = 0;
 		m->confirmed_revision = 0;
 		m->promised_until_us = 0;
@@ -462,8 +513,11 @@
 	m->last_heard_us = pw_loop_update_now_us(c->task.loop);
 	m->leaving = p->leaving;
 	m->needs_permit = p->needs_permit;
+	m->primaries_revision = p->primaries_revision;
+	has_settled = p->settled_revision > m->settled_revision;
 	m->settled_revision = p->settled_revision;
 	m->confirmed_revision = p->confirmed_revision;
+	handle_record(c, p);
 	handle_delegated_permit(c, m, p);
 	handle_promise(c, m, p);
 	position_handle_pulse(c, m, p);
@@ -484,14 +538,14 @@
 	 */
 	if (is_new && !is_large_fleet(c))
 		pulse_broadcast(c);
-	else if (wants_reply)
+	else if (wants_reply || (has_settled && m->needs_permit) || needs_record(c, m))
 		reply_to_member(c, m);
 }
 
 static void socket_ready(struct pw_source *s, uint32_t events)
 {
 	struct cluster *c = (struct cluster *)((char *)s - offsetof(struct cluster, socket_source));
-	uint8_t data[PW_PULSE_MAX_BYTES];
+	uint8_t data[PW_PULSE_RECORD_MAX_BYTES];
 
 	(void)events;
 	for (int i = 0; i < RECV_BATCH_MAX; i++) {
--- a/tests/codec/test_pulse.c
+++ b/tests/codec/test_pulse.c
@@ -26,6 +26,7 @@
 	p->needs_permit = true;
 	p->leaving = true;
 	p->notice = true;
+	p->primaries_record = g_strdup("record");
 	p->catalog_version = 5;
 	p->catalog_age_ms = 300;
 	p->servers_digest = UINT64_MAX - 1;
@@ -62,6 +63,7 @@
 	ck_assert_int_eq(decoded.settled_revision, p.settled_revision);
 	ck_assert_int_eq(decoded.confirmed_revision, p.confirmed_revision);
 	ck_assert(decoded.needs_permit && decoded.leaving && decoded.notice);
+	ck_assert_str_eq(decoded.primaries_record, p.primaries_record);
 	ck_assert_uint_eq(decoded.catalog_version, p.catalog_version);
 	ck_assert_uint_eq(decoded.catalog_age_ms, p.catalog_age_ms);
 	ck_assert_uint_eq(decoded.servers_digest, p.servers_digest);
@@ -88,8 +90,10 @@
 	size_t size;
 
 	init_sample(&p, 500);
+	g_clear_pointer(&p.primaries_record, g_free);
 	size = pw_pulse_encode(data, &p);
 	ck_assert_uint_gt(size, 0);
+	ck_assert_uint_le(size, PW_PULSE_MAX_BYTES);
 	ck_assert_int_eq(pw_pulse_decode(&decoded, data, size), PW_OK);
 	ck_assert_uint_gt(decoded.accounts->len, 10);
 	ck_assert_uint_lt(decoded.accounts->len, 500);
