Membership: votes and confirmations go to the VMs that act on them

Cause: in a fleet of hundreds a regular pulse reaches a member every few seconds, so the VM that has to change a primary learned late that others had lost it; a confirmation went to all members, though only the VM that leads the change waits for it, so each change cost the square of the fleet in datagrams.

Change: a changed vote is told to the first three VMs in the order in which they act; a confirmation to those that a mark names as its leader. Votes of all members are counted for a group only if there can be a reason for a change. Small fleets tell all by their regular pulses, as before.

test_notices_go_to_those_who_act.

--- a/codec/include/pw/codec/pulse.h
+++ b/codec/include/pw/codec/pulse.h
@@ -61,7 +61,7 @@
 	bool needs_permit; /**< the sender cannot renew its permit at the store */
 	bool wants_reply;  /**< the sender needs a reply at once */
 	bool leaving;      /**< the sender is in a planned stop */
-	/** It has no groups, and only those accounts whose demand has changed. */
+	/** It has only those groups whose vote, and accounts whose demand, has changed. */
 	bool notice;
 	uint64_t catalog_version; /**< of the sender's catalogue; 0: none */
 	uint32_t catalog_age_ms;  /**< time since that version was known to be the newest */
@@ -69,8 +69,8 @@
 	uint32_t servers_age_ms;  /**< time since that list was known to be the newest */
 	/** Text of the record of `primaries_revision`, for a receiver that needs it; NULL: none. */
 	char *primaries_record;
-	GArray *groups;   /**< struct pw_pulse_group */
-	GArray *accounts; /**< struct pw_pulse_account */
+	GArray *groups;           /**< struct pw_pulse_group */
+	GArray *accounts;         /**< struct pw_pulse_account */
 };
 
 void pw_pulse_init(struct pw_pulse *p);
@@ -78,6 +78,8 @@
 void pw_pulse_add_group(struct pw_pulse *p, const char *name, uint64_t generation,
 			uint32_t unreachable_ms, bool is_reachable);
 void pw_pulse_add_account(struct pw_pulse *p, const char *name, float demand_per_s);
+/** Sets what the sender says about the primary of a group, which is added if it is new. */
+void pw_pulse_set_vote(struct pw_pulse *p, const struct pw_pulse_group *vote);
 /** Sets the demand for an account, which is added if it is new. */
 void pw_pulse_set_account(struct pw_pulse *p, const char *name, float demand_per_s);
 
--- a/codec/src/pulse.c
+++ b/codec/src/pulse.c
@@ -57,6 +57,22 @@
 	g_array_append_val(p->accounts, a);
 }
 
+void pw_pulse_set_vote(struct pw_pulse *p, const struct pw_pulse_group *vote)
+{
+	for (guint i = 0; i < p->groups->len; i++) {
+		struct pw_pulse_group *g = &g_array_index(p->groups, struct pw_pulse_group, i);
+
+		if (strcmp(g->name, vote->name) == 0) {
+			g->generation = vote->generation;
+			g->unreachable_ms = vote->unreachable_ms;
+			g->is_reachable = vote->is_reachable;
+			return;
+		}
+	}
+	pw_pulse_add_group(p, vote->name, vote->generation, vote->unreachable_ms,
+			   vote->is_reachable);
+}
+
 void pw_pulse_set_account(struct pw_pulse *p, const char *name, float demand_per_s)
 {
 	for (guint i = 0; i < p->accounts->len; i++) {
--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -314,8 +314,8 @@
 	}
 	g->settled_revision = r->settled_revision;
 	/* A VM that changes a primary waits for this confirmation. */
-	if (cluster_confirmed_revision(c) > c->broadcast_confirmed_revision) {
-		pulse_broadcast(c);
+	if (cluster_confirmed_revision(c) > c->announced_confirmed_revision) {
+		pulse_announce_confirmation(c);
 		change_tick(c);
 	}
 }
@@ -439,6 +439,7 @@
 	change_tick(c);
 	publish_shares(c);
 	pulse_announce_demand(c);
+	pulse_announce_votes(c);
 	position_publish(c);
 	if (has_group_without_primary(c))
 		member_create_primaries(c);
@@ -520,6 +521,7 @@
 		g_hash_table_unref(c->gateways[i].reachability);
 	g_free(c->gateways);
 	g_hash_table_unref(c->demands);
+	g_hash_table_unref(c->announced_losses);
 	g_hash_table_unref(c->record_since_us);
 	g_hash_table_unref(c->primary_checked_us);
 	pw_catalog_unref(c->catalog);
@@ -538,6 +540,7 @@
 		c->gateways[i].reachability =
 			g_hash_table_new_full(g_str_hash, g_str_equal, NULL, reachability_free);
 	c->demands = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	c->announced_losses = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	c->record_since_us = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->primary_checked_us = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->tick_timer.ops = &tick_ops;
--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -918,6 +918,33 @@
 	return rank;
 }
 
+uint32_t change_find_first_members(const struct cluster *c, const struct pw_primary *primary,
+				   struct member **first, uint32_t count)
+{
+	uint32_t found_count = 0;
+	GHashTableIter it;
+	gpointer item;
+
+	g_hash_table_iter_init(&it, c->members);
+	while (g_hash_table_iter_next(&it, NULL, &item)) {
+		struct member *m = item;
+		uint64_t weight = rank_weight(primary, m->name);
+		uint32_t i;
+
+		if (!pulse_is_member_live(c, m) || m->needs_permit ||
+		    (found_count == count &&
+		     weight >= rank_weight(primary, first[count - 1]->name)))
+			continue;
+		/* Inserts the member into the sorted list; the last one of a full list drops out.
+		 */
+		i = found_count < count ? found_count++ : count - 1;
+		for (; i > 0 && weight < rank_weight(primary, first[i - 1]->name); i--)
+			first[i] = first[i - 1];
+		first[i] = m;
+	}
+	return found_count;
+}
+
 /*
  * Counts the live VMs, this one included, that reach the primary of a group, and those that do not.
  * A VM has one vote at most, whatever the number of its gateway tasks.
@@ -945,15 +972,15 @@
 			const struct pw_pulse_group *g =
 				&g_array_index(m->pulse.groups, struct pw_pulse_group, i);
 
-			if (strcmp(g->name, primary->group) != 0 ||
-			    g->generation != primary->generation)
+			if (strcmp(g->name, primary->group) != 0)
 				continue;
-			v->reached_vote_count += g->is_reachable;
-			if (g->unreachable_ms) {
-				v->lost_vote_count++;
+			if (g->generation == primary->generation) {
+				v->reached_vote_count += g->is_reachable;
+				v->lost_vote_count += g->unreachable_ms != 0;
 				longest_outage_us =
 					MAX(longest_outage_us, g->unreachable_ms * PW_US_PER_MS);
 			}
+			break;
 		}
 	}
 	if (v->lost_vote_count)
@@ -1083,9 +1110,44 @@
 	return now_us >= c->own_promise_until_us && now_us >= c->started_us + PW_PERMIT_DURATION_US;
 }
 
+/* Whether any member has said that it cannot reach some primary. */
+static bool has_lost_vote(const struct cluster *c)
+{
+	GHashTableIter it;
+	gpointer item;
+
+	g_hash_table_iter_init(&it, c->members);
+	while (g_hash_table_iter_next(&it, NULL, &item)) {
+		if (((const struct member *)item)->has_lost_vote)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Whether there can be a reason to change a primary. Spares the votes of all members, which would
+ * otherwise be counted for every group at every tick.
+ */
+static bool may_have_reason(struct cluster *c, const struct pw_primary *primary, bool any_vote_lost)
+{
+	const struct pw_server_entry *e = pw_server_list_find(c->servers, primary->server_id);
+	const struct pw_change_view entry = {
+		.registered = e != NULL,
+		.leaving = e && e->leaving,
+		.demoted = e && !e->claims_primary,
+	};
+	uint64_t since_us;
+
+	(void)cluster_reaches_primary(c, primary, &since_us);
+	return primary->changing || since_us || any_vote_lost ||
+	       pw_change_entry_fault(&entry) != PW_CHANGE_NONE ||
+	       g_hash_table_contains(c->entry_faults, primary->group);
+}
+
 void change_tick(struct cluster *c)
 {
 	GList *changes;
+	bool any_vote_lost;
 
 	free_ended_changes(c);
 	g_ptr_array_set_size(c->ended_queries, 0);
@@ -1098,12 +1160,14 @@
 	/* Without the store this VM cannot mark a group; members that reach the store decide. */
 	if (!c->renewal_ok || c->leaving || !may_claim(c))
 		return;
+	any_vote_lost = has_lost_vote(c);
 	for (guint i = 0; i < c->primaries->entries->len; i++) {
 		const struct pw_primary *primary = g_ptr_array_index(c->primaries->entries, i);
 		struct pw_change_view v;
 		enum pw_change_reason reason;
 
-		if (g_hash_table_contains(c->changes, primary->group))
+		if (g_hash_table_contains(c->changes, primary->group) ||
+		    !may_have_reason(c, primary, any_vote_lost))
 			continue;
 		build_change_view(c, primary, &v);
 		if (v.lost_vote_count && !primary->changing)
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -66,6 +66,8 @@
 #define DEMAND_ANNOUNCE_MIN_INTERVAL_US (500 * PW_US_PER_MS)
 /* Minimum interval of checks of a group's primary that some VM cannot reach. */
 #define PRIMARY_CHECK_MIN_INTERVAL_US (400 * PW_US_PER_MS)
+/* Number of VMs to which a change of a vote is announced: the first two may be lost as well. */
+#define VOTE_RECEIVER_COUNT 3
 /* A member counts as live for this many of its pulse intervals after its last pulse. */
 #define PULSE_LIVE_INTERVAL_COUNT 5
 /*
@@ -114,6 +116,7 @@
 	bool listed; /**< its entry was found since the last read of all members began */
 	bool leaving;
 	bool needs_permit;      /**< it cannot renew its permit at the store */
+	bool has_lost_vote;     /**< it cannot reach some primary, by its pulses */
 	uint64_t incarnation;   /**< identifies the process that sent its last pulse; 0: none */
 	uint64_t last_heard_us; /**< arrival of its last pulse; 0: none */
 	uint64_t last_heard_sequence;            /**< sequence number of that pulse */
@@ -198,9 +201,10 @@
 	struct pw_source socket_source;
 	GHashTable *members; /**< name -> struct member */
 	struct pw_timer pulse_timer;
-	uint32_t next_pulse_member;           /**< index by name; for round-robin */
-	uint64_t demand_announced_us;         /**< when demand was last announced */
-	int64_t broadcast_confirmed_revision; /**< in the last pulse to all members */
+	uint32_t next_pulse_member;   /**< index by name; for round-robin */
+	uint64_t demand_announced_us; /**< when demand was last announced */
+	GHashTable *announced_losses; /**< set of groups whose primary is announced as lost */
+	int64_t announced_confirmed_revision; /**< confirmed revision as the others know it */
 
 	/* Log positions of primaries that this VM or others have seen. */
 	GHashTable *positions;               /**< group -> newest struct pw_seen_position */
@@ -302,6 +306,16 @@
 void pulse_send_record(struct cluster *c);
 /** @return interval between two pulses from one member to another */
 uint64_t pulse_member_interval_us(const struct cluster *c);
+/**
+ * In a large fleet, tells the VMs that would be the first to change a primary whether this VM
+ * reaches it, once that has changed.
+ */
+void pulse_announce_votes(struct cluster *c);
+/**
+ * Tells the VMs that wait for it which record this VM has confirmed: in a large fleet those that
+ * lead a change, otherwise all.
+ */
+void pulse_announce_confirmation(struct cluster *c);
 /** In a large fleet, announces demand to all members; see pw_demand_should_announce(). */
 void pulse_announce_demand(struct cluster *c);
 /** @return member of that name, which is added if it is new */
@@ -357,6 +371,14 @@
 
 /* cluster_change.c */
 void change_start(struct cluster *c);
+/**
+ * Finds the members that would be the first to change the primary of a group.
+ *
+ * @param first receives up to `count` members, the first one first
+ * @return number of members found
+ */
+uint32_t change_find_first_members(const struct cluster *c, const struct pw_primary *primary,
+				   struct member **first, uint32_t count);
 /** Starts, continues and ends changes. */
 void change_tick(struct cluster *c);
 void change_handle_result(struct cluster *c, uint64_t tag, struct pw_store_result *r);
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -245,7 +245,7 @@
 	gpointer item;
 
 	pw_counter_inc(PW_COUNTER_PEER_BROADCASTS);
-	c->broadcast_confirmed_revision = p->confirmed_revision;
+	c->announced_confirmed_revision = p->confirmed_revision;
 	g_hash_table_iter_init(&it, c->members);
 	while (g_hash_table_iter_next(&it, NULL, &item))
 		send_pulse(c, item, p);
@@ -332,6 +332,79 @@
 	pw_loop_timer_set(c->task.loop, &c->pulse_timer, cluster_now_us(c) + PULSE_INTERVAL_US);
 }
 
+/* Adds the votes that have changed since they were announced. */
+static void add_changed_votes(struct cluster *c, const struct pw_primary *primary,
+			      struct pw_pulse *p)
+{
+	uint64_t since_us, now_us = cluster_now_us(c);
+	bool is_reachable = cluster_reaches_primary(c, primary, &since_us);
+	bool was_lost = g_hash_table_contains(c->announced_losses, primary->group);
+
+	if ((since_us != 0) == was_lost)
+		return;
+	if (since_us)
+		g_hash_table_add(c->announced_losses, g_strdup(primary->group));
+	else
+		g_hash_table_remove(c->announced_losses, primary->group);
+	pw_pulse_add_group(p, primary->group, primary->generation,
+			   since_us ? (uint32_t)((now_us - MIN(since_us, now_us)) / PW_US_PER_MS)
+				    : 0,
+			   is_reachable);
+}
+
+void pulse_announce_votes(struct cluster *c)
+{
+	for (guint i = 0; is_large_fleet(c) && c->primaries && i < c->primaries->entries->len;
+	     i++) {
+		const struct pw_primary *primary = g_ptr_array_index(c->primaries->entries, i);
+		struct member *first[VOTE_RECEIVER_COUNT];
+		uint32_t count;
+		struct pw_pulse p;
+
+		build_notice(c, &p);
+		add_changed_votes(c, primary, &p);
+		count = p.groups->len
+				? change_find_first_members(c, primary, first, VOTE_RECEIVER_COUNT)
+				: 0;
+		for (uint32_t k = 0; k < count; k++)
+			send_pulse(c, first[k], &p);
+		pw_pulse_dispose(&p);
+	}
+}
+
+/* Sends a notice to the VM that leads the change of a group. Returns false if it is not known. */
+static bool send_to_leader(struct cluster *c, const struct pw_primary *primary, struct pw_pulse *p)
+{
+	struct member *m =
+		primary->mark_vm ? g_hash_table_lookup(c->members, primary->mark_vm) : NULL;
+
+	if (m)
+		send_pulse(c, m, p);
+	return m || g_strcmp0(primary->mark_vm, c->directory->settings->vm_name) == 0;
+}
+
+void pulse_announce_confirmation(struct cluster *c)
+{
+	struct pw_pulse p;
+	bool all_known = is_large_fleet(c) && c->primaries;
+
+	if (!is_large_fleet(c)) {
+		pulse_broadcast(c);
+		return;
+	}
+	build_notice(c, &p);
+	for (guint i = 0; all_known && i < c->primaries->entries->len; i++) {
+		const struct pw_primary *primary = g_ptr_array_index(c->primaries->entries, i);
+
+		all_known = !primary->changing || send_to_leader(c, primary, &p);
+	}
+	if (all_known)
+		c->announced_confirmed_revision = p.confirmed_revision;
+	else
+		send_to_all(c, &p);
+	pw_pulse_dispose(&p);
+}
+
 void pulse_send_record(struct cluster *c)
 {
 	struct pw_pulse p;
@@ -456,11 +529,22 @@
 		cluster_publish_primaries(c);
 }
 
-/* Adds the accounts of a notice to what is known of a member. */
+static bool says_lost(const struct pw_pulse *p)
+{
+	for (guint i = 0; i < p->groups->len; i++) {
+		if (g_array_index(p->groups, struct pw_pulse_group, i).unreachable_ms)
+			return true;
+	}
+	return false;
+}
+
+/* Adds the groups and accounts of a notice to what is known of a member. */
 static void apply_notice(struct member *m, const struct pw_pulse *p)
 {
 	if (!m->pulse.accounts)
 		pw_pulse_init(&m->pulse);
+	for (guint i = 0; i < p->groups->len; i++)
+		pw_pulse_set_vote(&m->pulse, &g_array_index(p->groups, struct pw_pulse_group, i));
 	for (guint i = 0; i < p->accounts->len; i++) {
 		const struct pw_pulse_account *a =
 			&g_array_index(p->accounts, struct pw_pulse_account, i);
@@ -531,6 +615,7 @@
 		m->pulse = *p;
 		pw_pulse_init(p);
 	}
+	m->has_lost_vote = says_lost(&m->pulse);
 	/*
 	 * In a small fleet a pulse to all members lets the new one learn of this VM at once. In a
 	 * large fleet the new member learns of this VM by a regular pulse, or by the reply if it
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -38,8 +38,9 @@
 
 #define SERVER_COUNT    2
 #define CONNECTIONS_MAX 16
-#define MEMBER_COUNT    4
-#define GATEWAY_COUNT   2
+/* Enough for a large fleet (PULSE_FULL_MESH_MAX); a member counts once it is listed. */
+#define MEMBER_COUNT  18
+#define GATEWAY_COUNT 2
 
 /* Contents of the record before the change: its newest token, and the primary of GROUP. */
 #define FIRST_TOKEN        10
@@ -69,7 +70,9 @@
 	char *record;               /* text of that record, which its pulses contain; NULL: none */
 	uint32_t record_count;      /* pulses with a record that it got from the VM under test */
 	bool vm_needs_permit;       /* the last pulse of that VM asked for a permit */
-	uint32_t delegated_count;   /* delegated permits that it got from the VM under test */
+	uint32_t lost_vote_count; /* notices of that VM that it cannot reach the primary of GROUP */
+	int64_t noticed_revision; /* newest confirmed revision in its notices */
+	uint32_t delegated_count; /* delegated permits that it got from the VM under test */
 	uint32_t pulse_count, promise_count; /* pulses of that VM, and those with a promise */
 };
 
@@ -330,6 +333,12 @@
 		m->delegated_count += p.delegated_permit_ms > 0;
 		m->record_count += p.primaries_record != NULL;
 		m->vm_needs_permit = p.needs_permit;
+		for (guint i = 0; p.notice && i < p.groups->len; i++)
+			m->lost_vote_count +=
+				g_array_index(p.groups, struct pw_pulse_group, i).unreachable_ms >
+				0;
+		if (p.notice)
+			m->noticed_revision = MAX(m->noticed_revision, p.confirmed_revision);
 		pw_pulse_dispose(&p);
 	}
 }
@@ -1014,6 +1023,60 @@
 }
 END_TEST
 
+static void mark_by_member(struct pw_primaries *p)
+{
+	pw_primaries_mark(p, GROUP, "vm5", 1, false);
+}
+
+static const struct {
+	const char *label;
+	uint32_t member_count;
+	uint32_t vote_receiver_count; /* expected receivers of a notice that the primary is lost */
+	uint32_t confirmation_receiver_count; /* of a notice that the mark of vm5 is confirmed */
+} notice_cases[] = {
+	{ "large fleet", MEMBER_COUNT, VOTE_RECEIVER_COUNT, 1 },
+	{ "small fleet, whose regular pulses go to all", 4, 0, 0 },
+};
+
+/*
+ * Guards against the loss of a primary, or the confirmation of a mark, that the VM which has to act
+ * on it learns only by a regular pulse, and against telling all VMs of a large fleet.
+ */
+START_TEST(test_notices_go_to_those_who_act)
+{
+	uint32_t vote_receiver_count = 0, confirmation_receiver_count = 0;
+	struct fixture x;
+
+	setup(&x);
+	for (uint32_t i = 0; i < notice_cases[_i].member_count; i++) {
+		x.members[i].listed = true;
+		x.members[i].is_silent = false;
+	}
+	start(&x, false);
+	(void)wait_for(&x, never, 2000);
+	x.lost_since_us = pw_clock_now_us();
+	x.views[0] = x.views[1] = VIEW_LOST;
+	(void)wait_for(&x, never, 300);
+	edit_record(&x, mark_by_member);
+	publish_record(&x);
+	(void)wait_for(&x, never, 300);
+	teardown(&x);
+	for (uint32_t i = 0; i < MEMBER_COUNT; i++) {
+		vote_receiver_count += x.members[i].lost_vote_count > 0;
+		confirmation_receiver_count += x.members[i].noticed_revision >= x.record->revision;
+	}
+	ck_assert_msg(vote_receiver_count == notice_cases[_i].vote_receiver_count,
+		      "%s: %u VMs were told of the loss", notice_cases[_i].label,
+		      vote_receiver_count);
+	ck_assert_msg(confirmation_receiver_count == notice_cases[_i].confirmation_receiver_count &&
+			      (!confirmation_receiver_count ||
+			       x.members[3].noticed_revision >= x.record->revision),
+		      "%s: %u VMs were told of the confirmation", notice_cases[_i].label,
+		      confirmation_receiver_count);
+	pw_primaries_unref(x.record);
+}
+END_TEST
+
 static const struct {
 	const char *label;
 	bool needs_permit;     /* the member */
@@ -1672,6 +1735,7 @@
 	tcase_add_loop_test(tc, test_lease_outlives_delegated_permit, 0, 2);
 	tcase_add_test(tc, test_no_promise_without_record);
 	tcase_add_loop_test(tc, test_late_registration_keeps_current_lease, 0, 2);
+	tcase_add_loop_test(tc, test_notices_go_to_those_who_act, 0, PW_ARRAY_LEN(notice_cases));
 	tcase_add_loop_test(tc, test_record_in_pulse, 0, PW_ARRAY_LEN(record_cases));
 	tcase_add_loop_test(tc, test_record_is_sent_where_needed, 0,
 			    PW_ARRAY_LEN(record_sender_cases));
