Requests: a repeatable write that may have run is never said not to have run

Cause: the refusal names the reason for which the last attempt was not made; that an earlier one was sent and not answered was forgotten. The same holds for expired waits, cancelled requests and later refusals.

Change: the request remembers it, and every refusal of it has an unknown outcome (08007).

Reads are not concerned: they leave nothing behind.

--- a/daemon/traffic/group_private.h
+++ b/daemon/traffic/group_private.h
@@ -148,6 +148,7 @@
 	bool answer_started;       /**< bytes of the answer were sent to the front task */
 	bool abandoned;            /**< the session has ended; the answer is dropped */
 	bool replica_wait_over;    /**< the read may go to the primary */
+	bool may_have_written;     /**< a write of which an attempt was sent and not answered */
 };
 
 enum conn_state {
--- a/daemon/traffic/group_work.c
+++ b/daemon/traffic/group_work.c
@@ -49,9 +49,14 @@
 
 void work_refuse(struct work *w, const char *sqlstate, enum pw_counter counter, const char *text)
 {
-	struct pw_response_end *e =
-		pw_response_end_new_refused(w->request, sqlstate, counter, "%s", text);
+	struct pw_response_end *e;
 
+	/* An earlier attempt may have run, whatever the reason for which it is not repeated. */
+	if (w->may_have_written) {
+		sqlstate = PW_SQLSTATE_OUTCOME_UNKNOWN;
+		text = "the answer to the statement was lost, and no repeat of it was answered";
+	}
+	e = pw_response_end_new_refused(w->request, sqlstate, counter, "%s", text);
 	set_transaction_outcome(w, e);
 	send_response_end(w, e);
 }
@@ -482,6 +487,7 @@
 	switch (pw_retry_decide(&g->retry_budget, &attempt, group_now_us(g))) {
 	case PW_RETRY_AGAIN:
 		pw_counter_inc(retry_counter(failure));
+		w->may_have_written |= failure == PW_ATTEMPT_UNANSWERED && r->acknowledges_write;
 		w->retry_not_before_us =
 			group_now_us(g) +
 			MIN(RETRY_BACKOFF_INITIAL_US << w->failed_attempts, RETRY_BACKOFF_MAX_US);
--- a/tests/process/test_transactions.c
+++ b/tests/process/test_transactions.c
@@ -296,6 +296,23 @@
 	PQfinish(conn);
 }
 
+/* Guards against a repeatable write that has run and is said not to have, since no repeat was
+ * answered. */
+static void dropped_answers_of_repeatable_write(void)
+{
+	PGconn *conn = connect_to(0);
+	uint32_t primary = primary_index();
+
+	pw_fleet_set_fault(fleet, DATABASE, primary, "drop_answers", "1000");
+	pw_fleet_set_fault(fleet, DATABASE, primary, "refuse", "1");
+	expect_result(conn, "INSERT INTO again (k, v) VALUES ('b', '1')", "ERROR 08007");
+	pw_fleet_set_fault(fleet, DATABASE, primary, "refuse", "0");
+	pw_fleet_set_fault(fleet, DATABASE, primary, "drop_answers", "0");
+	ck_assert(pw_fleet_wait_ready(fleet, RECOVERY_TIMEOUT_MS));
+	ck_assert(pw_fleet_wait_replicated(fleet, DATABASE, RECOVERY_TIMEOUT_MS));
+	PQfinish(conn);
+}
+
 /* Guards against a read that fails, or a write that is repeated, on a connection gone silent. */
 static void silent_connections(void)
 {
@@ -751,6 +768,7 @@
 	{ "transaction left open", abandoned_transaction },
 	{ "dropped answer of COMMIT", dropped_answer_of_commit },
 	{ "dropped answer of a write", dropped_answer_of_write },
+	{ "dropped answers of a repeatable write", dropped_answers_of_repeatable_write },
 	{ "silent connections", silent_connections },
 	{ "late answers", late_answers },
 	{ "cancel through the same proxy", cancel_through_same_proxy },
