Catalogue: the VMs of a large fleet spread their reads

Cause: what the whole fleet does at the same moment was not bounded by what its links carry.

Change: a value of so many bytes times VMs that its transfer takes long is read in turn, over the time that 10 MB/s need (decide/follow.h): the catalogue is then not watched, and one VM's read of a new version tells the others. A read of the servers for a failure waits for a random part of that time, and is not made if another VM has read meanwhile. A read is announced only if it is newer than what others have told.

--- a/daemon/control/catalog.c
+++ b/daemon/control/catalog.c
@@ -59,7 +59,12 @@
 	uint64_t catalog_backoff_us;   /**< 0: the last read has not failed */
 	uint64_t servers_backoff_us;   /**< 0: the last read has not failed */
 	struct pw_catalog_freshness freshness;
-	struct pw_follow follow; /**< whether the watch or reads follow the catalogue */
+	struct pw_follow follow;   /**< whether the watch or reads follow the catalogue */
+	uint32_t vm_count;         /**< of the fleet, this VM included; 0: not known yet */
+	size_t catalog_bytes;      /**< size of the catalogue that was last read */
+	size_t servers_bytes;      /**< size of the entries that were last read */
+	size_t servers_read_bytes; /**< of the pages read so far */
+	uint64_t fetched_version;  /**< newest version for which a read was scheduled */
 	bool reading_servers;
 	bool reading_catalog;
 	bool watching_catalog;
@@ -245,11 +250,23 @@
 
 static const struct pw_timer_ops servers_timer_ops = { .expire = servers_timer_expired };
 
-/* Schedules a read of the servers as soon as SERVERS_REFRESH_MIN_INTERVAL_US allows. */
+static uint64_t random_part(uint64_t spread_us)
+{
+	return spread_us ? pw_clock_random_u64() % spread_us : 0;
+}
+
+/*
+ * Schedules a read of the servers as soon as SERVERS_REFRESH_MIN_INTERVAL_US allows. The VMs of a
+ * fleet have reason to read at the same time, for example when a server fails, so they spread their
+ * reads. One that hears of another VM's read meanwhile needs none of its own.
+ */
 static void schedule_servers_refresh(struct catalog_task *c)
 {
+	uint64_t spread_us = pw_follow_spread_us(c->servers_bytes, c->vm_count);
 	uint64_t due_us =
-		MAX(c->servers_requested_us + SERVERS_REFRESH_MIN_INTERVAL_US, catalog_now_us(c));
+		MAX(c->servers_requested_us + MAX(SERVERS_REFRESH_MIN_INTERVAL_US, spread_us),
+		    catalog_now_us(c)) +
+		random_part(spread_us);
 
 	if (!c->reading_servers && (!c->servers_timer.node || c->servers_timer.due_us > due_us))
 		pw_loop_timer_set(c->task.loop, &c->servers_timer, due_us);
@@ -292,6 +309,22 @@
 	return is_valid;
 }
 
+/* Time over which the VMs of the fleet spread their reads of a new catalogue. */
+static uint64_t catalog_spread_us(const struct catalog_task *c)
+{
+	return pw_follow_spread_us(c->catalog_bytes, c->vm_count);
+}
+
+/*
+ * Whether the catalogue is watched. A watch delivers each version to all VMs at the same moment, so
+ * a large fleet reads a large catalogue in turn instead: one of the VMs soon reads a new version
+ * and tells the others.
+ */
+static bool may_watch(const struct catalog_task *c)
+{
+	return catalog_spread_us(c) <= PW_FOLLOW_WATCH_SPREAD_MAX_US;
+}
+
 static void watch_catalog(struct catalog_task *c, int64_t revision)
 {
 	const struct pw_store_watch req = {
@@ -358,16 +391,20 @@
 /*
  * Gets a newer catalogue that another VM has. While the catalogue is watched, the read is delayed,
  * since the watch usually brings the new version, but takes its time for a large one: a read would
- * transfer it twice. Reads that follow the catalogue keep their interval, and after failed reads
- * the backoff is kept.
+ * transfer it twice. Otherwise the VMs of a large fleet spread their reads. Reads that follow the
+ * catalogue keep their interval, and after failed reads the backoff is kept.
  */
-static void fetch_newer_catalog(struct catalog_task *c)
+static void fetch_newer_catalog(struct catalog_task *c, uint64_t version)
 {
-	uint64_t due_us = next_following_read_us(c);
+	uint64_t spread_us = catalog_spread_us(c), due_us;
 
-	if (c->reading_catalog || c->catalog_backoff_us || c->follow.by_reads)
+	if (c->reading_catalog || c->catalog_backoff_us || c->follow.by_reads ||
+	    version <= c->fetched_version)
 		return;
-	if (!c->watching_catalog)
+	c->fetched_version = version;
+	due_us = c->watching_catalog ? next_following_read_us(c)
+				     : catalog_now_us(c) + random_part(spread_us);
+	if (!c->watching_catalog && !spread_us)
 		request_catalog(c);
 	else if (!c->catalog_timer.node || c->catalog_timer.due_us > due_us)
 		pw_loop_timer_set(c->task.loop, &c->catalog_timer, due_us);
@@ -382,12 +419,14 @@
 				    const struct pw_catalog_freshness *remote)
 {
 	if (remote->catalog_version > c->freshness.catalog_version) {
-		fetch_newer_catalog(c);
+		fetch_newer_catalog(c, remote->catalog_version);
 	} else if (remote->catalog_version == c->freshness.catalog_version &&
 		   remote->catalog_fresh_us > c->freshness.catalog_fresh_us) {
 		c->freshness.catalog_fresh_us = remote->catalog_fresh_us;
 		send_freshness(c, false);
-		if (!c->reading_catalog && !c->follow.by_reads)
+		/* A read of a newer version, which is scheduled already, is not postponed. */
+		if (!c->reading_catalog && !c->follow.by_reads &&
+		    c->fetched_version <= c->freshness.catalog_version)
 			pw_loop_timer_set(c->task.loop, &c->catalog_timer,
 					  next_recheck_us(remote->catalog_fresh_us));
 	}
@@ -423,13 +462,16 @@
 	c->catalog_backoff_us = 0;
 	if (c->freshness.catalog_fresh_us)
 		pw_histogram_add(PW_HISTOGRAM_CATALOG_AGE, now_us - c->freshness.catalog_fresh_us);
+	c->catalog_bytes = r->kvs[0].size_bytes;
 	(void)apply_catalog(c, &r->kvs[0], false);
 	set_catalog_fresh(c, c->catalog_requested_us);
 	watch = pw_follow_handle_read(&c->follow, c->freshness.catalog_version > former_version,
 				      now_us - c->catalog_requested_us, now_us);
 	if (!watch)
 		schedule_following_read(c);
-	else if (!c->watching_catalog)
+	else if (c->watching_catalog && !may_watch(c))
+		end_watch(c);
+	else if (!c->watching_catalog && may_watch(c))
 		watch_catalog(c, MAX(base->revision, r->kvs[0].mod_revision));
 }
 
@@ -600,6 +642,7 @@
 	c->reading_servers = false;
 	if (base->code) {
 		discard_read_entries(c);
+		c->servers_read_bytes = 0;
 		pw_loop_timer_set(c->task.loop, &c->servers_timer,
 				  catalog_now_us(c) + next_retry_delay_us(&c->servers_backoff_us));
 		return;
@@ -609,6 +652,8 @@
 		const struct pw_store_kv *kv = &r->kvs[i];
 		struct pw_server_entry *e;
 
+		c->servers_read_bytes += kv->size_bytes + strlen(kv->key);
+
 		if (c->source->ops->decode_server_entry(&e, kv->key, kv->value, kv->size_bytes) ==
 		    PW_OK)
 			g_ptr_array_add(c->entries_read, e);
@@ -621,6 +666,8 @@
 		request_servers(c);
 		return;
 	}
+	c->servers_bytes = c->servers_read_bytes;
+	c->servers_read_bytes = 0;
 	g_hash_table_unref(c->refused_keys);
 	c->refused_keys = g_steal_pointer(&c->refused_read);
 	c->refused_read = key_set_new();
@@ -658,7 +705,12 @@
 	} else if (m->ops == &servers_refresh_ops) {
 		schedule_servers_refresh(c);
 	} else if (m->ops == &pw_catalog_freshness_msg_ops) {
-		handle_remote_freshness(c, &((struct pw_catalog_freshness_msg *)m)->freshness);
+		const struct pw_catalog_freshness_msg *f = (struct pw_catalog_freshness_msg *)m;
+
+		c->vm_count = f->vm_count;
+		if (c->watching_catalog && !may_watch(c))
+			end_watch(c);
+		handle_remote_freshness(c, &f->freshness);
 	}
 	pw_msg_free(m);
 }
--- a/daemon/control/catalog.h
+++ b/daemon/control/catalog.h
@@ -37,7 +37,8 @@
 struct pw_catalog_freshness_msg {
 	struct pw_msg base;
 	struct pw_catalog_freshness freshness;
-	bool is_own_read; /**< this VM has just read it; false: another VM has told it */
+	bool is_own_read;  /**< this VM has just read it; false: another VM has told it */
+	uint32_t vm_count; /**< of the fleet, this VM included; 0: not known to the sender */
 };
 
 struct pw_msg *pw_catalog_freshness_msg_new(const struct pw_catalog_freshness *freshness,
--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -464,19 +464,22 @@
 }
 
 /*
- * Handles the catalogue task's report of the newest state that it knows. A read of this VM that is
- * newer by more than FRESHNESS_BROADCAST_STEP_US is announced to the members at once, which saves
- * them their own reads. What another VM has announced goes on with the regular pulses only.
+ * Handles the catalogue task's report of the newest state that it knows. A read of this VM is
+ * announced to the members at once if it brought a version of which none has told, or is newer than
+ * the last one that was told by more than FRESHNESS_BROADCAST_STEP_US, which saves them their own
+ * reads. What another VM has announced goes on with the regular pulses only.
  */
 static void handle_local_freshness(struct cluster *c, const struct pw_catalog_freshness_msg *m)
 {
-	const struct pw_catalog_freshness *freshness = &m->freshness;
-	bool is_news = freshness->catalog_fresh_us >
-			       c->freshness.catalog_fresh_us + FRESHNESS_BROADCAST_STEP_US ||
-		       freshness->servers_fresh_us >
-			       c->freshness.servers_fresh_us + FRESHNESS_BROADCAST_STEP_US;
+	const struct pw_catalog_freshness *read = &m->freshness, *heard = &c->heard_freshness;
+	uint64_t catalog_told_us = MAX(heard->catalog_fresh_us, c->freshness.catalog_fresh_us);
+	uint64_t servers_told_us = MAX(heard->servers_fresh_us, c->freshness.servers_fresh_us);
+	bool is_news =
+		read->catalog_version > MAX(heard->catalog_version, c->freshness.catalog_version) ||
+		read->catalog_fresh_us > catalog_told_us + FRESHNESS_BROADCAST_STEP_US ||
+		read->servers_fresh_us > servers_told_us + FRESHNESS_BROADCAST_STEP_US;
 
-	c->freshness = *freshness;
+	c->freshness = *read;
 	if (is_news && m->is_own_read)
 		pulse_broadcast(c);
 }
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -152,6 +152,7 @@
 	struct pw_server_list *servers;
 	struct pw_primaries *primaries;
 	struct pw_catalog_freshness freshness; /**< of the catalogue and servers that this VM has */
+	struct pw_catalog_freshness heard_freshness; /**< the newest that other VMs have told */
 	GHashTable *record_since_us; /**< group -> since when its current entry is known */
 	struct gateway_state *gateways;
 	struct pw_timer tick_timer;
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -119,13 +119,21 @@
 		.servers_fresh_us = now_us - MIN(p->servers_age_ms * PW_US_PER_MS, now_us),
 	};
 	const struct pw_catalog_freshness *own = &c->freshness;
+	struct pw_catalog_freshness *heard = &c->heard_freshness;
+	struct pw_catalog_freshness_msg *m;
 
+	heard->catalog_version = MAX(heard->catalog_version, remote.catalog_version);
+	if (remote.catalog_version == heard->catalog_version)
+		heard->catalog_fresh_us = MAX(heard->catalog_fresh_us, remote.catalog_fresh_us);
+	heard->servers_fresh_us = MAX(heard->servers_fresh_us, remote.servers_fresh_us);
 	/* Reads that are hardly newer are not worth a message. */
 	if (remote.catalog_version <= own->catalog_version &&
 	    remote.catalog_fresh_us < own->catalog_fresh_us + PULSE_INTERVAL_US &&
 	    remote.servers_fresh_us < own->servers_fresh_us + PULSE_INTERVAL_US)
 		return;
-	pw_mailbox_send(c->directory->catalog, pw_catalog_freshness_msg_new(&remote, false));
+	m = (struct pw_catalog_freshness_msg *)pw_catalog_freshness_msg_new(&remote, false);
+	m->vm_count = g_hash_table_size(c->members) + 1;
+	pw_mailbox_send(c->directory->catalog, &m->base);
 }
 
 /*
--- a/decide/include/pw/decide/follow.h
+++ b/decide/include/pw/decide/follow.h
@@ -31,6 +31,23 @@
 #define PW_FOLLOW_TIMEOUT_MIN_US UINT64_C(1000000)
 #define PW_FOLLOW_TIMEOUT_MAX_US UINT64_C(3000000)
 
+/** Bytes of a value per second that the VMs of a fleet read together. */
+#define PW_FOLLOW_FLEET_BYTES_PER_S UINT64_C(10000000)
+/** With a longer spread, reads replace the watch, which delivers a version to all VMs at once. */
+#define PW_FOLLOW_WATCH_SPREAD_MAX_US UINT64_C(500000)
+/** Maximum spread, so that a change is in force in time. */
+#define PW_FOLLOW_SPREAD_MAX_US UINT64_C(2500000)
+
+/**
+ * Time over which the VMs spread their reads of the same value. Without it a change of a value of 50
+ * KB fills the link between two regions for most of a second with 300 VMs, during which renewals of
+ * permits and new connections time out.
+ *
+ * @param size_bytes of the value
+ * @param vm_count   number of VMs that read it
+ */
+uint64_t pw_follow_spread_us(uint64_t size_bytes, uint32_t vm_count);
+
 /** State that the caller keeps, initially 0. */
 struct pw_follow {
 	uint64_t changed_us;  /**< when the last new version came; 0: none */
--- a/decide/src/follow.c
+++ b/decide/src/follow.c
@@ -46,3 +46,9 @@
 {
 	return CLAMP(f->timeout_us, PW_FOLLOW_TIMEOUT_MIN_US, PW_FOLLOW_TIMEOUT_MAX_US);
 }
+
+uint64_t pw_follow_spread_us(uint64_t size_bytes, uint32_t vm_count)
+{
+	return MIN(size_bytes * vm_count * 1000000 / PW_FOLLOW_FLEET_BYTES_PER_S,
+		   PW_FOLLOW_SPREAD_MAX_US);
+}
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -39,8 +39,10 @@
 #define SERVER_COUNT    2
 #define CONNECTIONS_MAX 16
 /* Enough for a large fleet (PULSE_FULL_MESH_MAX); a member counts once it is listed. */
-#define MEMBER_COUNT  18
-#define GATEWAY_COUNT 2
+#define MEMBER_COUNT    18
+#define GATEWAY_COUNT   2
+
+#define CATALOG_VERSION 40
 
 /* Contents of the record before the change: its newest token, and the primary of GROUP. */
 #define FIRST_TOKEN        10
@@ -72,7 +74,9 @@
 	bool vm_needs_permit;       /* the last pulse of that VM asked for a permit */
 	uint32_t lost_vote_count; /* notices of that VM that it cannot reach the primary of GROUP */
 	int64_t noticed_revision; /* newest confirmed revision in its notices */
-	uint32_t delegated_count; /* delegated permits that it got from the VM under test */
+	uint32_t catalog_notice_count; /* notices of that VM with CATALOG_VERSION */
+	bool has_catalog;              /* its pulses say that it has just read CATALOG_VERSION */
+	uint32_t delegated_count;      /* delegated permits that it got from the VM under test */
 	uint32_t pulse_count, promise_count; /* pulses of that VM, and those with a promise */
 };
 
@@ -311,6 +315,7 @@
 	p.needs_permit = m->needs_permit;
 	p.primaries_revision = m->primaries_revision;
 	p.primaries_record = g_strdup(m->record);
+	p.catalog_version = m->has_catalog ? CATALOG_VERSION : 0;
 	if (m->unreachable_ms)
 		pw_pulse_add_group(&p, GROUP, FIRST_GENERATION, m->unreachable_ms, false);
 	size_bytes = pw_pulse_encode(data, &p);
@@ -337,6 +342,7 @@
 			m->lost_vote_count +=
 				g_array_index(p.groups, struct pw_pulse_group, i).unreachable_ms >
 				0;
+		m->catalog_notice_count += p.notice && p.catalog_version == CATALOG_VERSION;
 		if (p.notice)
 			m->noticed_revision = MAX(m->noticed_revision, p.confirmed_revision);
 		pw_pulse_dispose(&p);
@@ -1077,6 +1083,47 @@
 }
 END_TEST
 
+static const struct {
+	const char *label;
+	bool is_own_read;
+	bool is_told;          /* another VM has told of the same read before */
+	uint32_t notice_count; /* expected for each member */
+} catalog_cases[] = {
+	{ "read of this VM", true, false, 1 },
+	{ "read that another VM has told of", false, false, 0 },
+	{ "read of this VM just after that of another", true, true, 0 },
+};
+
+/*
+ * Guards against a read of the catalogue that every VM of a large fleet announces to all others,
+ * which fills the links with the square of the fleet.
+ */
+START_TEST(test_only_reader_announces_catalogue)
+{
+	struct pw_catalog_freshness read = { .catalog_version = CATALOG_VERSION };
+	struct fixture x;
+
+	setup(&x);
+	for (uint32_t i = 0; i < MEMBER_COUNT; i++) {
+		x.members[i].listed = true;
+		x.members[i].is_silent = false;
+		x.members[i].has_catalog = catalog_cases[_i].is_told;
+	}
+	start(&x, false);
+	(void)wait_for(&x, never, 1000);
+	read.catalog_fresh_us = pw_clock_now_us();
+	pw_mailbox_send(x.directory.cluster,
+			pw_catalog_freshness_msg_new(&read, catalog_cases[_i].is_own_read));
+	(void)wait_for(&x, never, 300);
+	teardown(&x);
+	for (uint32_t i = 0; i < MEMBER_COUNT; i++)
+		ck_assert_msg(x.members[i].catalog_notice_count == catalog_cases[_i].notice_count,
+			      "%s: %u notices to one member", catalog_cases[_i].label,
+			      x.members[i].catalog_notice_count);
+	pw_primaries_unref(x.record);
+}
+END_TEST
+
 static const struct {
 	const char *label;
 	bool needs_permit;     /* the member */
@@ -1736,6 +1783,8 @@
 	tcase_add_test(tc, test_no_promise_without_record);
 	tcase_add_loop_test(tc, test_late_registration_keeps_current_lease, 0, 2);
 	tcase_add_loop_test(tc, test_notices_go_to_those_who_act, 0, PW_ARRAY_LEN(notice_cases));
+	tcase_add_loop_test(tc, test_only_reader_announces_catalogue, 0,
+			    PW_ARRAY_LEN(catalog_cases));
 	tcase_add_loop_test(tc, test_record_in_pulse, 0, PW_ARRAY_LEN(record_cases));
 	tcase_add_loop_test(tc, test_record_is_sent_where_needed, 0,
 			    PW_ARRAY_LEN(record_sender_cases));
--- a/tests/decide/test_follow.c
+++ b/tests/decide/test_follow.c
@@ -95,6 +95,30 @@
 	}
 }
 
+static const struct {
+	const char *label;
+	uint64_t size_bytes;
+	uint32_t vm_count;
+	uint64_t min_us, max_us; /* expected spread */
+} spread_cases[] = {
+	{ "a small fleet watches", 5000, 9, 0, PW_FOLLOW_WATCH_SPREAD_MAX_US },
+	{ "84 VMs watch a catalogue of 30 KB", 30000, 84, 0, PW_FOLLOW_WATCH_SPREAD_MAX_US },
+	{ "295 VMs read a catalogue of 53 KB in turn", 53000, 295, 1000000, 2000000 },
+	{ "a large value is read in time", 400000, 295, PW_FOLLOW_SPREAD_MAX_US,
+	  PW_FOLLOW_SPREAD_MAX_US },
+};
+
+/* Guards against all VMs of a large fleet transferring the same value at once. */
+START_TEST(test_spread)
+{
+	uint64_t spread_us =
+		pw_follow_spread_us(spread_cases[_i].size_bytes, spread_cases[_i].vm_count);
+
+	ck_assert_msg(spread_us >= spread_cases[_i].min_us && spread_us <= spread_cases[_i].max_us,
+		      "%s: %lu us", spread_cases[_i].label, (unsigned long)spread_us);
+}
+END_TEST
+
 /*
  * Guards against a VM that transfers every version of a value which changes in quick succession,
  * and against reads that go on although nothing changes.
@@ -116,6 +140,7 @@
 {
 	TCase *tc = tcase_create("follow");
 
+	tcase_add_loop_test(tc, test_spread, 0, PW_ARRAY_LEN(spread_cases));
 	tcase_add_loop_test(tc, test_follow, 0, PW_ARRAY_LEN(cases));
 	return pw_suite_run("follow", tc);
 }
