--- a/codec/include/pw/codec/pulse.h
+++ b/codec/include/pw/codec/pulse.h
@@ -69,8 +69,8 @@
 	uint32_t servers_age_ms;  /**< time since that list was known to be the newest */
 	/** Text of the record of `primaries_revision`, for a receiver that needs it; NULL: none. */
 	char *primaries_record;
-	GArray *groups;           /**< struct pw_pulse_group */
-	GArray *accounts;         /**< struct pw_pulse_account */
+	GArray *groups;   /**< struct pw_pulse_group */
+	GArray *accounts; /**< struct pw_pulse_account */
 };
 
 void pw_pulse_init(struct pw_pulse *p);
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -340,44 +340,40 @@
 	pw_loop_timer_set(c->task.loop, &c->pulse_timer, cluster_now_us(c) + PULSE_INTERVAL_US);
 }
 
-/* Adds the votes that have changed since they were announced. */
-static void add_changed_votes(struct cluster *c, const struct pw_primary *primary,
-			      struct pw_pulse *p)
+/* Records whether the primary of a group is lost. Returns whether that differs from before. */
+static bool update_announced_loss(struct cluster *c, const char *group, bool is_lost)
 {
-	uint64_t since_us, now_us = cluster_now_us(c);
+	if (is_lost)
+		return g_hash_table_add(c->announced_losses, g_strdup(group));
+	return g_hash_table_remove(c->announced_losses, group);
+}
+
+/* Announces the vote about the primary of a group if it has changed. */
+static void announce_vote(struct cluster *c, const struct pw_primary *primary)
+{
+	uint64_t since_us;
 	bool is_reachable = cluster_reaches_primary(c, primary, &since_us);
-	bool was_lost = g_hash_table_contains(c->announced_losses, primary->group);
+	struct member *first[VOTE_RECEIVER_COUNT];
+	uint32_t count;
+	struct pw_pulse p;
 
-	if ((since_us != 0) == was_lost)
+	if (!update_announced_loss(c, primary->group, since_us != 0))
 		return;
-	if (since_us)
-		g_hash_table_add(c->announced_losses, g_strdup(primary->group));
-	else
-		g_hash_table_remove(c->announced_losses, primary->group);
-	pw_pulse_add_group(p, primary->group, primary->generation,
-			   since_us ? (uint32_t)((now_us - MIN(since_us, now_us)) / PW_US_PER_MS)
-				    : 0,
-			   is_reachable);
+	build_notice(c, &p);
+	pw_pulse_add_group(&p, primary->group, primary->generation,
+			   since_us ? MAX(age_ms(c, since_us), 1) : 0, is_reachable);
+	count = change_find_first_members(c, primary, first, VOTE_RECEIVER_COUNT);
+	for (uint32_t i = 0; i < count; i++)
+		send_pulse(c, first[i], &p);
+	pw_pulse_dispose(&p);
 }
 
 void pulse_announce_votes(struct cluster *c)
 {
-	for (guint i = 0; is_large_fleet(c) && c->primaries && i < c->primaries->entries->len;
-	     i++) {
-		const struct pw_primary *primary = g_ptr_array_index(c->primaries->entries, i);
-		struct member *first[VOTE_RECEIVER_COUNT];
-		uint32_t count;
-		struct pw_pulse p;
-
-		build_notice(c, &p);
-		add_changed_votes(c, primary, &p);
-		count = p.groups->len
-				? change_find_first_members(c, primary, first, VOTE_RECEIVER_COUNT)
-				: 0;
-		for (uint32_t k = 0; k < count; k++)
-			send_pulse(c, first[k], &p);
-		pw_pulse_dispose(&p);
-	}
+	if (!is_large_fleet(c) || !c->primaries)
+		return;
+	for (guint i = 0; i < c->primaries->entries->len; i++)
+		announce_vote(c, g_ptr_array_index(c->primaries->entries, i));
 }
 
 /* Sends a notice to the VM that leads the change of a group. Returns false if it is not known. */
@@ -537,7 +533,8 @@
 		cluster_publish_primaries(c);
 }
 
-static bool says_lost(const struct pw_pulse *p)
+/* Whether the sender cannot reach the primary of some group. */
+static bool has_lost_primary(const struct pw_pulse *p)
 {
 	for (guint i = 0; i < p->groups->len; i++) {
 		if (g_array_index(p->groups, struct pw_pulse_group, i).unreachable_ms)
@@ -623,7 +620,7 @@
 		m->pulse = *p;
 		pw_pulse_init(p);
 	}
-	m->has_lost_vote = says_lost(&m->pulse);
+	m->has_lost_vote = has_lost_primary(&m->pulse);
 	/*
 	 * In a small fleet a pulse to all members lets the new one learn of this VM at once. In a
 	 * large fleet the new member learns of this VM by a regular pulse, or by the reply if it
--- a/decide/include/pw/decide/follow.h
+++ b/decide/include/pw/decide/follow.h
@@ -39,9 +39,9 @@
 #define PW_FOLLOW_SPREAD_MAX_US UINT64_C(2500000)
 
 /**
- * Time over which the VMs spread their reads of the same value. Without it a change of a value of 50
- * KB fills the link between two regions for most of a second with 300 VMs, during which renewals of
- * permits and new connections time out.
+ * Time over which the VMs spread their reads of the same value. Without it a change of a value of
+ * 50 KB fills the link between two regions for most of a second with 300 VMs, during which renewals
+ * of permits and new connections time out.
  *
  * @param size_bytes of the value
  * @param vm_count   number of VMs that read it
