Shares: a small account's random peaks are no flood and no contention

Cause: at 68 VMs a small account exceeds 1.75 times its rate by chance. The flood was then charged with what a bucket lacked to be full, which a VM with little demand takes minutes to earn again.

Change: a flood has to be five, contention one standard deviation of a random demand above the rate as well, and a flood leaves no debt. The shares add up to the rate in any case. Announced demand falls with the demand. The tests of the cluster task that read a list of four members do so again.

--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -441,6 +441,8 @@
 			.rate_per_s = d->rate_per_s,
 		};
 
+		/* Regular pulses tell of a decrease. */
+		d->announced_per_s = MIN(d->announced_per_s, view.own_per_s);
 		if (!pw_demand_should_announce(&view))
 			continue;
 		d->announced_per_s = view.own_per_s;
--- a/decide/src/share.c
+++ b/decide/src/share.c
@@ -27,8 +27,19 @@
 /* Expected demand of the fleet above this fraction of the rate makes the shares matter. */
 #define ANNOUNCE_FRACTION 0.8
 
-/* Demand above the available rate by this factor is a flood. */
-#define FLOOD_FACTOR 1.75
+/*
+ * Demand is contended only if it is above the available rate by this number of standard deviations
+ * of a random demand of that rate. Below that the shares add up to the rate just the same, but a VM
+ * may use what it has saved.
+ */
+#define CONTENDED_DEVIATIONS 1.0
+
+/*
+ * Demand is a flood if it is above the available rate by this factor and by this number of standard
+ * deviations of a random demand of that rate; small accounts often exceed the factor alone.
+ */
+#define FLOOD_FACTOR     1.75
+#define FLOOD_DEVIATIONS 5.0
 
 /* A smaller bucket overflows and loses tokens while no request happens to arrive at this VM. */
 #define BURST_MIN_TOKENS 2.5
@@ -39,14 +50,17 @@
 	double reserved = in->rate_per_s * in->silent_vm_count / members;
 	double available = in->rate_per_s - reserved;
 	double demand = in->own_demand_per_s + in->others_demand_per_s;
-	struct pw_share s = { .contended = demand > available,
-			      .flooded = demand > available * FLOOD_FACTOR };
+	struct pw_share s = { .contended =
+				      demand > available + CONTENDED_DEVIATIONS * sqrt(available),
+			      .flooded = demand > available * FLOOD_FACTOR &&
+					 demand > available + FLOOD_DEVIATIONS * sqrt(available) };
 
 	if (s.contended)
 		s.rate_per_s = available * in->own_demand_per_s / demand;
 	else
-		s.rate_per_s =
-			in->own_demand_per_s + (available - demand) / (1 + in->reporting_vm_count);
+		s.rate_per_s = fmax(in->own_demand_per_s +
+					    (available - demand) / (1 + in->reporting_vm_count),
+				    0);
 	s.burst = in->rate_per_s > 0 ? in->burst * s.rate_per_s / in->rate_per_s : 0;
 	s.burst_part = s.burst;
 	s.account_burst = in->burst;
@@ -127,7 +141,9 @@
 	}
 	if (to->flooded && !t->flood_charged) {
 		t->flood_charged = true;
-		t->level = fmin(t->level, to->burst_part - t->spent);
+		/* No debt: in a large fleet it would take a VM with little demand minutes to pay.
+		 */
+		t->level = fmin(t->level, fmax(to->burst_part - t->spent, 0));
 	}
 }
 
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -39,10 +39,11 @@
 #define SERVER_COUNT    2
 #define CONNECTIONS_MAX 16
 /* Enough for a large fleet (PULSE_FULL_MESH_MAX); a member counts once it is listed. */
-#define MEMBER_COUNT    18
-#define GATEWAY_COUNT   2
+#define MEMBER_COUNT       18
+#define SMALL_MEMBER_COUNT 4
+#define GATEWAY_COUNT      2
 
-#define CATALOG_VERSION 40
+#define CATALOG_VERSION    40
 
 /* Contents of the record before the change: its newest token, and the primary of GROUP. */
 #define FIRST_TOKEN        10
@@ -1041,7 +1042,7 @@
 	uint32_t confirmation_receiver_count; /* of a notice that the mark of vm5 is confirmed */
 } notice_cases[] = {
 	{ "large fleet", MEMBER_COUNT, VOTE_RECEIVER_COUNT, 1 },
-	{ "small fleet, whose regular pulses go to all", 4, 0, 0 },
+	{ "small fleet, whose regular pulses go to all", SMALL_MEMBER_COUNT, 0, 0 },
 };
 
 /*
@@ -1397,7 +1398,7 @@
 	bool waited;
 
 	setup(&x);
-	for (uint32_t i = 0; i < MEMBER_COUNT; i++) {
+	for (uint32_t i = 0; i < SMALL_MEMBER_COUNT; i++) {
 		x.members[i].listed = true;
 		x.members[i].is_silent = false;
 		x.members[i].confirms = i != wait_cases[_i].unconfirmed;
@@ -1435,7 +1436,7 @@
 
 static bool knows_all_members(struct fixture *x)
 {
-	return x->member_count == 1 + MEMBER_COUNT;
+	return x->member_count == 1 + SMALL_MEMBER_COUNT;
 }
 
 /* Fails if members that send no pulses are forgotten though their entries exist, or kept without.
@@ -1447,7 +1448,7 @@
 	struct fixture x;
 
 	setup(&x);
-	for (uint32_t i = 0; i < MEMBER_COUNT; i++)
+	for (uint32_t i = 0; i < SMALL_MEMBER_COUNT; i++)
 		x.members[i].listed = true;
 	x.page_items_max = list_cases[_i].page_items_max[0];
 	start(&x, false);
@@ -1458,14 +1459,14 @@
 	x.failed_page_reads = list_cases[_i].failed_page_reads;
 	x.failed_page_tag = TAG_MEMBERS_READ;
 	for (uint32_t i = 0; i < list_cases[_i].gone_count; i++)
-		x.members[MEMBER_COUNT - 1 - i].listed = false;
+		x.members[SMALL_MEMBER_COUNT - 1 - i].listed = false;
 	x.min_member_count = UINT32_MAX;
 	x.loses_own_lease = true;
 	wait_for(&x, never, 2000);
 	has_relisted = x.list_count > 0;
 	teardown(&x);
 	ck_assert_msg(known && has_relisted &&
-			      x.min_member_count == 1 + MEMBER_COUNT - removed_count,
+			      x.min_member_count == 1 + SMALL_MEMBER_COUNT - removed_count,
 		      "list: %s; all known %d, %u pages read, then %u VMs", list_cases[_i].label,
 		      known, x.list_count, x.min_member_count);
 	ck_assert_uint_eq(x.failed_page_reads, 0);
--- a/tests/decide/test_share.c
+++ b/tests/decide/test_share.c
@@ -7,7 +7,6 @@
 #include <math.h>
 #include <stdbool.h>
 #include <stdio.h>
-#include <string.h>
 
 #include "pw/decide/share.h"
 
@@ -79,7 +78,7 @@
 #define MESH_MAX           17
 #define ANNOUNCE_MIN_US    UINT64_C(500000) /* between two announcements of a VM */
 #define DURATION_S         30
-#define LARGE_SEED_COUNT   10 /* runs of each load of a large fleet */
+#define LARGE_SEED_COUNT   20 /* runs of each load of a large fleet */
 #define WINDOW_S           5
 #define WINDOW_START_STEPS 100 /* steps between the starts of two checked windows */
 
@@ -98,7 +97,6 @@
 	double announcements_max_per_s;
 	double lowered_rate_per_s; /* from second 10 on, with a burst of the same size; 0: unchanged
 				    */
-	bool known_red;            /* what is served is listed in KNOWN-RED.txt */
 };
 
 static const struct load loads[] = {
@@ -114,7 +112,11 @@
 	{ "uneven demand in a large fleet", 68, 0, 160, 160, 100, 100, 0.2, 0.97, 0.1 },
 	{ "several times the rate in a large fleet", 68, 0, 160, 160, 100, 750, 0, 0.85, 0.3 },
 	{ "several times the rate at hundreds of VMs", 295, 0, 200, 200, 120, 900, 0, 0.8, 0.3 },
-	{ "a small account at hundreds of VMs", 295, 0, 15, 15, 9, 9, 0, 0.97, 0.1, 0, true },
+	{ "a small account at hundreds of VMs", 295, 0, 15, 15, 9, 9, 0, 0.97, 0.1 },
+	{ "a tiny account in a large fleet", 68, 0, 3, 3, 1.9, 1.9, 0, 0.97, 0.1 },
+	{ "a small account with a burst in a large fleet", 68, 0, 10, 10, 6.2, 11, 0, 0.95, 0.1 },
+	{ "a small account far above its rate in a large fleet", 68, 0, 10, 10, 6.2, 47, 0, 0.8,
+	  0.5 },
 	{ "limit lowered far below the demand", 9, 0, 160, 160, 100, 100, 0, 0.9, 0.1, 40 },
 	{ "limit lowered in a large fleet", 68, 0, 160, 160, 100, 100, 0, 0.9, 0.1, 40 },
 };
@@ -131,9 +133,6 @@
 	uint64_t within_rate_us; /* last time that the known demand was within the rate */
 };
 
-/* Set by --known-red: the loads listed in KNOWN-RED.txt fail the suite, too. */
-static bool fail_on_known_red;
-
 static uint64_t random_state;
 
 /* Returns the next number of a linear congruential generator, at least 0 and below 1. */
@@ -273,12 +272,8 @@
 		ck_assert_msg(sum <= limit, "%s: %f of %f from %f s", l->label, sum, limit,
 			      (double)from * (double)STEP_US / 1e6);
 	}
-	if (l->known_red && !fail_on_known_red && total < bucket_total * l->served_fraction_min)
-		printf("KNOWN RED: %s: %f of %f, seed %lu\n", l->label, total, bucket_total,
-		       (unsigned long)seed);
-	else
-		ck_assert_msg(total >= bucket_total * l->served_fraction_min, "%s: %f of %f",
-			      l->label, total, bucket_total);
+	ck_assert_msg(total >= bucket_total * l->served_fraction_min, "%s: %f of %f", l->label,
+		      total, bucket_total);
 	for (uint32_t i = 0; i < l->vms; i++)
 		announcement_count += vms[i].announcement_count;
 	ck_assert_msg(announcement_count <= l->announcements_max_per_s * DURATION_S * l->vms,
@@ -323,12 +318,10 @@
 }
 END_TEST
 
-int main(int argc, char **argv)
+int main(void)
 {
 	TCase *tc = tcase_create("share");
 
-	fail_on_known_red = argc > 1 && strcmp(argv[1], "--known-red") == 0;
-
 	tcase_add_loop_test(tc, test_compute, 0, PW_ARRAY_LEN(cases));
 	tcase_add_test(tc, test_window);
 	tcase_add_test(tc, test_return);
