--- a/review/common/kit.h
+++ b/review/common/kit.h
@@ -88,7 +88,7 @@
 
 #define KIT_LOG_MAX     40000
 #define KIT_SERVERS_MAX 3
-#define KIT_GROUPS_MAX  3
+#define KIT_GROUPS_MAX  8
 
 /** Entry of a server's log. */
 struct kit_entry {
