--- a/review/common/kit.c
+++ b/review/common/kit.c
@@ -159,6 +159,8 @@
 	     w = strtok_r(NULL, " ", &state))
 		arguments[count++] = w;
 	arguments[count] = NULL;
+	if (!count)
+		kit_finish(KIT_NOT_RUN, "a program is not named");
 	snprintf(log_path, sizeof(log_path), "%s/%s.log", temporary_folder, p->name);
 	p->pid = fork();
 	if (p->pid == 0) {
--- a/review/common/server.c
+++ b/review/common/server.c
@@ -360,7 +360,7 @@
 static void *run_conn(void *arg)
 {
 	struct conn *c = arg;
-	char input[8192];
+	char input[8192] = "";
 	size_t used = 0;
 	bool open = true;
 
