--- a/review/common/kit.c
+++ b/review/common/kit.c
@@ -80,6 +80,18 @@
 	}
 }
 
+/* Removes the logs of the processes, and their folder. */
+static void remove_temporary_folder(void)
+{
+	char path[PATH_SIZE];
+
+	for (size_t i = 0; i < process_count; i++) {
+		snprintf(path, sizeof(path), "%s/%s.log", temporary_folder, processes[i]->name);
+		unlink(path);
+	}
+	rmdir(temporary_folder);
+}
+
 static void time_is_over(int signal_number)
 {
 	(void)signal_number;
@@ -108,6 +120,7 @@
 					     "the case could not run" };
 
 	end_processes();
+	remove_temporary_folder();
 	kit_record("verdict: %s: %s", names[verdict], text);
 	printf("%s: %s\n", names[verdict], text);
 	fflush(stdout);
