--- a/review/1/lost_commit.c
+++ b/review/1/lost_commit.c
@@ -1,7 +1,7 @@
 /*
- * Synchronous replication with one replica. The replica that receives commits first is to be
- * replaced and reports that it is draining; it goes on receiving. Then the primary crashes. Checks
- * that the server that is promoted has every acknowledged commit.
+ * Synchronous replication with one replica. One replica is to be replaced and reports that it is
+ * draining; it goes on receiving. The other one receives nothing for some seconds, and the primary
+ * crashes meanwhile. Checks that the server that is promoted has every acknowledged commit.
  */
 #include "../common/kit.h"
 
@@ -12,7 +12,8 @@
 #define PROXY_COUNT          3
 #define WRITERS_PER_PROXY    8
 #define CONTACT_MS           5000
-#define REMOTE_LAG_MS        20   /* of the replica in the other region */
+#define DEAF_MS              6000 /* of the other replica */
+#define DEAF_AFTER_DRAIN_MS  1000
 #define CRASH_AFTER_DRAIN_MS 3000 /* of the 7 s for which a draining server serves */
 #define CRASH_MS             7000
 #define WATCH_MS             20000
@@ -108,17 +109,24 @@
 	}
 }
 
-/* The disruption: planned work on a replica, and a crash of the primary. */
+/* The disruptions: planned work on a replica; another one is deaf as the primary crashes. */
 static void disrupt(struct kit_group *g)
 {
-	struct kit_server *primary = &g->servers[0], *replica = &g->servers[1];
-
-	kit_record("%s reports draining", replica->id);
-	replica->draining = true;
-	replica->next_beat_ms = 0;
-	kit_sleep_ms(CRASH_AFTER_DRAIN_MS);
+	struct kit_server *primary = &g->servers[0], *leaving = &g->servers[1];
+	struct kit_server *deaf = &g->servers[2];
+
+	kit_record("%s reports draining", leaving->id);
+	leaving->draining = true;
+	leaving->next_beat_ms = 0;
+	kit_sleep_ms(DEAF_AFTER_DRAIN_MS);
+	kit_record("%s receives nothing", deaf->id);
+	deaf->deaf = true;
+	kit_sleep_ms(CRASH_AFTER_DRAIN_MS - DEAF_AFTER_DRAIN_MS);
 	kit_server_crash(primary);
-	kit_sleep_ms(CRASH_MS);
+	kit_sleep_ms(DEAF_AFTER_DRAIN_MS + DEAF_MS - CRASH_AFTER_DRAIN_MS);
+	kit_record("%s receives again", deaf->id);
+	deaf->deaf = false;
+	kit_sleep_ms(CRASH_AFTER_DRAIN_MS + CRASH_MS - DEAF_AFTER_DRAIN_MS - DEAF_MS);
 	kit_server_restart(primary);
 	primary->primary = promotion_count == 0;
 }
@@ -136,8 +144,6 @@
 	g->work_ms = 6;
 	g->sync_replicas = 1;
 	g->promoted = server_promoted;
-	g->servers[1].lag_ms = 0;
-	g->servers[2].lag_ms = REMOTE_LAG_MS;
 	kit_put_config(platform_port, config);
 	for (uint32_t i = 0; i < PROXY_COUNT; i++) {
 		kit_proxy_init(&proxies[i], i + 1, platform_port);
--- a/review/common/kit.h
+++ b/review/common/kit.h
@@ -109,6 +109,7 @@
 	bool primary;
 	bool draining;
 	bool registered;
+	bool deaf;          /**< receives nothing from the primary */
 	bool cut;           /**< partitioned from the store; the proxies reach it */
 	bool dark;          /**< silent: it answers nothing, and new connections hang */
 	bool loses_answers; /**< of the statements that run, one answer in five is lost */
--- a/review/common/server.c
+++ b/review/common/server.c
@@ -333,10 +333,14 @@
 		send_text(c, "ERROR MISROUTED -\r\n");
 		return false;
 	}
-	if (c->server->conn_count > CONNS_MAX || !use_slot(c->server, HANDSHAKE_MS)) {
+	if (c->server->conn_count > CONNS_MAX) {
 		send_text(c, "ERROR CONNLIMIT -\r\n");
 		return false;
 	}
+	if (!use_slot(c->server, HANDSHAKE_MS)) {
+		send_text(c, "ERROR BUSY -\r\n");
+		return false;
+	}
 	if (!is_open(c))
 		return false;
 	send_answer(c, "");
@@ -580,6 +584,23 @@
 	return best;
 }
 
+/*
+ * The server whose commits the replicas receive: the last primary. What it sent before a crash
+ * still arrives.
+ */
+static const struct kit_server *find_source(struct kit_group *g)
+{
+	const struct kit_server *best = NULL;
+
+	for (int i = 0; i < KIT_SERVERS_MAX; i++) {
+		const struct kit_server *s = &g->servers[i];
+
+		if (s->primary && (!best || s->term > best->term))
+			best = s;
+	}
+	return best;
+}
+
 /* Gives a replica the log of the primary, without the entries that are newer than the lag. */
 static void replicate(struct kit_server *replica, const struct kit_server *primary, uint64_t now_ms)
 {
@@ -602,6 +623,7 @@
 static void tick_group(struct kit_group *g, uint64_t now_ms)
 {
 	struct kit_server *primary = find_primary(g), *next = g->appointed;
+	const struct kit_server *source;
 
 	if (next && g->appointed_ms && now_ms >= g->appointed_ms + g->promote_ms) {
 		next->term = (primary ? primary->term : next->term) + 1;
@@ -615,19 +637,19 @@
 			g->promoted(next);
 		if (primary && primary != next)
 			primary->steps_down_ms = now_ms + STEP_DOWN_MS;
-		primary = next;
 	}
-	for (int i = 0; primary && i < KIT_SERVERS_MAX; i++) {
+	source = find_source(g);
+	for (int i = 0; source && i < KIT_SERVERS_MAX; i++) {
 		struct kit_server *s = &g->servers[i];
 
-		if (!s->running || s->dark || s == primary)
+		if (!s->running || s->dark || s->deaf || s == source)
 			continue;
 		if (s->primary && s->steps_down_ms && now_ms >= s->steps_down_ms) {
 			s->primary = false;
 			s->next_beat_ms = 0;
 		}
 		if (!s->primary)
-			replicate(s, primary, now_ms);
+			replicate(s, source, now_ms);
 	}
 }
 
