Changes of primary: log the servers' positions with a promotion

The log said which server was promoted, but not which logs the choice was made from, so it could not tell a short log that was chosen from one that nobody knew of. Event 4014 (promote_ordered) has a new field "reports".

--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -658,6 +658,25 @@
 
 static const struct pw_promotion_call_ops promotion_ops = { .done = promotion_done };
 
+/* Lists the log positions of the group's servers, by which the target was chosen, for the log. */
+static char *format_reports(const struct change *ch)
+{
+	GString *text = g_string_new(NULL);
+
+	for (guint i = 0; i < ch->entries->len; i++) {
+		const struct pw_server_entry *e = g_ptr_array_index(ch->entries, i);
+		const struct pw_change_server *s =
+			&g_array_index(ch->servers, struct pw_change_server, i);
+
+		g_string_append_printf(text, "%s%s", i ? " " : "", e->id);
+		if (s->reported)
+			g_string_append_printf(text, "=%" PRIu64 ".%" PRIu64, s->log_end.term,
+					       s->log_end.lsn);
+		g_string_append(text, s->is_primary ? ":primary" : e->leaving ? ":leaving" : "");
+	}
+	return g_string_free(text, FALSE);
+}
+
 static void send_promotion_request(struct change *ch)
 {
 	struct cluster *c = ch->cluster;
@@ -671,6 +690,8 @@
 		.send_deadline_us = ch->started_us + PW_CHANGE_PROMOTE_DEADLINE_US,
 	};
 
+	char *reports;
+
 	if (ch->era != c->era) {
 		abort_change(ch, "the store was restored from a copy");
 		return;
@@ -687,6 +708,7 @@
 	if (!pw_permit_is_valid(c->permit_until_us, cluster_now_us(c)))
 		return;
 	cancel_queries(ch);
+	reports = format_reports(ch);
 	ch->target_before = g_array_index(ch->servers, struct pw_change_server, ch->target);
 	g_array_index(ch->servers, struct pw_change_server, ch->target).reported = false;
 	enter_phase(ch, PHASE_PROMOTE);
@@ -695,9 +717,11 @@
 	ch->promotion_sent = true;
 	ch->promotion.ops = &promotion_ops;
 	pw_event_log(PW_EVENT_PROMOTE_ORDERED,
-		     "database=%s term=%" PRIu64 " server=%s reason=%s settle_ms=%" PRIu64,
+		     "database=%s term=%" PRIu64 " server=%s reason=%s settle_ms=%" PRIu64
+		     " reports=\"%s\"",
 		     ch->group, ch->fencing_token, e->id, pw_change_reason_name(ch->reason),
-		     (cluster_now_us(c) - ch->started_us) / PW_US_PER_MS);
+		     (cluster_now_us(c) - ch->started_us) / PW_US_PER_MS, reports);
+	g_free(reports);
 	if (c->promoter->ops->promote(c->promoter, &request, &ch->promotion)) {
 		ch->promotion_pending = false;
 		abort_change(ch, pw_error_message());
