Changes of primary: keep every commit that synchronous replicas have

Cause: pw_change_choose() waited until enough replicas had reported that one of them has every commit, but then compared the logs of those that may be promoted only. The draining one, whose report had made up the number, was left out, so the server that was promoted lacked the commits of 2 s.

Change: with synchronous replication the chosen server's log is at least the longest one that was reported. If only a leaving replica has it, that one is promoted once time is short. A planned change never promotes a server whose log is shorter than that of the primary; one that has the whole log of the acting primary needs no report of the others. A server that refused its promotion since it does not run still counts with its log.

--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -547,6 +547,7 @@
 			.is_primary = is_primary,
 			.eligible =
 				!e->leaving && (!is_primary || ch->reason == PW_CHANGE_ABANDONED),
+			.leaving = e->leaving && !is_primary,
 			.distance = strcmp(e->availability_zone,
 					   c->directory->settings->availability_zone) != 0,
 		};
@@ -649,7 +650,11 @@
 		ch->promotion_answered_us = cluster_now_us(ch->cluster);
 		enter_phase(ch, PHASE_VERIFY);
 	} else if (code == PW_ECONFLICT) {
-		g_array_index(ch->servers, struct pw_change_server, ch->target).eligible = false;
+		struct pw_change_server *s =
+			&g_array_index(ch->servers, struct pw_change_server, ch->target);
+
+		/* The server does not run, but its log still counts. */
+		s->eligible = s->leaving = false;
 		enter_phase(ch, PHASE_SELECT);
 	} else {
 		enter_phase(ch, PHASE_SELECT);
--- a/decide/include/pw/decide/change.h
+++ b/decide/include/pw/decide/change.h
@@ -139,6 +139,11 @@
 	 * only after another VM abandoned a change.
 	 */
 	bool eligible;
+	/**
+	 * It is registered and about to stop. It still receives commits, so with synchronous
+	 * replication it may be the only replica that has them, and is then promoted.
+	 */
+	bool leaving;
 	bool reported;        /**< it has answered: the fields below are known */
 	bool acts_as_primary; /**< it reports that it is primary */
 	uint64_t term;
@@ -156,13 +161,15 @@
  * is preferred; it has to be promoted as well, since a server that has not reported may have been
  * promoted after it.
  *
+ * With synchronous replication the chosen server has every acknowledged commit, whatever the other
+ * arguments say.
+ *
  * @param server        index of the chosen server; valid unless PW_CHANGE_WAIT is returned
  * @param sync_replicas number of replicas that have every commit; 0: asynchronous replication
  * @param planned       the current primary is alive: wait until a replica has its whole log
  * @param min_term      term of the newest known commit: a server whose log ends in an earlier term
  *                      lacks all commits of the current primary and is not chosen; 0: any
- * @param urgent        time is short: choose the best replica even if it lags or others are silent;
- *                      with sync_replicas, enough replicas to show every commit must still answer
+ * @param urgent        time is short: choose the best replica even if it lags or others are silent
  */
 enum pw_change_choice pw_change_choose(uint32_t *server, const struct pw_change_server *servers,
 				       uint32_t count, uint32_t sync_replicas, uint64_t min_term,
--- a/decide/src/change.c
+++ b/decide/src/change.c
@@ -104,46 +104,98 @@
 	return found;
 }
 
-enum pw_change_choice pw_change_choose(uint32_t *server, const struct pw_change_server *servers,
-				       uint32_t count, uint32_t sync_replicas, uint64_t min_term,
-				       bool planned, bool urgent)
+/* What the reports of a group's servers show. */
+struct reports {
+	const struct pw_change_server *current; /**< the current primary; NULL: not registered */
+	const struct pw_change_server *best;    /**< best eligible server; NULL: none */
+	const struct pw_change_server *longest; /**< replica with the longest log; NULL: none */
+	uint32_t replica_count, report_count;   /**< replicas, and those that have reported */
+	bool all_reported;                      /**< the current primary, too */
+};
+
+static void summarise(struct reports *r, const struct pw_change_server *servers, uint32_t count,
+		      uint64_t min_term)
 {
-	const struct pw_change_server *best = NULL, *current = NULL;
-	uint32_t replica_count = 0, report_count = 0;
-	bool all_reported = true;
-
+	*r = (struct reports){ .all_reported = true };
 	for (uint32_t i = 0; i < count; i++) {
 		const struct pw_change_server *s = &servers[i];
 
-		all_reported = all_reported && s->reported;
+		r->all_reported = r->all_reported && s->reported;
 		if (s->is_primary) {
-			current = s;
+			r->current = s;
 		} else {
-			replica_count++;
-			report_count += s->reported;
-		}
-		if (s->eligible && s->reported && s->log_end.term >= min_term &&
-		    (!best || is_better_candidate(s, best))) {
-			best = s;
-			*server = i;
+			r->replica_count++;
+			r->report_count += s->reported;
 		}
+		if (!s->reported)
+			continue;
+		if (!s->is_primary && (!r->longest || is_better_candidate(s, r->longest)))
+			r->longest = s;
+		if (s->eligible && s->log_end.term >= min_term &&
+		    (!r->best || is_better_candidate(s, r->best)))
+			r->best = s;
 	}
-	if (all_reported && find_acting_primary(server, servers, count))
-		return PW_CHANGE_PROMOTE;
-	if (!best)
-		return PW_CHANGE_WAIT;
+}
+
+/* Whether the log of `a` ends before that of `b`; a missing server has no log. */
+static bool is_shorter(const struct pw_change_server *a, const struct pw_change_server *b)
+{
+	return b && (!a || pw_position_compare(&a->log_end, &b->log_end) < 0);
+}
+
+/*
+ * Whether a server has the whole log of the current primary, which has every commit. A primary that
+ * was restarted does not act as one, and may have lost its log.
+ */
+static bool has_log_of_primary(const struct pw_change_server *s,
+			       const struct pw_change_server *primary)
+{
+	return s && primary && primary->reported && primary->acts_as_primary &&
+	       !is_shorter(s, primary);
+}
+
+/*
+ * Chooses a server that has every acknowledged commit of a group with synchronous replication; NULL
+ * if none is known to have them, or if it cannot be promoted, or should not be before time is
+ * short.
+ */
+static const struct pw_change_server *
+choose_synchronous(const struct reports *r, uint32_t sync_replicas, bool planned, bool urgent)
+{
+	if (has_log_of_primary(r->best, r->current))
+		return r->best;
 	/*
 	 * A commit that `sync_replicas` replicas have is on at least one of any
 	 * `replica_count - sync_replicas + 1` replicas.
 	 */
-	if (sync_replicas && report_count + sync_replicas <= replica_count)
+	if (r->report_count + sync_replicas <= r->replica_count)
+		return NULL;
+	if (planned && r->current && r->current->reported && is_shorter(r->best, r->current))
+		return NULL;
+	if (!is_shorter(r->best, r->longest))
+		return r->best;
+	return urgent && r->longest->leaving ? r->longest : NULL;
+}
+
+enum pw_change_choice pw_change_choose(uint32_t *server, const struct pw_change_server *servers,
+				       uint32_t count, uint32_t sync_replicas, uint64_t min_term,
+				       bool planned, bool urgent)
+{
+	const struct pw_change_server *chosen;
+	struct reports r;
+
+	summarise(&r, servers, count, min_term);
+	if (r.all_reported && find_acting_primary(server, servers, count))
+		return PW_CHANGE_PROMOTE;
+	chosen = sync_replicas ? choose_synchronous(&r, sync_replicas, planned, urgent) : r.best;
+	if (!chosen)
 		return PW_CHANGE_WAIT;
+	*server = (uint32_t)(chosen - servers);
 	if (urgent)
 		return PW_CHANGE_PROMOTE;
-	if (report_count < replica_count)
+	if (r.report_count < r.replica_count)
 		return PW_CHANGE_WAIT;
-	if (planned && (!current || !current->reported ||
-			pw_position_compare(&best->log_end, &current->log_end) < 0))
+	if (planned && (!r.current || !r.current->reported || is_shorter(chosen, r.current)))
 		return PW_CHANGE_WAIT;
 	return PW_CHANGE_PROMOTE;
 }
--- a/standins/platform/database.c
+++ b/standins/platform/database.c
@@ -41,6 +41,7 @@
 	bool running;
 	bool unresponsive; /**< accepts connections but ignores input, and doesn't register */
 	bool draining;
+	bool deaf; /**< receives no commits */
 };
 
 struct group {
@@ -672,7 +673,8 @@
 			s->next_registration_us = 0;
 		s->primary = false;
 		s->term = primary->term;
-		replicate(s->databases, primary, s, now_us);
+		if (!s->deaf)
+			replicate(s->databases, primary, s, now_us);
 	}
 	if (now_us >= s->next_registration_us) {
 		s->next_registration_us = now_us + REGISTRATION_INTERVAL_US;
@@ -735,6 +737,10 @@
 		s->unresponsive = true;
 	} else if (strcmp(name, "light") == 0) {
 		s->unresponsive = false;
+	} else if (strcmp(name, "deaf") == 0) {
+		s->deaf = true;
+	} else if (strcmp(name, "hearing") == 0) {
+		s->deaf = false;
 	} else if (strcmp(name, "leave") == 0) {
 		s->draining = true;
 		s->next_registration_us = 0;
--- a/standins/platform/database.h
+++ b/standins/platform/database.h
@@ -36,6 +36,7 @@
  * Injects or ends a fault. The argument of these faults is the id of a server:
  *
  * - "crash" stops the server, and "start" starts it again;
+ * - "deaf" keeps the server from receiving commits, and "hearing" ends that;
  * - "dark" makes the server unresponsive, and "light" ends that;
  * - "leave" sets the server to draining;
  * - "gone" stops the server and removes its registration.
--- a/tests/decide/test_change.c
+++ b/tests/decide/test_change.c
@@ -1,6 +1,9 @@
 /* Tests of the primary change: when it is due, and which server is promoted. */
 #include "suite.h"
 
+#include <glib.h>
+#include <stdlib.h>
+
 #include "pw/decide/change.h"
 
 #define MS UINT64_C(1000)
@@ -264,6 +267,67 @@
 	  true,
 	  PW_CHANGE_PROMOTE,
 	  2 },
+	{ "only a leaving replica has every commit",
+	  { { .is_primary = true },
+	    { .leaving = true, REPORTED(3, 9) },
+	    { .eligible = true, REPORTED(3, 7) } },
+	  1,
+	  false,
+	  true,
+	  PW_CHANGE_PROMOTE,
+	  1 },
+	{ "a staying replica may still receive what a leaving one has",
+	  { { .is_primary = true },
+	    { .leaving = true, REPORTED(3, 9) },
+	    { .eligible = true, REPORTED(3, 7) } },
+	  1,
+	  false,
+	  false,
+	  PW_CHANGE_WAIT,
+	  0 },
+	{ "a staying replica with every commit is preferred to a leaving one",
+	  { { .is_primary = true },
+	    { .leaving = true, REPORTED(3, 9) },
+	    { .eligible = true, REPORTED(3, 9) } },
+	  1,
+	  false,
+	  true,
+	  PW_CHANGE_PROMOTE,
+	  2 },
+	{ "the replica with every commit cannot be promoted",
+	  { { .is_primary = true }, { REPORTED(3, 9) }, { .eligible = true, REPORTED(3, 7) } },
+	  1,
+	  false,
+	  true,
+	  PW_CHANGE_WAIT,
+	  0 },
+	{ "a planned change leaves no commit behind",
+	  { { .is_primary = true, REPORTED(3, 9) },
+	    { .eligible = true, REPORTED(3, 8) },
+	    { .eligible = true, REPORTED(3, 7) } },
+	  1,
+	  true,
+	  true,
+	  PW_CHANGE_WAIT,
+	  0 },
+	{ "the whole log of the primary makes up for a silent replica",
+	  { { .is_primary = true, .acts_as_primary = true, REPORTED(3, 9) },
+	    { .eligible = true, REPORTED(3, 9) },
+	    { .eligible = true } },
+	  1,
+	  true,
+	  true,
+	  PW_CHANGE_PROMOTE,
+	  1 },
+	{ "a primary that was restarted may have lost its log",
+	  { { .is_primary = true, REPORTED(3, 2) },
+	    { .eligible = true, REPORTED(3, 8) },
+	    { .eligible = true } },
+	  1,
+	  true,
+	  true,
+	  PW_CHANGE_WAIT,
+	  0 },
 	{ "a server that is primary of a newer term is promoted again",
 	  { { .is_primary = true, .acts_as_primary = true, REPORTED(3, 9) },
 	    { .eligible = true, .acts_as_primary = true, REPORTED(4, 8) },
@@ -345,6 +409,69 @@
 }
 END_TEST
 
+#define RANDOM_GROUPS 20000
+#define REPLICAS_MAX  5
+#define LOG_END_MAX   6
+
+static bool flip(GRand *r)
+{
+	return g_rand_boolean(r);
+}
+
+static gint compare_descending(gconstpointer a, gconstpointer b)
+{
+	return *(const int32_t *)b - *(const int32_t *)a;
+}
+
+/*
+ * Guards against a promotion that loses an acknowledged commit, whatever servers leave, cannot be
+ * promoted or have not reported. With prefixes of one log, the commits that were acknowledged are
+ * those that at least `sync` replicas have. The current primary has them all.
+ */
+START_TEST(test_no_acknowledged_commit_is_lost)
+{
+	GRand *r = g_rand_new_with_seed(29);
+	uint32_t promotion_count = 0;
+
+	for (uint32_t i = 0; i < RANDOM_GROUPS; i++) {
+		struct pw_change_server servers[1 + REPLICAS_MAX] = { { .is_primary = true } };
+		uint32_t replica_count = (uint32_t)g_rand_int_range(r, 1, REPLICAS_MAX + 1);
+		uint32_t sync = (uint32_t)g_rand_int_range(r, 1, (gint32)replica_count + 1);
+		bool planned = flip(r), urgent = flip(r);
+		int32_t ends[REPLICAS_MAX], acknowledged_end;
+		uint32_t server = 0;
+
+		for (uint32_t k = 0; k < replica_count; k++) {
+			ends[k] = g_rand_int_range(r, 1, LOG_END_MAX);
+			servers[1 + k].leaving = flip(r);
+			servers[1 + k].eligible = !servers[1 + k].leaving && flip(r);
+			servers[1 + k].reported = flip(r);
+			servers[1 + k].term = 3;
+			servers[1 + k].log_end =
+				(struct pw_position){ .term = 3, .lsn = (uint64_t)ends[k] };
+		}
+		servers[0].reported = flip(r);
+		servers[0].acts_as_primary = flip(r);
+		servers[0].eligible = flip(r);
+		servers[0].term = 3;
+		servers[0].log_end = (struct pw_position){ .term = 3, .lsn = LOG_END_MAX };
+		qsort(ends, replica_count, sizeof(ends[0]), compare_descending);
+		acknowledged_end = ends[sync - 1];
+		if (pw_change_choose(&server, servers, 1 + replica_count, sync, 0, planned,
+				     urgent) == PW_CHANGE_WAIT)
+			continue;
+		promotion_count++;
+		ck_assert(servers[server].reported);
+		ck_assert_msg(servers[server].log_end.lsn >= (uint64_t)acknowledged_end,
+			      "group %u: server %u has %" G_GUINT64_FORMAT
+			      " of %d acknowledged commits",
+			      i, server, servers[server].log_end.lsn, acknowledged_end);
+	}
+	ck_assert_uint_gt(promotion_count, RANDOM_GROUPS / 10);
+	g_rand_free(r);
+}
+END_TEST
+
 #define ACTING(t) .reported = true, .acts_as_primary = true, .term = (t)
 
 /* Guards against taking the state of a server before the promotion for its result. */
@@ -392,6 +519,7 @@
 	tcase_add_loop_test(tc, test_due, 0, PW_ARRAY_LEN(due_cases));
 	tcase_add_loop_test(tc, test_rank_weight, 0, PW_ARRAY_LEN(rank_cases));
 	tcase_add_loop_test(tc, test_choose, 0, PW_ARRAY_LEN(choose_cases));
+	tcase_add_test(tc, test_no_acknowledged_commit_is_lost);
 	tcase_add_loop_test(tc, test_promoted, 0, PW_ARRAY_LEN(promoted_cases));
 	tcase_add_test(tc, test_limits);
 	return pw_suite_run("change", tc);
