Changes of primary: count synchronous replicas that have departed

What callers would see: acknowledged commits are gone if the only replica that has them has lost its entry when the primary crashes, and the others were behind.

--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -497,8 +497,11 @@
 			member_create_primaries(c);
 		publish_shares(c);
 	} else if (m->ops == &pw_servers_msg_ops) {
+		const struct pw_server_list *next = ((struct pw_servers_msg *)m)->servers;
+
+		departed_update(c, next);
 		pw_server_list_unref(c->servers);
-		c->servers = pw_server_list_ref(((struct pw_servers_msg *)m)->servers);
+		c->servers = pw_server_list_ref(next);
 		change_tick(c);
 	} else if (m->ops == &pw_traffic_report_ops) {
 		handle_traffic_report(c, (struct pw_traffic_report *)m);
@@ -519,6 +522,7 @@
 	era_stop(c);
 	pulse_stop(c);
 	position_stop(c);
+	departed_stop(c);
 	pw_loop_timer_clear(c->task.loop, &c->tick_timer);
 	for (uint32_t i = 0; i < c->directory->gateway_count; i++)
 		g_hash_table_unref(c->gateways[i].reachability);
@@ -551,6 +555,7 @@
 	c->drain_limit_us = UINT64_MAX;
 	change_start(c);
 	position_start(c);
+	departed_start(c);
 	rc = pulse_start(c);
 	if (!rc)
 		rc = c->directory->binding->promoter_new(&c->promoter, t->loop,
--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -534,6 +534,39 @@
 		send_lease_revoke(ch, index);
 }
 
+static void add_server(struct change *ch, const struct pw_server_entry *e,
+		       const struct pw_change_server *s)
+{
+	g_ptr_array_add(ch->entries, pw_server_entry_copy(e));
+	g_ptr_array_add(ch->queries, NULL);
+	g_array_append_vals(ch->servers, s, 1);
+}
+
+static bool is_synchronous(const struct change *ch)
+{
+	const struct pw_catalog_group *g = pw_catalog_find_group(ch->cluster->catalog, ch->group);
+
+	return g && g->sync_replica_count;
+}
+
+/* Adds the replicas that have departed, which are queried as well, and may answer. */
+static void add_departed_servers(struct change *ch, const struct pw_primary *primary)
+{
+	const struct cluster *c = ch->cluster;
+
+	for (guint i = 0; i < c->departed->len; i++) {
+		const struct departed *d = g_ptr_array_index(c->departed, i);
+		const struct pw_change_server s = {
+			.departed = true,
+			.last_known_end = d->primary_log_end,
+		};
+
+		if (departed_counts(c, d, ch->group) &&
+		    strcmp(d->entry->id, primary->server_id) != 0)
+			add_server(ch, d->entry, &s);
+	}
+}
+
 /* Lists the servers of the group, which are then queried and compared, and enters PHASE_SELECT. */
 static void start_selection(struct change *ch)
 {
@@ -543,7 +576,7 @@
 	for (guint i = 0; i < c->servers->entries->len; i++) {
 		const struct pw_server_entry *e = g_ptr_array_index(c->servers->entries, i);
 		bool is_primary = strcmp(e->id, primary->server_id) == 0;
-		struct pw_change_server s = {
+		const struct pw_change_server s = {
 			.is_primary = is_primary,
 			.eligible =
 				!e->leaving && (!is_primary || ch->reason == PW_CHANGE_ABANDONED),
@@ -552,12 +585,11 @@
 					   c->directory->settings->availability_zone) != 0,
 		};
 
-		if (strcmp(e->group, ch->group) != 0)
-			continue;
-		g_ptr_array_add(ch->entries, pw_server_entry_copy(e));
-		g_ptr_array_add(ch->queries, NULL);
-		g_array_append_val(ch->servers, s);
+		if (strcmp(e->group, ch->group) == 0)
+			add_server(ch, e, &s);
 	}
+	if (is_synchronous(ch))
+		add_departed_servers(ch, primary);
 	enter_phase(ch, PHASE_SELECT);
 }
 
@@ -677,7 +709,10 @@
 		if (s->reported)
 			g_string_append_printf(text, "=%" PRIu64 ".%" PRIu64, s->log_end.term,
 					       s->log_end.lsn);
-		g_string_append(text, s->is_primary ? ":primary" : e->leaving ? ":leaving" : "");
+		g_string_append(text, s->is_primary ? ":primary"
+				      : e->leaving  ? ":leaving"
+				      : s->departed ? ":departed"
+						    : "");
 	}
 	return g_string_free(text, FALSE);
 }
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -1,8 +1,9 @@
 /*
  * State and functions that the parts of the cluster task share: membership and the permit to use
  * the primaries (cluster_member.c), heartbeat datagrams or pulses (cluster_pulse.c), log positions
- * of primaries that other VMs have seen (cluster_position.c), eras of the store (cluster_era.c),
- * and changes of primary (cluster_change.c, cluster_status.c). cluster.c owns the task and
+ * of primaries that other VMs have seen (cluster_position.c), replicas that are not registered any
+ * more (cluster_departed.c), eras of the store (cluster_era.c), and changes of primary
+ * (cluster_change.c, cluster_status.c). cluster.c owns the task and
  * dispatches its messages.
  *
  * Terms: A permit allows this VM to send work to the primaries until a point in time. Renewals of
@@ -209,6 +210,7 @@
 
 	/* Log positions of primaries that this VM or others have seen. */
 	GHashTable *positions;               /**< group -> newest struct pw_seen_position */
+	GPtrArray *departed;                 /**< struct departed */
 	GHashTable *changed_position_groups; /**< set of groups, to be sent to the gateways */
 	uint32_t next_position_group;        /**< counter; group in the next pulse, round-robin */
 
@@ -341,6 +343,20 @@
 /** @return term of the newest position that some VM has seen at this primary; 0: none */
 uint64_t position_seen_term(const struct cluster *c, const struct pw_primary *primary);
 
+/* cluster_departed.c */
+/** Server that is not registered any more. */
+struct departed {
+	struct pw_server_entry *entry;      /**< its last entry */
+	struct pw_position primary_log_end; /**< last one known when it departed */
+	uint64_t since_us;
+};
+void departed_start(struct cluster *c);
+void departed_stop(struct cluster *c);
+/** Compares the list of servers with the next one, before that replaces it. */
+void departed_update(struct cluster *c, const struct pw_server_list *next);
+/** @return whether the server is of the group and may still come back with its log */
+bool departed_counts(const struct cluster *c, const struct departed *d, const char *group);
+
 /* cluster_era.c */
 /**
  * Records the era of a result. In a new era this VM has no lease any more, and its changes whose
--- a/decide/include/pw/decide/change.h
+++ b/decide/include/pw/decide/change.h
@@ -144,8 +144,14 @@
 	 * replication it may be the only replica that has them, and is then promoted.
 	 */
 	bool leaving;
-	bool reported;        /**< it has answered: the fields below are known */
-	bool acts_as_primary; /**< it reports that it is primary */
+	/**
+	 * It was a replica and is not registered any more. Commits that only it has are at or
+	 * before `last_known_end`.
+	 */
+	bool departed;
+	struct pw_position last_known_end; /**< end of the primary's log when it departed */
+	bool reported;                     /**< it has answered: the fields below are known */
+	bool acts_as_primary;              /**< it reports that it is primary */
 	uint64_t term;
 	struct pw_position log_end; /**< end of its log */
 	uint32_t distance;          /**< breaks ties: the smaller is preferred */
--- a/decide/src/change.c
+++ b/decide/src/change.c
@@ -109,10 +109,19 @@
 	const struct pw_change_server *current; /**< the current primary; NULL: not registered */
 	const struct pw_change_server *best;    /**< best eligible server; NULL: none */
 	const struct pw_change_server *longest; /**< replica with the longest log; NULL: none */
-	uint32_t replica_count, report_count;   /**< replicas, and those that have reported */
-	bool all_reported;                      /**< the current primary, too */
+	/** Replicas that have not reported and may have commits that `longest` lacks. */
+	uint32_t silent_count;
+	bool all_reported; /**< the current primary, too */
 };
 
+/* Whether a server has all commits that a replica which has departed may have. */
+static bool covers_departed(const struct pw_change_server *s,
+			    const struct pw_change_server *departed)
+{
+	return s && departed->departed &&
+	       pw_position_compare(&s->log_end, &departed->last_known_end) >= 0;
+}
+
 static void summarise(struct reports *r, const struct pw_change_server *servers, uint32_t count,
 		      uint64_t min_term)
 {
@@ -121,12 +130,8 @@
 		const struct pw_change_server *s = &servers[i];
 
 		r->all_reported = r->all_reported && s->reported;
-		if (s->is_primary) {
+		if (s->is_primary)
 			r->current = s;
-		} else {
-			r->replica_count++;
-			r->report_count += s->reported;
-		}
 		if (!s->reported)
 			continue;
 		if (!s->is_primary && (!r->longest || is_better_candidate(s, r->longest)))
@@ -135,6 +140,9 @@
 		    (!r->best || is_better_candidate(s, r->best)))
 			r->best = s;
 	}
+	for (uint32_t i = 0; i < count; i++)
+		r->silent_count += !servers[i].is_primary && !servers[i].reported &&
+				   !covers_departed(r->longest, &servers[i]);
 }
 
 /* Whether the log of `a` ends before that of `b`; a missing server has no log. */
@@ -164,11 +172,8 @@
 {
 	if (has_log_of_primary(r->best, r->current))
 		return r->best;
-	/*
-	 * A commit that `sync_replicas` replicas have is on at least one of any
-	 * `replica_count - sync_replicas + 1` replicas.
-	 */
-	if (r->report_count + sync_replicas <= r->replica_count)
+	/* Only if so many replicas are silent can they be all that have some commit. */
+	if (r->silent_count >= sync_replicas)
 		return NULL;
 	if (planned && r->current && r->current->reported && is_shorter(r->best, r->current))
 		return NULL;
@@ -193,7 +198,7 @@
 	*server = (uint32_t)(chosen - servers);
 	if (urgent)
 		return PW_CHANGE_PROMOTE;
-	if (r.report_count < r.replica_count)
+	if (r.silent_count)
 		return PW_CHANGE_WAIT;
 	if (planned && (!r.current || !r.current->reported || is_shorter(chosen, r.current)))
 		return PW_CHANGE_WAIT;
--- a/tests/decide/test_change.c
+++ b/tests/decide/test_change.c
@@ -328,6 +328,33 @@
 	  true,
 	  PW_CHANGE_WAIT,
 	  0 },
+	{ "a commit may be only on a replica that has departed",
+	  { { .is_primary = true },
+	    { .eligible = true, REPORTED(3, 7) },
+	    { .departed = true, .last_known_end = { 3, 8 } } },
+	  1,
+	  false,
+	  true,
+	  PW_CHANGE_WAIT,
+	  0 },
+	{ "a replica has what one that has departed may have",
+	  { { .is_primary = true },
+	    { .eligible = true, REPORTED(3, 8) },
+	    { .departed = true, .last_known_end = { 3, 8 } } },
+	  1,
+	  false,
+	  false,
+	  PW_CHANGE_PROMOTE,
+	  1 },
+	{ "a replica that has departed reports a longer log",
+	  { { .is_primary = true },
+	    { .eligible = true, REPORTED(3, 8) },
+	    { .departed = true, .last_known_end = { 3, 7 }, REPORTED(3, 9) } },
+	  1,
+	  false,
+	  true,
+	  PW_CHANGE_WAIT,
+	  0 },
 	{ "a server that is primary of a newer term is promoted again",
 	  { { .is_primary = true, .acts_as_primary = true, REPORTED(3, 9) },
 	    { .eligible = true, .acts_as_primary = true, REPORTED(4, 8) },
@@ -446,6 +473,12 @@
 			servers[1 + k].leaving = flip(r);
 			servers[1 + k].eligible = !servers[1 + k].leaving && flip(r);
 			servers[1 + k].reported = flip(r);
+			/* It received nothing after the position that was known then. */
+			servers[1 + k].departed = !servers[1 + k].eligible && flip(r);
+			servers[1 + k].last_known_end = (struct pw_position){
+				.term = 3,
+				.lsn = (uint64_t)g_rand_int_range(r, ends[k], LOG_END_MAX)
+			};
 			servers[1 + k].term = 3;
 			servers[1 + k].log_end =
 				(struct pw_position){ .term = 3, .lsn = (uint64_t)ends[k] };
--- a/tests/include/platform_fleet.h
+++ b/tests/include/platform_fleet.h
@@ -474,4 +474,17 @@
 	return count;
 }
 
+/* DrainMs of the platform's settings: after this time a server that is gone gets no statement. */
+#define GONE_TIMEOUT_MS 7000
+
+/* Whether the log of each VM contains the text. */
+static inline bool have_all_logged(const char *text)
+{
+	for (uint32_t i = 0; i < VM_COUNT; i++) {
+		if (!count_log_lines(&vms[i], text))
+			return false;
+	}
+	return true;
+}
+
 #endif
--- a/tests/platform/test_commits_fleet.c
+++ b/tests/platform/test_commits_fleet.c
@@ -31,11 +31,22 @@
 	return found;
 }
 
+static const struct {
+	const char *label;
+	const char *fault; /* of the only replica that has a commit */
+	const char *log;   /* what the VMs log of it; NULL: nothing */
+	bool is_promoted;  /* that replica, while the primary is down */
+} commit_cases[] = {
+	{ "the replica is about to stop", "leave", NULL, true },
+	{ "the replica is not registered any more", "gone",
+	  "name=server_gone group=core server=i-core-2", false },
+};
+
 /*
- * Guards against acknowledged commits that are lost because the only replica that has them is about
- * to stop: the other replica receives nothing when the primary crashes.
+ * Guards against acknowledged commits that are lost because the only replica that has them is left
+ * out of a change: the other replica receives nothing when the primary crashes.
  */
-START_TEST(test_leaving_replica_has_commits)
+START_TEST(test_acknowledged_commit_survives)
 {
 	struct client *c;
 
@@ -44,23 +55,28 @@
 	sync_replica_count = 0;
 	c = open_session(0, "desk");
 	expect_answer(c, "WRITE before v", "ok I");
-	inject_fault("leave", "i-core-2");
+	g_usleep(100000);
 	inject_fault("deaf", "i-core-3");
-	g_usleep(300000);
 	expect_answer(c, "WRITE kept v", "ok I");
 	/* One replica has received the commit, as the acknowledgement of a synchronous one says. */
-	g_usleep(100000);
+	g_usleep(300000);
+	inject_fault(commit_cases[_i].fault, "i-core-2");
+	ck_assert(!commit_cases[_i].log ||
+		  PW_HARNESS_WAIT_UNTIL(have_all_logged(commit_cases[_i].log), GONE_TIMEOUT_MS));
+	g_usleep(300000);
 	inject_fault("crash", "i-core-1");
-	for (int i = 0; i < 10; i++) {
+	for (int i = 0; i < 30; i++) {
 		g_free(run_statement(c, "WRITE meanwhile v"));
 		g_usleep(100000);
 	}
 	/* The crashed server is not up, so this is the new primary. */
-	ck_assert(PW_HARNESS_WAIT_UNTIL(has_primary(), 6000));
+	ck_assert_msg(PW_HARNESS_WAIT_UNTIL(has_primary(), 3000) == commit_cases[_i].is_promoted,
+		      "%s: %zu promotion requests", commit_cases[_i].label,
+		      count_promotion_requests());
+	inject_fault("start", commit_cases[_i].is_promoted ? "i-core-1" : "i-core-2");
 	inject_fault("hearing", "i-core-3");
-	inject_fault("start", "i-core-1");
 	(void)write_until_ok(&c, 0, "WRITE later v", 15000);
-	/* Another change follows, since the new primary is about to stop. */
+	/* Another change may follow, since the new primary is about to stop. */
 	expect_row(c, "READ kept", "v ok I", 10000);
 	client_free(c);
 	stop_fleet();
@@ -72,6 +88,6 @@
 	TCase *tc = tcase_create("commits fleet");
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	tcase_add_test(tc, test_leaving_replica_has_commits);
+	tcase_add_loop_test(tc, test_acknowledged_commit_survives, 0, PW_ARRAY_LEN(commit_cases));
 	return pw_suite_run("commits fleet", tc);
 }
--- a/tests/platform/test_platform_fleet.c
+++ b/tests/platform/test_platform_fleet.c
@@ -1054,18 +1054,6 @@
 }
 END_TEST
 
-/* DrainMs of the platform's settings: after this time a server that is gone gets no statement. */
-#define GONE_TIMEOUT_MS 7000
-
-static bool have_all_logged(const char *text)
-{
-	for (uint32_t i = 0; i < VM_COUNT; i++) {
-		if (!count_log_lines(&vms[i], text))
-			return false;
-	}
-	return true;
-}
-
 /*
  * Guards against a VM that keeps a server in use after its entry is gone, because the reads of
  * other VMs, which find the same entries, postpone its own.
