Sessions: choose the account anew for each operation

Cause: the account of a session was chosen once, when it was opened, from the route of that time. Later checks asked only whether the key still belongs to that account, and a session without a key passed them all. Nothing looked at the route; load_route() took over all of its other settings. Ruled out: a version that came late, since new sessions with the same key were refused.

Change: each operation chooses the account from the catalogue as it is then; a transaction keeps the route of its begin, but no withdrawn key. An idle session without an account is closed. Related paths of the same class: a key that is given to another account, a key that becomes known, and a key that is withdrawn on a route that needs none, were handled by the old version, too.

--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -184,6 +184,7 @@
 	uint64_t timeout_us;   /**< of one statement */
 	uint64_t target_us;    /**< time in which the operation should be answered */
 	uint32_t priority;     /**< 0 is the highest */
+	bool open_to_all;      /**< it needs no valid key */
 };
 
 /* A statement that a caller has prepared under a name of its own. */
@@ -199,7 +200,8 @@
 	enum session_state state;
 	char *database; /**< as named by the caller; NULL: the session was not opened */
 	char key_hash[PW_CATALOG_KEY_HASH_SIZE];
-	struct account *account;         /**< NULL: the session was not opened */
+	struct account *account;         /**< of the current operation, or of the last one; NULL:
+					    the session was not opened */
 	GHashTable *variables;           /**< name -> value; NULL before the first */
 	GHashTable *prepared_statements; /**< name -> struct prepared_statement; NULL before the
 					    first */
@@ -374,7 +376,9 @@
 void gw_session_accept(struct gateway *g, int32_t fd);
 /** Closes the session at once and rolls its transaction back. */
 void gw_session_close(struct session *s);
-/** Closes the session if its key was withdrawn and it has no statement or transaction. */
+/**
+ * Closes the session if it may not use its route any more and has no statement or transaction.
+ */
 void gw_session_check_key(struct session *s);
 /**
  * Called while the gateway drains: closes the session if it may be closed. When the drain is over,
--- a/daemon/traffic/gateway_session.c
+++ b/daemon/traffic/gateway_session.c
@@ -153,18 +153,28 @@
 		clear_timer(s);
 }
 
-/* Returns the account that the session's key belongs to now, or NULL if there is none. */
-static struct account *find_account(struct session *s)
+/* Account of callers without a valid key, on routes that need none. */
+#define KEYLESS_ACCOUNT "-"
+
+static bool is_keyless(const struct session *s)
+{
+	return strcmp(s->account->name, KEYLESS_ACCOUNT) == 0;
+}
+
+/*
+ * Returns the account for which the session's statements may run now: that of its key, or the
+ * keyless one on a route that is open to all; NULL if there is none.
+ */
+static struct account *find_account(struct session *s, bool open_to_all)
 {
 	const struct pw_catalog_account *a =
 		pw_catalog_find_account_by_key_hash(s->gateway->catalog, s->key_hash);
 
-	return a ? gw_account_get(s->gateway, a->name) : NULL;
+	if (a)
+		return gw_account_get(s->gateway, a->name);
+	return open_to_all ? gw_account_get(s->gateway, KEYLESS_ACCOUNT) : NULL;
 }
 
-/* Account of callers without a valid key, on routes that need none. */
-#define KEYLESS_ACCOUNT "-"
-
 /* Error text of statements that a draining VM does not start. */
 static const char stopping_text[] = "the proxy is stopping";
 
@@ -190,9 +200,7 @@
 		return;
 	}
 	pw_catalog_hash_key(s->key_hash, message->key);
-	s->account = find_account(s);
-	if (!s->account && r->open_to_all)
-		s->account = gw_account_get(s->gateway, KEYLESS_ACCOUNT);
+	s->account = find_account(s, r->open_to_all);
 	if (!s->account) {
 		send_error_and_close(s, PW_REASON_BAD_KEY, PW_COUNTER_REFUSED_KEY,
 				     "the key is not valid");
@@ -206,31 +214,35 @@
 	send_bytes(s, b);
 }
 
-/* Whether the session's key, if it needs one, still belongs to its account. */
-static bool is_key_valid(struct session *s)
+static void refuse_withdrawn_key(struct session *s)
 {
-	return strcmp(s->account->name, KEYLESS_ACCOUNT) == 0 || find_account(s) == s->account;
+	send_error_and_close(s, PW_REASON_BAD_KEY, PW_COUNTER_REFUSED_KEY_WITHDRAWN,
+			     is_keyless(s) ? "the database is not open to all any more"
+					   : "the key was withdrawn");
 }
 
 /*
- * Copies the current settings of the route for a new operation, so that a change of the route takes
- * effect with the next operation. Returns false after sending an error.
+ * Copies the current settings of the route and the session's account for a new operation, so that a
+ * change of the route or of the keys takes effect with the next operation. Returns false after
+ * sending an error.
  */
 static bool load_route(struct session *s)
 {
 	struct gateway *g = s->gateway;
 	const struct pw_catalog_route *r = pw_catalog_find_route(g->catalog, s->database);
+	struct account *account;
 
 	if (!r) {
 		pw_counter_inc(PW_COUNTER_REFUSED_ROUTE);
 		send_error(s, PW_REASON_NO_DATABASE, "the database was removed");
 		return false;
 	}
-	if (!is_key_valid(s)) {
-		send_error_and_close(s, PW_REASON_BAD_KEY, PW_COUNTER_REFUSED_KEY_WITHDRAWN,
-				     "the key was withdrawn");
+	account = find_account(s, r->open_to_all);
+	if (!account) {
+		refuse_withdrawn_key(s);
 		return false;
 	}
+	s->account = account;
 	s->operation = (struct operation){
 		.group = gw_group_get(g, r->group),
 		.consistency = r->consistency,
@@ -238,6 +250,7 @@
 		.timeout_us = r->timeout_ms * PW_US_PER_MS,
 		.target_us = r->target_latency_ms * PW_US_PER_MS,
 		.priority = r->priority,
+		.open_to_all = r->open_to_all,
 	};
 	return true;
 }
@@ -250,8 +263,7 @@
 
 	if (!load_route(s))
 		return false;
-	if (strcmp(s->account->name, KEYLESS_ACCOUNT) == 0 ||
-	    gw_account_admit(s->gateway, s->account, &wait_us))
+	if (is_keyless(s) || gw_account_admit(s->gateway, s->account, &wait_us))
 		return true;
 	pw_counter_inc(PW_COUNTER_REFUSED_RATE);
 	g_snprintf(text, sizeof(text), "retry_after_ms=%" PRIu64 " over the rate of the account",
@@ -399,9 +411,9 @@
 	}
 	if (s->transaction == TRANSACTION_NONE)
 		return admit_operation(s) && check_drain(s, statement->verb);
-	if (!is_key_valid(s)) {
-		send_error_and_close(s, PW_REASON_BAD_KEY, PW_COUNTER_REFUSED_KEY_WITHDRAWN,
-				     "the key was withdrawn");
+	/* A transaction keeps its route as it was at its begin, but not a withdrawn key. */
+	if (find_account(s, s->operation.open_to_all) != s->account) {
+		refuse_withdrawn_key(s);
 		return false;
 	}
 	return check_drain(s, statement->verb);
@@ -568,7 +580,13 @@
 
 void gw_session_check_key(struct session *s)
 {
-	if (s->state != SESSION_READY || is_key_valid(s))
+	const struct pw_catalog_route *r;
+
+	if (s->state != SESSION_READY)
+		return;
+	/* Without its route, the next statement of a session without a key is refused anyway. */
+	r = pw_catalog_find_route(s->gateway->catalog, s->database);
+	if (find_account(s, r ? r->open_to_all : is_keyless(s)))
 		return;
 	pw_event_log(PW_EVENT_KEY_WITHDRAWN, "account=%s key=%.8s", s->account->name, s->key_hash);
 	/* A statement in progress is answered; the next one, which may have arrived, is refused. */
