Statements: keep the id of the server to avoid, not the server

Cause: a statement kept a pointer to the server that had failed its last attempt. That server is freed when its entry is gone and it has no connection left, while the next attempt still runs elsewhere; the log line of a refusal then read the freed memory. Class: a reference that outlives its object. Looked at: connections and probes keep their server in the list; the primary of a group is set again with each list; groups and accounts are never removed; a statement whose session has ended is not sent, so its prepared statement is not read.

Change: the statement keeps the server's id.

--- a/daemon/traffic/gateway_group.c
+++ b/daemon/traffic/gateway_group.c
@@ -337,9 +337,14 @@
 	       pw_congestion_may_start(&s->congestion, count_conns_in_use(s), now_us);
 }
 
+static bool is_avoided(const struct server *s, const struct work *w)
+{
+	return w->avoid_server_id && strcmp(w->avoid_server_id, s->id) == 0;
+}
+
 static bool is_replica_usable(const struct server *s, const struct work *w, uint64_t now_us)
 {
-	return s->registered && !s->leaving && now_us >= s->pause_until_us && s != w->avoid_server;
+	return s->registered && !s->leaving && now_us >= s->pause_until_us && !is_avoided(s, w);
 }
 
 static bool is_primary_usable(const struct group *group, const struct work *w, uint64_t now_us)
@@ -467,7 +472,7 @@
 
 		candidates[i] = (struct pw_place_candidate){
 			.is_usable = is_primary ? is_primary_usable(group, w, now_us) &&
-							  s != w->avoid_server
+							  !is_avoided(s, w)
 						: is_replica_usable(s, w, now_us),
 			.is_primary = is_primary,
 			.caught_up = is_caught_up(s, &floor, now_us),
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -254,20 +254,21 @@
 	uint64_t wait_deadline_us; /**< refused if no server has taken it by then */
 	uint64_t sent_us;
 	uint32_t failed_attempts;
-	struct server *avoid_server; /**< refused or failed the last attempt; NULL: none */
-	GByteArray *answer;          /**< rows not yet sent to the caller; NULL: none so far */
-	char *signature;             /**< of the answer, as the server gave it */
-	enum pw_reason reason;       /**< why it failed; PW_REASON_NONE: it has not failed */
-	char *error;                 /**< text for `reason`; may be NULL */
-	bool begins_transaction;     /**< first statement of a transaction: the server has to begin
-					the transaction before it */
-	bool is_commit;              /**< commits the transaction */
-	bool is_autocommit_write;    /**< write outside a transaction; must not run twice */
-	bool needs_primary;          /**< must run at the primary */
-	bool sent;                   /**< the current attempt was sent */
-	bool sent_before;            /**< an earlier attempt was sent */
-	bool charged;        /**< it starts an operation, which was charged to its account */
-	bool answer_started; /**< parts of the answer were sent to the caller */
+	char *avoid_server_id; /**< of the server that refused or failed the last attempt, which may
+				  be gone by now; NULL: none */
+	GByteArray *answer;    /**< rows not yet sent to the caller; NULL: none so far */
+	char *signature;       /**< of the answer, as the server gave it */
+	enum pw_reason reason; /**< why it failed; PW_REASON_NONE: it has not failed */
+	char *error;           /**< text for `reason`; may be NULL */
+	bool begins_transaction;  /**< first statement of a transaction: the server has to begin
+				     the transaction before it */
+	bool is_commit;           /**< commits the transaction */
+	bool is_autocommit_write; /**< write outside a transaction; must not run twice */
+	bool needs_primary;       /**< must run at the primary */
+	bool sent;                /**< the current attempt was sent */
+	bool sent_before;         /**< an earlier attempt was sent */
+	bool charged;             /**< it starts an operation, which was charged to its account */
+	bool answer_started;      /**< parts of the answer were sent to the caller */
 };
 
 enum conn_state {
--- a/daemon/traffic/gateway_work.c
+++ b/daemon/traffic/gateway_work.c
@@ -65,6 +65,7 @@
 	pw_caller_statement_free(w->statement);
 	g_free(w->signature);
 	g_free(w->error);
+	g_free(w->avoid_server_id);
 	/* A loop over waiting statements in a calling function may still use it. */
 	gateway_free_later(g, w);
 }
@@ -119,7 +120,7 @@
 		     group->wait_queue.length, group->changing,
 		     ((int64_t)group->gateway->permit_until_us - (int64_t)now_us) /
 			     (int64_t)PW_US_PER_MS,
-		     group->generation, w->avoid_server ? w->avoid_server->id : "");
+		     group->generation, w->avoid_server_id ? w->avoid_server_id : "");
 }
 
 void gw_work_refuse(struct work *w, enum pw_reason reason, const char *text)
@@ -213,7 +214,7 @@
 	 * A server that refused or failed the last attempt was not considered for this one. By the
 	 * next attempt it may have capacity again.
 	 */
-	w->avoid_server = NULL;
+	g_clear_pointer(&w->avoid_server_id, g_free);
 	w->timer.ops = &queue_timer_ops;
 	g_queue_push_tail_link(&w->group->wait_queue, &w->link);
 	pw_loop_timer_set(g->task.loop, &w->timer, w->wait_deadline_us);
@@ -292,11 +293,12 @@
  * Makes another attempt at a statement that has not run, or that may run again. Refuses it if it
  * has no attempt or no time left.
  */
-static void retry(struct work *w, struct server *avoid, enum pw_counter counter)
+static void retry(struct work *w, const struct server *avoid, enum pw_counter counter)
 {
 	uint64_t now_us = gateway_now_us(gateway_of(w));
 
-	w->avoid_server = avoid;
+	g_free(w->avoid_server_id);
+	w->avoid_server_id = avoid ? g_strdup(avoid->id) : NULL;
 	log_decision(w, PW_EVENT_REQUEST_RETRIED, w->reason, w->error ? w->error : "");
 	w->conn = NULL;
 	w->reason = PW_REASON_NONE;
--- a/standins/platform/database.c
+++ b/standins/platform/database.c
@@ -61,6 +61,7 @@
 	uint64_t lag_us;             /**< replication lag */
 	uint64_t promotion_delay_us; /**< time from a promotion request until it takes effect */
 	uint64_t run_time_us;        /**< run time of a statement */
+	uint32_t lost_every;         /**< every so many results are lost; 0: none */
 	uint32_t refused_sets;       /**< number of the next SET statements that fail */
 	uint64_t last_signature;     /**< number in the signature of the last result */
 	GHashTable *started_ids;     /**< set of the ids of all statements that were received */
@@ -155,9 +156,15 @@
 	send_ready(c);
 }
 
-/* Completes a read, a write or a commit; the result carries a signature. */
+/* Completes a read, a write or a commit; the result carries a signature, and may be lost. */
 static void complete_signed(struct conn *c)
 {
+	const struct databases *d = c->server->databases;
+
+	if (d->lost_every && (d->last_signature + 1) % d->lost_every == 0) {
+		c->server->databases->last_signature++;
+		return;
+	}
 	send_line(c, "COMPLETE sig.%s.%" PRIu64 "\r\n", c->server->id,
 		  ++c->server->databases->last_signature);
 	send_ready(c);
@@ -728,6 +735,10 @@
 		d->refused_sets = (uint32_t)g_ascii_strtoull(argument, NULL, 10);
 		return true;
 	}
+	if (strcmp(name, "lose") == 0) {
+		d->lost_every = (uint32_t)g_ascii_strtoull(argument, NULL, 10);
+		return true;
+	}
 	if (strcmp(name, "work") == 0) {
 		d->run_time_us = g_ascii_strtoull(argument, NULL, 10) * 1000;
 		return true;
--- a/standins/platform/database.h
+++ b/standins/platform/database.h
@@ -41,6 +41,7 @@
  * - "leave" sets the server to draining;
  * - "gone" stops the server and removes its registration.
  *
+ * The argument of "lose" is a number: of so many results of reads, writes and commits one is lost.
  * The argument of "refuse-set" is a number: so many of the next SET statements fail.
  *
  * The argument of these faults is a time in milliseconds:
