Statements: leave the queue before the answer is sent

Cause: a refused statement was still in the queue when its answer was sent. The session then goes on with its next statement, which starts statements of the queue, the refused one among them, without a session; it was freed afterwards. Class: an object that others can still reach is given up, and the call in between comes back. Looked at: the answer of a statement on a connection (the connection is no longer idle and is checked after the call), a begin that failed, a lost connection, servers that are dropped.

Change: the statement leaves the queue before the answer is sent.

Before: test_crash_fleet, case 1, ended vm-1 with signal 11, and with AddressSanitizer with status 100, 1 of 1 run each. After: passed, 1 of 1 run each. Six earlier forms of the case did not show the fault; in the last of them the callers had no session, so they showed nothing.

--- a/daemon/traffic/gateway_work.c
+++ b/daemon/traffic/gateway_work.c
@@ -51,15 +51,21 @@
 	return w;
 }
 
-/* Ends the statement and removes it from the queue. Its memory is freed by the next tick. */
-static void free_work(struct work *w)
+/* Removes the statement from the queue and stops its timer. */
+static void end_work(struct work *w)
 {
-	struct gateway *g = gateway_of(w);
-
-	pw_loop_timer_clear(g->task.loop, &w->timer);
+	pw_loop_timer_clear(gateway_of(w)->task.loop, &w->timer);
 	if (w->state == WORK_WAITING)
 		g_queue_unlink(&w->group->wait_queue, &w->link);
 	w->state = WORK_ENDED;
+}
+
+/* Ends the statement. Its memory is freed by the next tick. */
+static void free_work(struct work *w)
+{
+	struct gateway *g = gateway_of(w);
+
+	end_work(w);
 	if (w->answer)
 		g_byte_array_unref(w->answer);
 	pw_caller_statement_free(w->statement);
@@ -76,6 +82,8 @@
 	struct session *s = w->session;
 
 	w->session = NULL;
+	/* The session may go on with its next statement, which starts statements of the queue. */
+	end_work(w);
 	if (s)
 		gw_session_send_answer(s, w, position);
 	free_work(w);
--- a/standins/platform/database.c
+++ b/standins/platform/database.c
@@ -41,7 +41,8 @@
 	bool running;
 	bool unresponsive; /**< accepts connections but ignores input, and doesn't register */
 	bool draining;
-	bool deaf; /**< receives no commits */
+	bool deaf;              /**< receives no commits */
+	uint32_t running_count; /**< statements whose run time has not passed yet */
 };
 
 struct group {
@@ -61,6 +62,8 @@
 	uint64_t lag_us;             /**< replication lag */
 	uint64_t promotion_delay_us; /**< time from a promotion request until it takes effect */
 	uint64_t run_time_us;        /**< run time of a statement */
+	uint32_t slots;              /**< statements that a server runs at a time; 0: any number */
+	uint32_t conn_limit;         /**< of a server; 0: none */
 	uint32_t lost_every;         /**< every so many results are lost; 0: none */
 	uint32_t refused_sets;       /**< number of the next SET statements that fail */
 	uint64_t last_signature;     /**< number in the signature of the last result */
@@ -109,6 +112,7 @@
 	pw_stream_dispose(&c->stream);
 	g_hash_table_remove(c->server->conns, c);
 	g_free(c->account);
+	c->server->running_count -= c->pending_statement != NULL;
 	g_free(c->pending_statement);
 	g_ptr_array_unref(c->transaction_writes);
 	g_hash_table_unref(c->settings);
@@ -402,7 +406,13 @@
 
 	if (text)
 		g_hash_table_add(d->started_ids, g_strndup(line, (gsize)(text - line)));
+	if (d->slots && has_run_time(copy) && c->server->running_count >= d->slots) {
+		send_error(c, "BUSY");
+		g_free(copy);
+		return;
+	}
 	if (d->run_time_us && has_run_time(copy)) {
+		c->server->running_count++;
 		c->pending_statement = copy;
 		pw_stream_pause(&c->stream, true);
 		pw_loop_timer_set(d->loop, &c->timer, pw_clock_now_us() + d->run_time_us);
@@ -420,7 +430,11 @@
 			strcmp(words[0], c->server->group->name) == 0 &&
 			(!words[2] || strcmp(words[2], c->server->id) == 0);
 
-	if (is_valid) {
+	if (is_valid && c->server->databases->conn_limit &&
+	    g_hash_table_size(c->server->conns) > c->server->databases->conn_limit) {
+		send_line(c, "ERROR CONNLIMIT %s\r\n", c->server->id);
+		pw_stream_shutdown(&c->stream);
+	} else if (is_valid) {
 		c->account = g_strdup(words[1]);
 		send_ready(c);
 	} else {
@@ -468,6 +482,7 @@
 	char *text = g_steal_pointer(&c->pending_statement);
 
 	(void)now_us;
+	c->server->running_count--;
 	if (!c->server->unresponsive)
 		run_statement(c, text);
 	g_free(text);
@@ -735,6 +750,14 @@
 		d->refused_sets = (uint32_t)g_ascii_strtoull(argument, NULL, 10);
 		return true;
 	}
+	if (strcmp(name, "slots") == 0) {
+		d->slots = (uint32_t)g_ascii_strtoull(argument, NULL, 10);
+		return true;
+	}
+	if (strcmp(name, "conn-limit") == 0) {
+		d->conn_limit = (uint32_t)g_ascii_strtoull(argument, NULL, 10);
+		return true;
+	}
 	if (strcmp(name, "lose") == 0) {
 		d->lost_every = (uint32_t)g_ascii_strtoull(argument, NULL, 10);
 		return true;
