Planned stops: accept all waiting connections; return the charge of a refusal

An operation that is refused since the drain leaves no time for it was charged to its account. Of the connections that wait when the drain begins, 32 were accepted, the others reset. A departed server is looked up by its id before its address is compared.

--- a/daemon/control/cluster_departed.c
+++ b/daemon/control/cluster_departed.c
@@ -34,12 +34,13 @@
 /* Whether a list has the server again, or a new one that has got its log with its address. */
 static bool is_back(const struct pw_server_list *list, const struct pw_server_entry *departed)
 {
-	for (guint i = 0; i < list->entries->len; i++) {
+	if (pw_server_list_find(list, departed->id))
+		return true;
+	for (guint i = 0; departed->leaving && i < list->entries->len; i++) {
 		const struct pw_server_entry *e = g_ptr_array_index(list->entries, i);
 
-		if (strcmp(e->id, departed->id) == 0 ||
-		    (departed->leaving && strcmp(e->group, departed->group) == 0 &&
-		     strcmp(e->address, departed->address) == 0))
+		if (strcmp(e->group, departed->group) == 0 &&
+		    strcmp(e->address, departed->address) == 0)
 			return true;
 	}
 	return false;
--- a/daemon/traffic/gateway.c
+++ b/daemon/traffic/gateway.c
@@ -128,9 +128,10 @@
 
 static const struct pw_timer_ops drain_timer_ops = { .expire = drain_timer_expired };
 
-static void accept_sessions(struct gateway *g)
+/* Accepts up to `max` of the connections that wait. */
+static void accept_sessions(struct gateway *g, int32_t max)
 {
-	for (int32_t i = 0; i < ACCEPTS_PER_EVENT_MAX; i++) {
+	for (int32_t i = 0; i < max; i++) {
 		int32_t fd = accept4(g->listener.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
 		if (fd < 0)
@@ -151,7 +152,7 @@
 	if (pw_drain_has_started(&g->drain))
 		return;
 	/* The kernel resets connections that wait to be accepted when the socket is closed. */
-	accept_sessions(g);
+	accept_sessions(g, SESSIONS_MAX);
 	g->drain = (struct pw_drain_window){
 		.started_us = now_us,
 		.ends_us = now_us + g->directory->settings->drain_timeout_us,
@@ -197,7 +198,8 @@
 static void listener_ready(struct pw_source *source, uint32_t events)
 {
 	(void)events;
-	accept_sessions((struct gateway *)((char *)source - offsetof(struct gateway, listener)));
+	accept_sessions((struct gateway *)((char *)source - offsetof(struct gateway, listener)),
+			ACCEPTS_PER_EVENT_MAX);
 }
 
 static const struct pw_source_ops listener_ops = { .ready = listener_ready };
--- a/daemon/traffic/gateway_session.c
+++ b/daemon/traffic/gateway_session.c
@@ -382,6 +382,7 @@
 		return true;
 	pw_counter_inc(PW_COUNTER_REFUSED_DRAINING);
 	if (s->transaction == TRANSACTION_NONE) {
+		gw_account_refund(s->account);
 		send_error(s, PW_REASON_BUSY, stopping_text);
 		return false;
 	}
