Planned stops: log what became of sessions and statements

What is missing: the users' record has no line of the stopping VM about the requests without an answer, and no event says when a step of a stop began, how many statements it answered, refused and ended, or which session was closed with a statement outstanding.

Change: events 1004 stop_step (with what ended the step before), 1005 drain_started, 1006 drain_ended with counts, 4033 request_unanswered for each statement whose session the proxy closes first, 4034 request_drained for each answer in a drain; counter unanswered_total. The drain of the gateway task moves to a file of its own. No decision is changed.

--- a/core/include/pw/core/counter.h
+++ b/core/include/pw/core/counter.h
@@ -38,6 +38,8 @@
 	  "connections closed before their login: too many logins at once")                        \
 	X(REFUSED_TLS, "refused_tls_total", "refused: no TLS")                                     \
 	X(REFUSED_DRAINING, "refused_draining_total", "refused: the proxy is stopping")            \
+	X(UNANSWERED, "unanswered_total",                                                          \
+	  "statements whose connection was closed without an answer")                              \
 	X(TLS_FAILURES, "tls_failures_total", "TLS connections that failed")                       \
 	X(OUTCOME_UNKNOWN, "outcome_unknown_total", "answers of 08007: outcome unknown")           \
 	X(OUTCOME_UNKNOWN_TERM, "outcome_unknown_term_total",                                      \
--- a/core/include/pw/core/stream.h
+++ b/core/include/pw/core/stream.h
@@ -36,6 +36,7 @@
 	GByteArray *output;  /**< not yet written; NULL while empty */
 	uint64_t sent_bytes; /**< output accepted by the transports since the stream was opened */
 	uint32_t read_limit_bytes; /**< reading pauses while the input buffer holds this much */
+	uint32_t discarded_bytes;  /**< input that came after the sending side was shut down */
 	bool connecting;
 	bool reading_paused;     /**< the owner has paused reading, see pw_stream_pause() */
 	bool shutdown_when_sent; /**< the sending side is shut down after the output is written */
--- a/core/src/stream.c
+++ b/core/src/stream.c
@@ -190,6 +190,8 @@
 	uint8_t chunk[READ_CHUNK_BYTES];
 	ssize_t n = recv(s->source.fd, chunk, sizeof(chunk), 0);
 
+	if (n > 0)
+		s->discarded_bytes += (uint32_t)n;
 	return n > 0 || (n < 0 && (errno == EAGAIN || errno == EINTR));
 }
 
--- a/daemon/root.c
+++ b/daemon/root.c
@@ -1,6 +1,7 @@
 #include "root.h"
 
 #include <glib.h>
+#include <inttypes.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/signalfd.h>
@@ -8,6 +9,7 @@
 
 #include "control/control.h"
 #include "control/peers.h"
+#include "pw/core/clock.h"
 #include "pw/core/error.h"
 #include "pw/core/event.h"
 #include "pw/core/task.h"
@@ -141,6 +143,7 @@
 	struct pw_timer step_timer;
 	const struct pw_directory *directory;
 	enum shutdown_step step;
+	uint64_t signalled_us;       /**< time of the first signal; 0: none yet */
 	uint32_t drained_task_count; /**< tasks that serve callers and have drained */
 };
 
@@ -160,11 +163,28 @@
 	return d->binding->caller ? d->gateway_count : d->front_count;
 }
 
-static void start_next_step(struct shutdown_task *s)
+/* Name of a step in the log; the one after the last step ends the process. */
+static const char *step_name(enum shutdown_step step)
+{
+	static const char *const names[] = {
+		[SHUTDOWN_NOT_STARTED] = "none",
+		[SHUTDOWN_GRACE] = "grace",
+		[SHUTDOWN_DRAIN_CALLERS] = "drain_callers",
+		[SHUTDOWN_RELEASE_QUOTA] = "release_quota",
+		[SHUTDOWN_LEAVE_FLEET] = "leave_fleet",
+	};
+
+	return step <= SHUTDOWN_LEAVE_FLEET ? names[step] : "end";
+}
+
+/* Starts the next step; `cause` tells what has ended the one before it, for the log. */
+static void start_next_step(struct shutdown_task *s, const char *cause)
 {
 	const struct pw_directory *d = s->directory;
 
 	s->step++;
+	pw_event_log(PW_EVENT_STOP_STEP, "step=%s cause=%s ms=%" PRIu64, step_name(s->step), cause,
+		     (pw_loop_now_us(s->task.loop) - s->signalled_us) / PW_US_PER_MS);
 	switch (s->step) {
 	case SHUTDOWN_GRACE:
 		pw_mailbox_send(d->admin, pw_drain_msg());
@@ -181,7 +201,7 @@
 		 * rates end when the VM leaves the fleet.
 		 */
 		if (d->binding->caller) {
-			start_next_step(s);
+			start_next_step(s, "no_quota");
 			return;
 		}
 		pw_mailbox_send(d->ledger, pw_drain_msg());
@@ -202,7 +222,8 @@
 {
 	(void)now_us;
 	start_next_step(
-		(struct shutdown_task *)((char *)t - offsetof(struct shutdown_task, step_timer)));
+		(struct shutdown_task *)((char *)t - offsetof(struct shutdown_task, step_timer)),
+		"timeout");
 }
 
 static const struct pw_timer_ops step_timer_ops = { .expire = step_timer_expired };
@@ -226,7 +247,9 @@
 		return;
 	}
 	pw_event_log(PW_EVENT_STOPPING, "signal=%u", info.ssi_signo);
-	start_next_step(s);
+	if (!s->signalled_us)
+		s->signalled_us = pw_loop_now_us(s->task.loop);
+	start_next_step(s, "signal");
 }
 
 static const struct pw_source_ops signal_source_ops = { .ready = signal_received };
@@ -258,7 +281,7 @@
 	if ((s->step == SHUTDOWN_DRAIN_CALLERS &&
 	     s->drained_task_count == caller_task_count(s->directory)) ||
 	    (s->step == SHUTDOWN_LEAVE_FLEET && m->ops == &pw_fleet_left_ops))
-		start_next_step(s);
+		start_next_step(s, "done");
 	pw_msg_free(m);
 }
 
--- a/daemon/traffic/gateway.c
+++ b/daemon/traffic/gateway.c
@@ -11,12 +11,6 @@
 
 /* Maximum number of accepts per event, so that a burst of connects does not delay statements. */
 #define ACCEPTS_PER_EVENT_MAX 32
-/*
- * Maximum number of sessions of a task. It leaves file descriptors for servers, the store and other
- * VMs.
- */
-#define SESSIONS_MAX 3500
-
 void gateway_free_later(struct gateway *g, void *memory)
 {
 	g_ptr_array_add(g->deferred_frees, memory);
@@ -89,8 +83,7 @@
 	pw_mailbox_send(g->directory->cluster, &r->base);
 }
 
-/* Calls the action for each open session. The action may close sessions. */
-static void for_each_session(struct gateway *g, void (*action)(struct session *s))
+void gateway_for_each_session(struct gateway *g, void (*action)(struct session *s))
 {
 	GList *sessions = g_hash_table_get_keys(g->sessions);
 
@@ -103,40 +96,14 @@
 	g_list_free(sessions);
 }
 
-/* Tells the shutdown task, once, that the gateway has drained and no session is left. */
-static void report_if_drained(struct gateway *g)
-{
-	struct pw_msg *m;
-
-	if (!pw_drain_has_started(&g->drain) || g->drain_reported || g_hash_table_size(g->sessions))
-		return;
-	g->drain_reported = true;
-	m = g_new0(struct pw_msg, 1);
-	m->ops = &pw_drained_ops;
-	pw_mailbox_send(g->directory->shutdown, m);
-}
-
-/* Closes the sessions whose callers have not closed them after the drain. */
-static void drain_timer_expired(struct pw_timer *t, uint64_t now_us)
-{
-	struct gateway *g = (struct gateway *)((char *)t - offsetof(struct gateway, drain_timer));
-
-	(void)now_us;
-	for_each_session(g, gw_session_close);
-	report_if_drained(g);
-}
-
-static const struct pw_timer_ops drain_timer_ops = { .expire = drain_timer_expired };
-
-/* Accepts up to `max` of the connections that wait. */
-static void accept_sessions(struct gateway *g, int32_t max)
+void gateway_accept_sessions(struct gateway *g, int32_t max)
 {
 	for (int32_t i = 0; i < max; i++) {
 		int32_t fd = accept4(g->listener.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
 		if (fd < 0)
 			return;
-		if (g_hash_table_size(g->sessions) < SESSIONS_MAX) {
+		if (g_hash_table_size(g->sessions) < GATEWAY_SESSIONS_MAX) {
 			gw_session_accept(g, fd);
 		} else {
 			pw_counter_inc(PW_COUNTER_REFUSED_LIMIT);
@@ -145,27 +112,6 @@
 	}
 }
 
-static void start_drain(struct gateway *g)
-{
-	uint64_t now_us = gateway_now_us(g);
-
-	if (pw_drain_has_started(&g->drain))
-		return;
-	/* The kernel resets connections that wait to be accepted when the socket is closed. */
-	accept_sessions(g, SESSIONS_MAX);
-	g->drain = (struct pw_drain_window){
-		.started_us = now_us,
-		.ends_us = now_us + g->directory->settings->drain_timeout_us,
-	};
-	pw_loop_unwatch(g->task.loop, &g->listener);
-	close(g->listener.fd);
-	g->listener.fd = -1;
-	pw_loop_timer_set(g->task.loop, &g->drain_timer,
-			  g->drain.ends_us + SESSION_DRAIN_CLOSE_TIMEOUT_US);
-	for_each_session(g, gw_session_drain);
-	report_if_drained(g);
-}
-
 static void free_deferred(struct gateway *g)
 {
 	g_ptr_array_set_size(g->deferred_frees, 0);
@@ -187,10 +133,7 @@
 		gw_group_tick(item);
 	if (now_us >= g->next_report_us)
 		gateway_send_report(g);
-	if (pw_drain_has_started(&g->drain)) {
-		for_each_session(g, gw_session_drain);
-		report_if_drained(g);
-	}
+	gw_drain_continue(g);
 }
 
 static const struct pw_timer_ops tick_ops = { .expire = tick_timer_expired };
@@ -198,8 +141,9 @@
 static void listener_ready(struct pw_source *source, uint32_t events)
 {
 	(void)events;
-	accept_sessions((struct gateway *)((char *)source - offsetof(struct gateway, listener)),
-			ACCEPTS_PER_EVENT_MAX);
+	gateway_accept_sessions(
+		(struct gateway *)((char *)source - offsetof(struct gateway, listener)),
+		ACCEPTS_PER_EVENT_MAX);
 }
 
 static const struct pw_source_ops listener_ops = { .ready = listener_ready };
@@ -213,7 +157,7 @@
 
 		gw_group_get(g, group->name)->connection_limit = group->connection_limit;
 	}
-	for_each_session(g, gw_session_check_key);
+	gateway_for_each_session(g, gw_session_check_key);
 }
 
 static void apply_primaries(struct gateway *g, const struct pw_primaries_msg *m)
@@ -261,7 +205,7 @@
 	} else if (m->ops == &pw_shares_msg_ops) {
 		gw_account_apply_shares(g, ((struct pw_shares_msg *)m)->shares);
 	} else if (m->ops == &pw_drain_ops) {
-		start_drain(g);
+		gw_drain_start(g);
 	}
 	pw_msg_free(m);
 }
@@ -280,7 +224,6 @@
 	g->listener.ops = &listener_ops;
 	g->listener.fd = -1;
 	g->tick_timer.ops = &tick_ops;
-	g->drain_timer.ops = &drain_timer_ops;
 	rc = pw_stream_listen(&g->listener.fd, g->directory->settings->caller_address);
 	if (!rc)
 		rc = pw_loop_watch(t->loop, &g->listener, EPOLLIN);
@@ -331,9 +274,9 @@
 {
 	struct gateway *g = (struct gateway *)t;
 
-	/* Keeps the end of the sessions from being reported as the end of a drain. */
-	g->drain_reported = true;
-	for_each_session(g, gw_session_close);
+	gateway_for_each_session(g, gw_session_close);
+	if (!g->drain_reported)
+		gw_drain_log_end(g);
 	close_conns(g);
 	pw_loop_timer_clear(t->loop, &g->tick_timer);
 	pw_loop_timer_clear(t->loop, &g->drain_timer);
--- /dev/null
+++ b/daemon/traffic/gateway_drain.c
@@ -0,0 +1,149 @@
+#include "gateway_private.h"
+
+#include <inttypes.h>
+#include <unistd.h>
+
+#include "front.h"
+#include "pw/core/event.h"
+
+static uint64_t drain_age_ms(const struct gateway *g)
+{
+	return (gateway_now_us(g) - g->drain.started_us) / PW_US_PER_MS;
+}
+
+/* Tells the shutdown task, once, that the gateway has drained and no session is left. */
+static void report_if_drained(struct gateway *g)
+{
+	struct pw_msg *m;
+
+	if (!pw_drain_has_started(&g->drain) || g->drain_reported || g_hash_table_size(g->sessions))
+		return;
+	g->drain_reported = true;
+	gw_drain_log_end(g);
+	m = g_new0(struct pw_msg, 1);
+	m->ops = &pw_drained_ops;
+	pw_mailbox_send(g->directory->shutdown, m);
+}
+
+/* Closes the sessions whose callers have not closed them after the drain. */
+static void drain_timer_expired(struct pw_timer *t, uint64_t now_us)
+{
+	struct gateway *g = (struct gateway *)((char *)t - offsetof(struct gateway, drain_timer));
+
+	(void)now_us;
+	gateway_for_each_session(g, gw_session_close);
+	report_if_drained(g);
+}
+
+static const struct pw_timer_ops drain_timer_ops = { .expire = drain_timer_expired };
+
+static void log_start(const struct gateway *g, uint32_t accepted_count)
+{
+	uint32_t statement_count = 0, transaction_count = 0;
+	GHashTableIter it;
+	gpointer item;
+
+	g_hash_table_iter_init(&it, g->sessions);
+	while (g_hash_table_iter_next(&it, &item, NULL)) {
+		const struct session *s = item;
+
+		statement_count += s->work != NULL;
+		transaction_count += s->transaction != TRANSACTION_NONE;
+	}
+	pw_event_log(PW_EVENT_DRAIN_STARTED,
+		     "task=gateway index=%u sessions=%u statements=%u transactions=%u accepted=%u "
+		     "ends_in_ms=%" PRIu64,
+		     g->index, g_hash_table_size(g->sessions), statement_count, transaction_count,
+		     accepted_count, (g->drain.ends_us - g->drain.started_us) / PW_US_PER_MS);
+}
+
+void gw_drain_start(struct gateway *g)
+{
+	uint64_t now_us = gateway_now_us(g);
+	uint32_t session_count = g_hash_table_size(g->sessions);
+
+	if (pw_drain_has_started(&g->drain))
+		return;
+	/* The kernel resets connections that wait to be accepted when the socket is closed. */
+	gateway_accept_sessions(g, GATEWAY_SESSIONS_MAX);
+	g->drain = (struct pw_drain_window){
+		.started_us = now_us,
+		.ends_us = now_us + g->directory->settings->drain_timeout_us,
+	};
+	pw_loop_unwatch(g->task.loop, &g->listener);
+	close(g->listener.fd);
+	g->listener.fd = -1;
+	g->drain_timer.ops = &drain_timer_ops;
+	pw_loop_timer_set(g->task.loop, &g->drain_timer,
+			  g->drain.ends_us + SESSION_DRAIN_CLOSE_TIMEOUT_US);
+	log_start(g, g_hash_table_size(g->sessions) - session_count);
+	gw_drain_continue(g);
+}
+
+void gw_drain_continue(struct gateway *g)
+{
+	if (!pw_drain_has_started(&g->drain))
+		return;
+	gateway_for_each_session(g, gw_session_drain);
+	report_if_drained(g);
+}
+
+void gw_drain_log_end(const struct gateway *g)
+{
+	const struct drain_counts *n = &g->drain_counts;
+
+	if (!pw_drain_has_started(&g->drain))
+		return;
+	pw_event_log(PW_EVENT_DRAIN_ENDED,
+		     "task=gateway index=%u ms=%" PRIu64
+		     " answered=%u refused=%u stopped=%u closed=%u left=%u cut=%u unanswered=%u "
+		     "crossed=%u",
+		     g->index, drain_age_ms(g), n->answered, n->refused, n->stopped, n->closed,
+		     n->left, n->cut, n->unanswered, n->crossed);
+}
+
+void gw_drain_log_answer(const struct session *s, const struct work *w)
+{
+	struct gateway *g = s->gateway;
+
+	if (!pw_drain_has_started(&g->drain))
+		return;
+	g->drain_counts.answered++;
+	if (!pw_event_is_logged(PW_EVENT_REQUEST_DRAINED))
+		return;
+	pw_event_log(PW_EVENT_REQUEST_DRAINED,
+		     "id=%s account=%s database=%s reason=%s waited_ms=%" PRIu64
+		     " drain_ms=%" PRIu64 " input=%d",
+		     w->statement->id, w->account->name, w->group->name, pw_reason_name(w->reason),
+		     (gateway_now_us(g) - w->arrived_us) / PW_US_PER_MS, drain_age_ms(g),
+		     s->has_pipelined_input);
+}
+
+void gw_drain_record_close(const struct session *s, bool by_caller, bool has_input)
+{
+	struct gateway *g = s->gateway;
+	struct drain_counts *n = &g->drain_counts;
+	const struct work *w = s->work;
+	bool draining = pw_drain_has_started(&g->drain);
+
+	if (s->stream.discarded_bytes)
+		n->crossed++;
+	if (by_caller && s->state != SESSION_CLOSING)
+		n->left++;
+	else if (s->state == SESSION_CLOSING)
+		n->closed++;
+	else
+		n->cut++;
+	if (by_caller || (!w && !has_input))
+		return;
+	n->unanswered++;
+	pw_counter_inc(PW_COUNTER_UNANSWERED);
+	pw_event_log(PW_EVENT_REQUEST_UNANSWERED,
+		     "id=%s account=%s database=%s state=%s server=%s waited_ms=%" PRIu64
+		     " input=%d drain_ms=%" PRIu64,
+		     w ? w->statement->id : "", s->account ? s->account->name : "",
+		     s->database ? s->database : "", w ? gw_work_state_name(w) : "unread",
+		     w && w->conn ? w->conn->server->id : "",
+		     w ? (gateway_now_us(g) - w->arrived_us) / PW_US_PER_MS : 0, has_input,
+		     draining ? drain_age_ms(g) : 0);
+}
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -3,6 +3,7 @@
  * are reported back up:
  *
  *   gateway.c           the task: messages, listener, timers
+ *   gateway_drain.c     planned stops: the drain of the sessions, its log and counts
  *   gateway_session.c   caller sessions: statements, transaction, session variables, prepared
  *                       statements
  *   gateway_account.c   rates of client accounts
@@ -32,6 +33,11 @@
 #include "pw/decide/place.h"
 #include "pw/decide/share.h"
 
+/*
+ * Maximum number of sessions of a task. It leaves file descriptors for servers, the store and other
+ * VMs.
+ */
+#define GATEWAY_SESSIONS_MAX 3500
 /* Interval of the checks of queues, silent servers, idle connections and draining sessions. */
 #define GATEWAY_TICK_INTERVAL_US (50 * PW_US_PER_MS)
 /* Longest interval between reports to the cluster task, see gateway_send_report(). */
@@ -132,6 +138,18 @@
 struct server;
 struct account;
 
+/* What became of statements and sessions since the drain began. */
+struct drain_counts {
+	uint32_t answered;   /**< statements that were passed on or waited, and were answered */
+	uint32_t refused;    /**< statements refused, since the drain leaves no time for them */
+	uint32_t stopped;    /**< statements in progress when the drain was over */
+	uint32_t closed;     /**< sessions closed by the proxy with nothing in progress */
+	uint32_t left;       /**< sessions closed by their callers */
+	uint32_t cut;        /**< sessions closed by the proxy as they were */
+	uint32_t unanswered; /**< of these, sessions with a statement or with unread input */
+	uint32_t crossed;    /**< of those closed, sessions with input after the close */
+};
+
 struct gateway {
 	struct pw_task task;
 	const struct pw_directory *directory;
@@ -156,6 +174,7 @@
 	struct pw_timer drain_timer;
 	uint64_t next_report_us;
 	struct pw_drain_window drain;
+	struct drain_counts drain_counts;
 	bool drain_reported; /**< the shutdown task was told that no session is left */
 };
 
@@ -371,6 +390,28 @@
 void gateway_free_later(struct gateway *g, void *memory);
 /** Frees a server with the next tick. */
 void gateway_free_server_later(struct gateway *g, struct server *s);
+/** Calls the action for each open session. The action may close sessions. */
+void gateway_for_each_session(struct gateway *g, void (*action)(struct session *s));
+/** Accepts up to `max` of the connections that wait. */
+void gateway_accept_sessions(struct gateway *g, int32_t max);
+
+/* gateway_drain.c */
+/** Begins the drain: no connection is accepted any more. */
+void gw_drain_start(struct gateway *g);
+/** Closes the sessions that may be closed, and reports when none is left; called by the tick. */
+void gw_drain_continue(struct gateway *g);
+/** Logs the counts of the drain if one has begun. */
+void gw_drain_log_end(const struct gateway *g);
+/** Counts and logs the answer to a statement while the gateway drains. */
+void gw_drain_log_answer(const struct session *s, const struct work *w);
+/**
+ * Counts the end of a session, and logs a statement that gets no answer. Called before the session
+ * gives up its statement.
+ *
+ * @param by_caller the caller has ended the session
+ * @param has_input bytes of a request have arrived and were not handled
+ */
+void gw_drain_record_close(const struct session *s, bool by_caller, bool has_input);
 
 /* gateway_session.c */
 /** Creates the session of an accepted connection; takes over its socket. */
@@ -419,6 +460,8 @@
  * which rolls back an open transaction.
  */
 void gw_work_stop(struct work *w);
+/** @return name of what the statement waits for, for the log */
+const char *gw_work_state_name(const struct work *w);
 /** Handles the disconnect of the caller; frees the statement unless it is running. */
 void gw_work_abandon(struct work *w);
 /** Starts those waiting statements of a group that a server can take now. */
--- a/daemon/traffic/gateway_session.c
+++ b/daemon/traffic/gateway_session.c
@@ -54,13 +54,15 @@
 		gw_conn_roll_back(c);
 }
 
-void gw_session_close(struct session *s)
+/* Closes the session at once; `by_caller`: the caller has ended it. */
+static void end_session(struct session *s, bool by_caller)
 {
 	struct gateway *g = s->gateway;
 
 	if (s->closed)
 		return;
 	s->closed = true;
+	gw_drain_record_close(s, by_caller, s->state == SESSION_READY && has_input(s));
 	clear_timer(s);
 	pw_stream_dispose(&s->stream);
 	if (s->work)
@@ -74,6 +76,11 @@
 	gateway_free_later(g, s);
 }
 
+void gw_session_close(struct session *s)
+{
+	end_session(s, false);
+}
+
 /* Closes the session after its output is written. */
 static void close_after_output(struct session *s)
 {
@@ -334,6 +341,7 @@
 	}
 	if (!pw_drain_allows_transaction(&s->gateway->drain)) {
 		pw_counter_inc(PW_COUNTER_REFUSED_DRAINING);
+		s->gateway->drain_counts.refused++;
 		send_error(s, PW_REASON_BUSY, stopping_text);
 		return;
 	}
@@ -381,6 +389,7 @@
 	if (pw_drain_allows_statement(&g->drain, gateway_now_us(g), s->operation.timeout_us))
 		return true;
 	pw_counter_inc(PW_COUNTER_REFUSED_DRAINING);
+	g->drain_counts.refused++;
 	if (s->transaction == TRANSACTION_NONE) {
 		gw_account_refund(s->account);
 		send_error(s, PW_REASON_BUSY, stopping_text);
@@ -470,7 +479,7 @@
 	struct pw_caller_statement *statement = message->statement;
 
 	if (message->kind == PW_CALLER_MESSAGE_TERMINATE) {
-		gw_session_close(s);
+		end_session(s, true);
 	} else if (s->state == SESSION_OPENING && message->kind == PW_CALLER_MESSAGE_STARTUP) {
 		open_session(s, message);
 	} else if (s->state == SESSION_OPENING || message->kind == PW_CALLER_MESSAGE_STARTUP) {
@@ -537,7 +546,7 @@
 
 static void session_stream_closed(struct pw_stream *stream)
 {
-	gw_session_close(session_of(stream));
+	end_session(session_of(stream), true);
 }
 
 static const struct pw_stream_ops stream_ops = {
@@ -602,8 +611,10 @@
 	uint64_t now_us = gateway_now_us(g);
 	struct pw_drain_session view;
 
-	if (pw_drain_is_over(&g->drain, now_us) && s->work)
+	if (pw_drain_is_over(&g->drain, now_us) && s->work) {
+		g->drain_counts.stopped++;
 		gw_work_stop(s->work);
+	}
 	if (s->closed || s->state == SESSION_CLOSING)
 		return;
 	view = (struct pw_drain_session){
@@ -637,6 +648,7 @@
 	dialect(s)->put_ready(b, reported_state(s), position);
 	restart_idle_timer(s);
 	send_bytes(s, b);
+	gw_drain_log_answer(s, w);
 	if (!s->processing_input)
 		session_received(&s->stream);
 }
--- a/daemon/traffic/gateway_work.c
+++ b/daemon/traffic/gateway_work.c
@@ -341,6 +341,13 @@
 		gw_conn_fail(w->conn, "the proxy is stopping");
 }
 
+const char *gw_work_state_name(const struct work *w)
+{
+	if (w->state == WORK_WAITING)
+		return "waiting";
+	return w->sent ? "sent" : "opening";
+}
+
 void gw_work_abandon(struct work *w)
 {
 	w->session = NULL;
--- a/tests/platform/test_stops_fleet.c
+++ b/tests/platform/test_stops_fleet.c
@@ -5,6 +5,7 @@
 #include "suite.h"
 
 #include <pthread.h>
+#include <stdio.h>
 
 #include "platform_fleet.h"
 
@@ -153,6 +154,21 @@
 	  250, 1200 },
 };
 
+/* Prints what the stopping VM has logged of its stop. */
+static void show_stop_log(void)
+{
+	char *log = pw_harness_read_output(vms[0].process);
+	char **lines = g_strsplit(log ? log : "", "\n", -1);
+
+	for (char **line = lines; *line; line++) {
+		if (strstr(*line, "name=stop_step") || strstr(*line, "name=drain_") ||
+		    strstr(*line, "name=request_unanswered"))
+			fprintf(stderr, "%s\n", *line);
+	}
+	g_strfreev(lines);
+	g_free(log);
+}
+
 /*
  * Guards against a request without an answer around a planned stop: a server works on it when its
  * connection is closed, or the VM has read it. A request that crosses the close on its way is
@@ -192,12 +208,16 @@
 		g_free(c->unanswered_id);
 		g_rand_free(c->rand);
 	}
+	if (failures->len)
+		show_stop_log();
 	ck_assert_msg(!failures->len, "%s: no answer%s", stop->label, failures->str);
 	ck_assert_uint_gt(answered_count, stop->caller_count);
 	ck_assert_msg(pw_harness_wait_end(vms[0].process,
 					  (uint32_t)MAX(KILL_AFTER_MS - since_signal_ms(), 1)),
 		      "%s: the process has not ended", stop->label);
 	ck_assert_int_eq(vms[0].process->status, 0);
+	ck_assert_uint_eq(count_log_lines(&vms[0], " unanswered=0 "), 1);
+	ck_assert_uint_eq(count_log_lines(&vms[0], "name=request_unanswered"), 0);
 	g_string_free(failures, TRUE);
 	g_free(work);
 	stop_fleet();
