Planned stops: refuse the second operation of a session before closing it

What callers saw: a caller that sends its next request right after an answer lost it to the close of the session, and did not learn whether a write had taken effect.

Cause: a session was closed with its first answer in the drain, and a request takes less time than the news of the close. Class: a close that the caller can only learn of after it has sent.

Change: each session is served once in the drain. Its next operation gets BUSY, which promises that it has not run, and then the session is closed; without a further operation it is closed after 0.1 s. The rule is in decide/drain.

Result: test_busy_caller_is_refused_before_the_close failed before (CLOSED, 2 of 2 cases, for a read and a write), and passes. test_stop of test_platform_fleet expected the old rule, a close without an answer; it now expects BUSY and then the close.

--- a/daemon/traffic/gateway_drain.c
+++ b/daemon/traffic/gateway_drain.c
@@ -140,10 +140,9 @@
 		return;
 	pw_event_log(PW_EVENT_REQUEST_DRAINED,
 		     "id=%s account=%s database=%s reason=%s waited_ms=%" PRIu64
-		     " drain_ms=%" PRIu64 " input=%d",
+		     " drain_ms=%" PRIu64,
 		     w->statement->id, w->account->name, w->group->name, pw_reason_name(w->reason),
-		     (gateway_now_us(g) - w->arrived_us) / PW_US_PER_MS, drain_age_ms(g),
-		     s->has_pipelined_input);
+		     (gateway_now_us(g) - w->arrived_us) / PW_US_PER_MS, drain_age_ms(g));
 }
 
 void gw_drain_record_close(const struct session *s, bool by_caller, bool has_input)
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -236,10 +236,10 @@
 	uint64_t last_commit_us;         /**< when the answer to that commit came */
 	uint64_t last_activity_us;       /**< last message from the caller or last answer */
 	bool has_last_commit;
-	bool has_pipelined_input; /**< the gateway drains, and before the last answer was sent,
-				     another request had arrived */
-	bool processing_input;    /**< session_received() is on the stack */
-	bool closed;              /**< freed by the next tick */
+	bool processing_input; /**< session_received() is on the stack */
+	bool drain_served;     /**< an operation has ended since the drain began */
+	bool drain_refused;    /**< an operation was refused since the drain began */
+	bool closed;           /**< freed by the next tick */
 };
 
 struct account {
--- a/daemon/traffic/gateway_session.c
+++ b/daemon/traffic/gateway_session.c
@@ -38,8 +38,6 @@
 
 static void send_bytes(struct session *s, GByteArray *b)
 {
-	/* Only costs a system call while the gateway drains. */
-	s->has_pipelined_input = pw_drain_has_started(&s->gateway->drain) && has_input(s);
 	pw_stream_send(&s->stream, b->data, b->len);
 	g_byte_array_unref(b);
 }
@@ -185,6 +183,22 @@
 /* Error text of statements that a draining VM does not start. */
 static const char stopping_text[] = "the proxy is stopping";
 
+/* Refuses an operation outside a transaction, since the gateway drains. */
+static void refuse_draining(struct session *s)
+{
+	pw_counter_inc(PW_COUNTER_REFUSED_DRAINING);
+	s->gateway->drain_counts.refused++;
+	s->drain_refused = true;
+	send_error(s, PW_REASON_BUSY, stopping_text);
+}
+
+/* Records the end of an operation while the gateway drains. */
+static void record_drain_served(struct session *s)
+{
+	if (pw_drain_has_started(&s->gateway->drain) && s->transaction == TRANSACTION_NONE)
+		s->drain_served = true;
+}
+
 static void open_session(struct session *s, struct pw_caller_message *message)
 {
 	const struct pw_catalog *catalog = s->gateway->catalog;
@@ -340,9 +354,7 @@
 		return;
 	}
 	if (!pw_drain_allows_transaction(&s->gateway->drain)) {
-		pw_counter_inc(PW_COUNTER_REFUSED_DRAINING);
-		s->gateway->drain_counts.refused++;
-		send_error(s, PW_REASON_BUSY, stopping_text);
+		refuse_draining(s);
 		return;
 	}
 	if (!admit_operation(s))
@@ -360,6 +372,7 @@
 	}
 	release_conn(s);
 	s->transaction = TRANSACTION_NONE;
+	record_drain_served(s);
 	send_complete(s);
 }
 
@@ -385,16 +398,20 @@
 static bool check_drain(struct session *s, enum pw_verb verb)
 {
 	struct gateway *g = s->gateway;
+	uint64_t now_us = gateway_now_us(g);
 
-	if (pw_drain_allows_statement(&g->drain, gateway_now_us(g), s->operation.timeout_us))
-		return true;
-	pw_counter_inc(PW_COUNTER_REFUSED_DRAINING);
-	g->drain_counts.refused++;
 	if (s->transaction == TRANSACTION_NONE) {
+		if (pw_drain_allows_operation(&g->drain, s->drain_served, now_us,
+					      s->operation.timeout_us))
+			return true;
 		gw_account_refund(s->account);
-		send_error(s, PW_REASON_BUSY, stopping_text);
+		refuse_draining(s);
 		return false;
 	}
+	if (pw_drain_allows_statement(&g->drain, now_us, s->operation.timeout_us))
+		return true;
+	pw_counter_inc(PW_COUNTER_REFUSED_DRAINING);
+	g->drain_counts.refused++;
 	release_conn(s);
 	s->transaction = TRANSACTION_ABORTED_UNREPORTED;
 	send_rolled_back(s, verb);
@@ -496,14 +513,22 @@
 	}
 }
 
-/*
- * Closes the session if the gateway drains and the session has nothing in progress. Called after an
- * answer, so a request that arrives from now on was sent after it, and has hardly left the caller.
- */
+/* Closes the session if the gateway drains and decide/drain allows it. */
 static void close_if_drained(struct session *s)
 {
-	if (pw_drain_has_started(&s->gateway->drain) && s->state == SESSION_READY && !s->work &&
-	    s->transaction == TRANSACTION_NONE && !s->stream.input && !s->has_pipelined_input)
+	struct gateway *g = s->gateway;
+	uint64_t now_us = gateway_now_us(g);
+	const struct pw_drain_session view = {
+		.has_statement = s->work != NULL,
+		.has_input = pw_drain_has_started(&g->drain) && has_input(s),
+		.has_transaction = s->transaction != TRANSACTION_NONE,
+		.was_served = s->drain_served,
+		.was_refused = s->drain_refused,
+		.idle_us = now_us - s->last_activity_us,
+	};
+
+	if (!s->closed && s->state != SESSION_CLOSING &&
+	    pw_drain_may_close(&g->drain, &view, now_us))
 		close_after_output(s);
 }
 
@@ -540,8 +565,7 @@
 		pw_caller_message_dispose(&message);
 	}
 	s->processing_input = false;
-	if (!s->closed)
-		close_if_drained(s);
+	close_if_drained(s);
 }
 
 static void session_stream_closed(struct pw_stream *stream)
@@ -608,23 +632,12 @@
 void gw_session_drain(struct session *s)
 {
 	struct gateway *g = s->gateway;
-	uint64_t now_us = gateway_now_us(g);
-	struct pw_drain_session view;
 
-	if (pw_drain_is_over(&g->drain, now_us) && s->work) {
+	if (pw_drain_is_over(&g->drain, gateway_now_us(g)) && s->work) {
 		g->drain_counts.stopped++;
 		gw_work_stop(s->work);
 	}
-	if (s->closed || s->state == SESSION_CLOSING)
-		return;
-	view = (struct pw_drain_session){
-		.has_statement = s->work != NULL,
-		.has_input = has_input(s),
-		.has_transaction = s->transaction != TRANSACTION_NONE,
-		.idle_us = now_us - s->last_activity_us,
-	};
-	if (pw_drain_may_close(&g->drain, &view, now_us))
-		close_after_output(s);
+	close_if_drained(s);
 }
 
 void gw_session_send_partial_answer(struct session *s, GByteArray *bytes)
@@ -647,6 +660,7 @@
 	}
 	dialect(s)->put_ready(b, reported_state(s), position);
 	restart_idle_timer(s);
+	record_drain_served(s);
 	send_bytes(s, b);
 	gw_drain_log_answer(s, w);
 	if (!s->processing_input)
--- a/decide/include/pw/decide/drain.h
+++ b/decide/include/pw/decide/drain.h
@@ -36,19 +36,37 @@
 bool pw_drain_allows_statement(const struct pw_drain_window *d, uint64_t now_us,
 			       uint64_t timeout_us);
 
+/**
+ * Decides whether an operation (a statement outside a transaction) may run. Each session is served
+ * once during the drain. The next operation is refused, so that a caller that does not pause learns
+ * from an answer that it has to go elsewhere: a close could cross its request on the network.
+ *
+ * @param was_served an operation of the session has ended since the drain began
+ * @param timeout_us timeout of the statement
+ */
+bool pw_drain_allows_operation(const struct pw_drain_window *d, bool was_served, uint64_t now_us,
+			       uint64_t timeout_us);
+
 /** What is known of a session that may be closed. */
 struct pw_drain_session {
 	bool has_statement;   /**< a statement is outstanding */
 	bool has_input;       /**< bytes of a request have arrived, here or in the socket */
 	bool has_transaction; /**< a transaction is open */
+	bool was_served;      /**< an operation has ended since the drain began */
+	bool was_refused;     /**< an operation was refused since the drain began */
 	uint64_t idle_us;     /**< time since its last message or answer */
 };
 
 /**
- * Time after which a session counts as idle in a drain. Sessions that are in use are closed after
- * an answer, since a close at another time could cross a request on the network.
+ * Time after which a session counts as idle in a drain. A close at another time could cross a
+ * request on the network.
  */
 #define PW_DRAIN_IDLE_US UINT64_C(300000)
+/**
+ * The same for a session that was served since the drain began. It covers the way to a caller in
+ * another region and back, after which the request of a caller that does not pause has arrived.
+ */
+#define PW_DRAIN_SERVED_IDLE_US UINT64_C(100000)
 
 /**
  * @return whether the session may be closed now; a session with a request that has arrived never is
--- a/decide/src/drain.c
+++ b/decide/src/drain.c
@@ -24,6 +24,12 @@
 	return !d->started_us || now_us + reserved_us < d->ends_us;
 }
 
+bool pw_drain_allows_operation(const struct pw_drain_window *d, bool was_served, uint64_t now_us,
+			       uint64_t timeout_us)
+{
+	return !d->started_us || (!was_served && pw_drain_allows_statement(d, now_us, timeout_us));
+}
+
 bool pw_drain_may_close(const struct pw_drain_window *d, const struct pw_drain_session *s,
 			uint64_t now_us)
 {
@@ -31,5 +37,8 @@
 		return false;
 	if (now_us >= d->ends_us)
 		return true;
-	return !s->has_transaction && s->idle_us >= PW_DRAIN_IDLE_US;
+	if (s->has_transaction)
+		return false;
+	return s->was_refused ||
+	       s->idle_us >= (s->was_served ? PW_DRAIN_SERVED_IDLE_US : PW_DRAIN_IDLE_US);
 }
--- a/tests/decide/test_drain_rules.c
+++ b/tests/decide/test_drain_rules.c
@@ -34,6 +34,29 @@
 }
 END_TEST
 
+/* Guards against a caller without a pause that is served until its session is closed. */
+static const struct {
+	const char *label;
+	const struct pw_drain_window *drain;
+	bool was_served;
+	uint64_t now_us;
+	bool allowed;
+} operation_cases[] = {
+	{ "no drain", &no_drain, true, 9000 * MS, true },
+	{ "first one", &drain, false, 2000 * MS, true },
+	{ "second one", &drain, true, 2000 * MS, false },
+	{ "first one, no time for it", &drain, false, 3000 * MS, false },
+};
+
+START_TEST(test_operations)
+{
+	ck_assert_msg(pw_drain_allows_operation(
+			      operation_cases[_i].drain, operation_cases[_i].was_served,
+			      operation_cases[_i].now_us, 1000 * MS) == operation_cases[_i].allowed,
+		      "%s", operation_cases[_i].label);
+}
+END_TEST
+
 /* Guards against the close of a session whose request has been read and is not answered. */
 static const struct {
 	const char *label;
@@ -45,6 +68,18 @@
 	{ "no drain", &no_drain, { .idle_us = 9000 * MS }, 2000 * MS, false },
 	{ "idle", &drain, { .idle_us = 300 * MS }, 2000 * MS, true },
 	{ "in use", &drain, { .idle_us = 299 * MS }, 2000 * MS, false },
+	{ "served, idle", &drain, { .was_served = true, .idle_us = 100 * MS }, 2000 * MS, true },
+	{ "served, its next request may be on the way",
+	  &drain,
+	  { .was_served = true, .idle_us = 99 * MS },
+	  2000 * MS,
+	  false },
+	{ "refused", &drain, { .was_refused = true }, 2000 * MS, true },
+	{ "refused, but a request is in the socket",
+	  &drain,
+	  { .was_refused = true, .has_input = true },
+	  2000 * MS,
+	  false },
 	{ "in a transaction",
 	  &drain,
 	  { .has_transaction = true, .idle_us = 300 * MS },
@@ -93,6 +128,7 @@
 	TCase *tc = tcase_create("drain rules");
 
 	tcase_add_loop_test(tc, test_statements, 0, PW_ARRAY_LEN(statement_cases));
+	tcase_add_loop_test(tc, test_operations, 0, PW_ARRAY_LEN(operation_cases));
 	tcase_add_loop_test(tc, test_close, 0, PW_ARRAY_LEN(close_cases));
 	tcase_add_test(tc, test_phases);
 	return pw_suite_run("drain rules", tc);
--- a/tests/platform/test_platform_fleet.c
+++ b/tests/platform/test_platform_fleet.c
@@ -685,6 +685,7 @@
 	ck_assert(PW_HARNESS_WAIT_UNTIL(!is_ready(&vms[0]), 500));
 	g_usleep(500000);
 	expect_answer(c, "COMMIT", "ok I");
+	expect_answer(c, "READ a", "BUSY I");
 	expect_answer(c, "READ a", "CLOSED");
 	expect_answer(idle_session, "READ a", "CLOSED");
 	ck_assert(pw_harness_wait_end(vms[0].process, 4000));
--- a/tests/platform/test_stops_fleet.c
+++ b/tests/platform/test_stops_fleet.c
@@ -272,6 +272,51 @@
 }
 END_TEST
 
+/* Runs statements without a pause. Returns the last answer after which the caller leaves. */
+static char *run_until_refused(struct client *c, const char *statement)
+{
+	for (;;) {
+		char *answer = run_statement(c, statement);
+
+		if (strcmp(answer, "ok I") != 0 && strcmp(answer, "v ok I") != 0)
+			return answer;
+		g_free(answer);
+	}
+}
+
+static const struct {
+	const char *database, *statement;
+} busy_caller_cases[] = {
+	{ "views", "READ a" },
+	{ "desk", "WRITE a v" },
+};
+
+/*
+ * Guards against a session that is closed between an answer and the next request of a caller that
+ * does not pause: such a request is lost, and the outcome of a write is unknown to the caller.
+ */
+START_TEST(test_busy_caller_is_refused_before_the_close)
+{
+	struct client *c;
+	char *answer;
+
+	drain_grace = "300ms";
+	drain_timeout = "2s";
+	start_fleet();
+	inject_fault("work", "5");
+	c = open_session(0, "desk");
+	expect_answer(c, "WRITE a v", "ok I");
+	client_free(c);
+	c = open_session(0, busy_caller_cases[_i].database);
+	pw_harness_signal(vms[0].process, SIGTERM);
+	answer = run_until_refused(c, busy_caller_cases[_i].statement);
+	ck_assert_str_eq(answer, "BUSY I");
+	g_free(answer);
+	client_free(c);
+	stop_fleet();
+}
+END_TEST
+
 /*
  * Guards against a session that is closed as idle although a request is in its socket: the VM was
  * held up, and the drain begins before the request is read.
@@ -306,6 +351,8 @@
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	tcase_add_loop_test(tc, test_stop_answers_every_request, 0, PW_ARRAY_LEN(stop_cases));
+	tcase_add_loop_test(tc, test_busy_caller_is_refused_before_the_close, 0,
+			    PW_ARRAY_LEN(busy_caller_cases));
 	tcase_add_test(tc, test_request_in_socket_is_answered);
 	return pw_suite_run("stops fleet", tc);
 }
