--- a/daemon/traffic/gateway_drain.c
+++ b/daemon/traffic/gateway_drain.c
@@ -145,24 +145,32 @@
 		     (gateway_now_us(g) - w->arrived_us) / PW_US_PER_MS, drain_age_ms(g));
 }
 
-void gw_drain_record_close(const struct session *s, bool by_caller, bool has_input)
+/* Counts the end of a session while the gateway drains. */
+static void count_close(const struct session *s, bool by_caller, bool unanswered)
 {
-	struct gateway *g = s->gateway;
-	struct drain_counts *n = &g->drain_counts;
-	const struct work *w = s->work;
-	bool draining = pw_drain_has_started(&g->drain);
+	struct drain_counts *n = &s->gateway->drain_counts;
 
-	if (s->stream.discarded_bytes)
-		n->crossed++;
-	if (by_caller && s->state != SESSION_CLOSING)
-		n->left++;
-	else if (s->state == SESSION_CLOSING)
+	n->unanswered += unanswered;
+	n->crossed += s->stream.discarded_bytes != 0;
+	if (s->state == SESSION_CLOSING)
 		n->closed++;
+	else if (by_caller)
+		n->left++;
 	else
 		n->cut++;
-	if (by_caller || (!w && !has_input))
+}
+
+void gw_drain_record_close(const struct session *s, bool by_caller, bool has_input)
+{
+	const struct gateway *g = s->gateway;
+	const struct work *w = s->work;
+	bool draining = pw_drain_has_started(&g->drain);
+	bool unanswered = !by_caller && (w || has_input);
+
+	if (draining)
+		count_close(s, by_caller, unanswered);
+	if (!unanswered)
 		return;
-	n->unanswered++;
 	pw_counter_inc(PW_COUNTER_UNANSWERED);
 	pw_event_log(PW_EVENT_REQUEST_UNANSWERED,
 		     "id=%s account=%s database=%s state=%s server=%s waited_ms=%" PRIu64
