Sessions: end the idle timeout of a transaction with its rollback

What callers saw: a session that was idle after ROLLBACK counted as being in a transaction that had been rolled back: its next statement got ABORTED, and a planned stop closed it only at the end of the drain.

Cause: the timer that the transaction's last statement had set ran on after ROLLBACK, and after a refusal for lack of time in the drain.

Change: the function that gives up the connection of a transaction ends its timer.

Result: test_idle_session_after_rollback_is_closed failed before (the session was still open 2.5 s after SIGTERM, with a drain that begins after 0.5 s), and passes.

--- a/daemon/traffic/gateway_session.c
+++ b/daemon/traffic/gateway_session.c
@@ -42,11 +42,15 @@
 	g_byte_array_unref(b);
 }
 
-/* Releases the connection of the open transaction, if there is one, and rolls it back. */
+/*
+ * Releases the connection of the open transaction, if there is one, and rolls it back. Ends the idle
+ * timeout of the transaction.
+ */
 static void release_conn(struct session *s)
 {
 	struct conn *c = s->conn;
 
+	clear_timer(s);
 	s->conn = NULL;
 	if (c)
 		gw_conn_roll_back(c);
--- a/tests/platform/test_stops_fleet.c
+++ b/tests/platform/test_stops_fleet.c
@@ -345,6 +345,37 @@
 }
 END_TEST
 
+/* Idle timeout of transactions, and a bound for the catalogue to be in force. */
+#define TRANSACTION_IDLE_MS 300
+#define CATALOG_APPLY_MS    1000
+
+/*
+ * Guards against a session that counts as being in a transaction after its rollback: it is not
+ * closed as idle, and delays the stop until the end of the drain.
+ */
+START_TEST(test_idle_session_after_rollback_is_closed)
+{
+	struct client *c;
+	char *answer;
+
+	drain_grace = "500ms";
+	drain_timeout = "4s";
+	start_fleet();
+	publish_catalog(BOTH_KEYS, TRANSACTION_IDLE_MS);
+	g_usleep(CATALOG_APPLY_MS * 1000);
+	c = open_session(0, "desk");
+	expect_answer(c, "BEGIN", "done T");
+	expect_answer(c, "WRITE a v", "ok T");
+	expect_answer(c, "ROLLBACK", "done I");
+	pw_harness_signal(vms[0].process, SIGTERM);
+	answer = read_answer(c, 2500);
+	ck_assert_str_eq(answer, "CLOSED");
+	g_free(answer);
+	client_free(c);
+	stop_fleet();
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("stops fleet");
@@ -354,5 +385,6 @@
 	tcase_add_loop_test(tc, test_busy_caller_is_refused_before_the_close, 0,
 			    PW_ARRAY_LEN(busy_caller_cases));
 	tcase_add_test(tc, test_request_in_socket_is_answered);
+	tcase_add_test(tc, test_idle_session_after_rollback_is_closed);
 	return pw_suite_run("stops fleet", tc);
 }
