Planned stops: let a VM that was held up read its requests before it closes

What callers saw: a VM was stopped (SIGSTOP) from before the end of its drain until after the time for closing sessions. It closed sessions whose requests were in the sockets, without an answer.

Cause: the timer that closes all sessions was set at the begin of the drain, so it expired in the same iteration of the event loop as the tick that ends the drain. Before it, the loop handles at most 64 sockets, or none if epoll_wait() was interrupted.

Change: the timer is set when the end of the drain is handled.

--- a/daemon/traffic/gateway_drain.c
+++ b/daemon/traffic/gateway_drain.c
@@ -73,9 +73,6 @@
 	pw_loop_unwatch(g->task.loop, &g->listener);
 	close(g->listener.fd);
 	g->listener.fd = -1;
-	g->drain_timer.ops = &drain_timer_ops;
-	pw_loop_timer_set(g->task.loop, &g->drain_timer,
-			  g->drain.ends_us + SESSION_DRAIN_CLOSE_TIMEOUT_US);
 	log_start(g, g_hash_table_size(g->sessions) - session_count);
 	gw_drain_continue(g);
 }
@@ -85,11 +82,8 @@
 	uint64_t now_us = gateway_now_us(g);
 
 	gw_drain_start(g);
-	if (!pw_drain_is_over(&g->drain, now_us)) {
+	if (!pw_drain_is_over(&g->drain, now_us))
 		g->drain.ends_us = now_us;
-		pw_loop_timer_set(g->task.loop, &g->drain_timer,
-				  now_us + SESSION_DRAIN_CLOSE_TIMEOUT_US);
-	}
 	gw_drain_continue(g);
 }
 
@@ -111,6 +105,15 @@
 {
 	if (!pw_drain_has_started(&g->drain))
 		return;
+	/*
+	 * The time to close counts from here: if the process was held up across the end of the
+	 * drain, requests that wait in the sockets are read and refused first.
+	 */
+	if (!g->drain_timer.ops && pw_drain_is_over(&g->drain, gateway_now_us(g))) {
+		g->drain_timer.ops = &drain_timer_ops;
+		pw_loop_timer_set(g->task.loop, &g->drain_timer,
+				  gateway_now_us(g) + SESSION_DRAIN_CLOSE_TIMEOUT_US);
+	}
 	gateway_for_each_session(g, gw_session_drain);
 	report_if_drained(g);
 }
