--- a/daemon/traffic/gateway_drain.c
+++ b/daemon/traffic/gateway_drain.c
@@ -73,9 +73,6 @@
 	pw_loop_unwatch(g->task.loop, &g->listener);
 	close(g->listener.fd);
 	g->listener.fd = -1;
-	g->drain_timer.ops = &drain_timer_ops;
-	pw_loop_timer_set(g->task.loop, &g->drain_timer,
-			  g->drain.ends_us + SESSION_DRAIN_CLOSE_TIMEOUT_US);
 	log_start(g, g_hash_table_size(g->sessions) - session_count);
 	gw_drain_continue(g);
 }
@@ -85,11 +82,8 @@
 	uint64_t now_us = gateway_now_us(g);
 
 	gw_drain_start(g);
-	if (!pw_drain_is_over(&g->drain, now_us)) {
+	if (!pw_drain_is_over(&g->drain, now_us))
 		g->drain.ends_us = now_us;
-		pw_loop_timer_set(g->task.loop, &g->drain_timer,
-				  now_us + SESSION_DRAIN_CLOSE_TIMEOUT_US);
-	}
 	gw_drain_continue(g);
 }
 
@@ -111,6 +105,15 @@
 {
 	if (!pw_drain_has_started(&g->drain))
 		return;
+	/*
+	 * The time to close counts from here: if the process was held up across the end of the
+	 * drain, requests that wait in the sockets are read and refused first.
+	 */
+	if (!g->drain_timer.ops && pw_drain_is_over(&g->drain, gateway_now_us(g))) {
+		g->drain_timer.ops = &drain_timer_ops;
+		pw_loop_timer_set(g->task.loop, &g->drain_timer,
+				  gateway_now_us(g) + SESSION_DRAIN_CLOSE_TIMEOUT_US);
+	}
 	gateway_for_each_session(g, gw_session_drain);
 	report_if_drained(g);
 }
@@ -160,24 +163,33 @@
 		n->cut++;
 }
 
+/* Returns what the proxy still owes a caller whose session it closes; NULL: nothing. */
+static const char *find_unanswered(const struct session *s, bool has_input)
+{
+	if (s->work)
+		return gw_work_state_name(s->work);
+	if (has_input)
+		return "unread";
+	return pw_stream_output_bytes(&s->stream) ? "answering" : NULL;
+}
+
 void gw_drain_record_close(const struct session *s, bool by_caller, bool has_input)
 {
 	const struct gateway *g = s->gateway;
 	const struct work *w = s->work;
 	bool draining = pw_drain_has_started(&g->drain);
-	bool unanswered = !by_caller && (w || has_input);
+	const char *state = by_caller ? NULL : find_unanswered(s, has_input);
 
 	if (draining)
-		count_close(s, by_caller, unanswered);
-	if (!unanswered)
+		count_close(s, by_caller, state != NULL);
+	if (!state)
 		return;
 	pw_counter_inc(PW_COUNTER_UNANSWERED);
 	pw_event_log(PW_EVENT_REQUEST_UNANSWERED,
 		     "id=%s account=%s database=%s state=%s server=%s waited_ms=%" PRIu64
 		     " input=%d drain_ms=%" PRIu64,
 		     w ? w->statement->id : "", s->account ? s->account->name : "",
-		     s->database ? s->database : "", w ? gw_work_state_name(w) : "unread",
-		     w && w->conn ? w->conn->server->id : "",
+		     s->database ? s->database : "", state, w && w->conn ? w->conn->server->id : "",
 		     w ? (gateway_now_us(g) - w->arrived_us) / PW_US_PER_MS : 0, has_input,
 		     draining ? drain_age_ms(g) : 0);
 }
