--- a/tests/platform/test_ends_fleet.c
+++ b/tests/platform/test_ends_fleet.c
@@ -137,6 +137,57 @@
 }
 END_TEST
 
+/* Guards against an answer that is cut off because its caller's key is withdrawn meanwhile. */
+START_TEST(test_withdrawn_key_gets_whole_answers)
+{
+	struct client *c;
+	char *value = g_strnfill(LARGE_VALUE_BYTES, 'x');
+	char *statement = g_strdup_printf("WRITE large %s", value);
+	int receive_buffer_bytes = 131072;
+	uint32_t answered_count;
+
+	prepare_fleet("300ms", "2s", "0");
+	c = open_session(0, "desk");
+	(void)setsockopt(c->fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
+			 sizeof(receive_buffer_bytes));
+	expect_answer(c, statement, "ok I");
+	for (uint32_t i = 0; i < LARGE_READ_COUNT; i++)
+		send_statement(c, "READ large");
+	sleep_ms(500);
+	publish_catalog("\"other-key\"", 3000);
+	sleep_ms(3500);
+	answered_count = count_answers(c, LARGE_READ_COUNT);
+	ck_assert_msg(answered_count == LARGE_READ_COUNT, "%u of %d answers", answered_count,
+		      LARGE_READ_COUNT);
+	expect_answer(c, "READ a", "AUTHFAIL CLOSED");
+	client_free(c);
+	g_free(statement);
+	g_free(value);
+	stop_fleet();
+}
+END_TEST
+
+/* Guards against an error for a statement whose answer is in the socket of a held VM. */
+START_TEST(test_answer_in_socket_of_held_vm_is_used)
+{
+	struct client *c;
+	char *answer;
+
+	prepare_fleet("300ms", "2s", "300");
+	c = open_session(0, "desk");
+	send_statement(c, "WRITE b v");
+	sleep_ms(100);
+	pw_harness_signal(vms[0].process, SIGSTOP);
+	sleep_ms(1100);
+	pw_harness_signal(vms[0].process, SIGCONT);
+	answer = read_answer(c, ANSWER_TIMEOUT_MS);
+	ck_assert_str_eq(answer, "ok I");
+	g_free(answer);
+	client_free(c);
+	stop_fleet();
+}
+END_TEST
+
 static const struct {
 	const char *label;
 	uint32_t held_from_ms, held_until_ms; /* after SIGTERM */
@@ -268,6 +319,8 @@
 			    PW_ARRAY_LEN(half_closed_cases));
 	tcase_add_loop_test(tc, test_slow_reader_gets_whole_answers, 0,
 			    PW_ARRAY_LEN(slow_reader_cases));
+	tcase_add_test(tc, test_withdrawn_key_gets_whole_answers);
+	tcase_add_test(tc, test_answer_in_socket_of_held_vm_is_used);
 	tcase_add_loop_test(tc, test_requests_of_held_vm_are_answered, 0, PW_ARRAY_LEN(held_cases));
 	tcase_add_loop_test(tc, test_pipelined_statements_are_answered, 0,
 			    PW_ARRAY_LEN(signal_cases));
