Keys: keep a session until its caller has read the answer

Cause: a change of the catalogue closed a session without a statement at once, and cut what its caller had not read 2 s later.

Change: such a session gets the refusal with its next statement.

--- a/daemon/traffic/gateway_session.c
+++ b/daemon/traffic/gateway_session.c
@@ -625,7 +625,8 @@
 		return;
 	pw_event_log(PW_EVENT_KEY_WITHDRAWN, "account=%s key=%.8s", s->account->name, s->key_hash);
 	/* A statement in progress is answered; the next one, which may have arrived, is refused. */
-	if (s->work || s->transaction != TRANSACTION_NONE || has_input(s))
+	if (s->work || s->transaction != TRANSACTION_NONE || has_input(s) ||
+	    pw_stream_output_bytes(&s->stream))
 		return;
 	close_after_output(s);
 }
