Event loop: handle ready sockets before timers after an interrupted wait

Cause: epoll_wait() fails with EINTR when a stopped process continues. The loop then ran its timers without looking at the sockets, so that statements whose answers had arrived were answered as late.

--- a/core/src/loop.c
+++ b/core/src/loop.c
@@ -153,6 +153,12 @@
 		int n = epoll_wait(l->epoll_fd, l->ready, EVENTS_PER_ITERATION_MAX,
 				   epoll_timeout_ms(l));
 
+		/*
+		 * A stop and continuation of the process interrupts the wait. What has arrived
+		 * meanwhile goes before the timers that wait for it.
+		 */
+		if (n < 0 && errno == EINTR)
+			continue;
 		l->ready_count = MAX(n, 0);
 		pw_loop_update_now_us(l);
 		dispatch_sources(l);
