Sessions: log a statement whose caller has ended the connection

The log of a stopping VM could not tell a statement whose connection the caller had ended from one that never arrived.

--- a/core/include/pw/core/event.h
+++ b/core/include/pw/core/event.h
@@ -68,6 +68,7 @@
 	X(REQUEST_SERVED, 4032, G_LOG_LEVEL_INFO, "request_served")            \
 	X(REQUEST_UNANSWERED, 4033, G_LOG_LEVEL_WARNING, "request_unanswered") \
 	X(REQUEST_DRAINED, 4034, G_LOG_LEVEL_INFO, "request_drained")          \
+	X(REQUEST_ABANDONED, 4035, G_LOG_LEVEL_INFO, "request_abandoned")      \
 	X(KEY_WITHDRAWN, 5001, G_LOG_LEVEL_MESSAGE, "key_withdrawn")           \
 	X(ISOLATED, 5002, G_LOG_LEVEL_WARNING, "isolated")                     \
 	X(ADMIN_CHANGE, 6001, G_LOG_LEVEL_MESSAGE, "admin_change")
--- a/daemon/traffic/gateway_drain.c
+++ b/daemon/traffic/gateway_drain.c
@@ -173,23 +173,33 @@
 	return pw_stream_output_bytes(&s->stream) ? "answering" : NULL;
 }
 
-void gw_drain_record_close(const struct session *s, bool by_caller, bool has_input)
+static void log_unanswered(enum pw_event event, const struct session *s, const char *state,
+			   bool has_input)
 {
 	const struct gateway *g = s->gateway;
 	const struct work *w = s->work;
-	bool draining = pw_drain_has_started(&g->drain);
-	const char *state = by_caller ? NULL : find_unanswered(s, has_input);
 
-	if (draining)
-		count_close(s, by_caller, state != NULL);
-	if (!state)
+	if (!pw_event_is_logged(event))
 		return;
-	pw_counter_inc(PW_COUNTER_UNANSWERED);
-	pw_event_log(PW_EVENT_REQUEST_UNANSWERED,
+	pw_event_log(event,
 		     "id=%s account=%s database=%s state=%s server=%s waited_ms=%" PRIu64
 		     " input=%d drain_ms=%" PRIu64,
 		     w ? w->statement->id : "", s->account ? s->account->name : "",
 		     s->database ? s->database : "", state, w && w->conn ? w->conn->server->id : "",
 		     w ? (gateway_now_us(g) - w->arrived_us) / PW_US_PER_MS : 0, has_input,
-		     draining ? drain_age_ms(g) : 0);
+		     pw_drain_has_started(&g->drain) ? drain_age_ms(g) : 0);
+}
+
+void gw_drain_record_close(const struct session *s, bool by_caller, bool has_input)
+{
+	const char *state = find_unanswered(s, has_input);
+
+	if (pw_drain_has_started(&s->gateway->drain))
+		count_close(s, by_caller, state && !by_caller);
+	if (!state || (by_caller && !s->work))
+		return;
+	if (!by_caller)
+		pw_counter_inc(PW_COUNTER_UNANSWERED);
+	log_unanswered(by_caller ? PW_EVENT_REQUEST_ABANDONED : PW_EVENT_REQUEST_UNANSWERED, s,
+		       state, has_input);
 }
