Planned stops: derive the times of the steps from a limit

The times of a planned stop are passed to the proxy one by one and fit a limit of 6 s only. pw_drain_plan_for_limit() gives them for any limit: a reserve for closing and leaving the fleet, a drain that holds a statement, a grace period in which a balancer misses two checks.

--- a/decide/include/pw/decide/drain.h
+++ b/decide/include/pw/decide/drain.h
@@ -11,6 +11,27 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** Times of a planned stop, from the signal on. The steps follow each other in this order. */
+struct pw_drain_plan {
+	uint64_t grace_us; /**< the readiness check fails, everything is served */
+	uint64_t drain_us; /**< outstanding work ends, nothing long begins */
+	uint64_t close_us; /**< for callers to read the last answer and to close */
+	uint64_t end_us;   /**< from the signal on: the process has to have ended; 0: no limit */
+};
+
+/** Time for callers to close their connections at the end of a drain, if there is no limit. */
+#define PW_DRAIN_CLOSE_US UINT64_C(300000)
+
+/**
+ * Divides the time of a planned stop. A part at the end is reserved for closing and for leaving the
+ * fleet. The rest goes to a drain that holds a statement, then to a grace period in which a
+ * balancer misses two checks, and what is left to the drain again. An open transaction has at least
+ * half of the limit before its statements are refused.
+ *
+ * @param limit_us time from the signal to the end of the process by force
+ */
+struct pw_drain_plan pw_drain_plan_for_limit(uint64_t limit_us);
+
 /** When a VM drains; zeroed: it does not. */
 struct pw_drain_window {
 	uint64_t started_us; /**< 0: not yet */
--- a/tests/decide/test_drain_rules.c
+++ b/tests/decide/test_drain_rules.c
@@ -1,6 +1,8 @@
 /* Tests of what a stopping VM still does for its callers' sessions. */
 #include "suite.h"
 
+#include <glib.h>
+
 #include "pw/decide/drain.h"
 
 #define MS UINT64_C(1000)
@@ -123,6 +125,66 @@
 }
 END_TEST
 
+/* Guards against times of a stop that do not fit the time after which the process is killed. */
+static const struct {
+	/* Fractions of a millisecond are left out. */
+	uint64_t limit_ms, grace_ms, drain_ms, close_ms, end_ms;
+} plan_cases[] = {
+	{ 0, 0, 0, 0, 0 },
+	{ 100, 37, 37, 12, 97 },
+	{ 1000, 375, 375, 125, 975 },
+	{ 2000, 750, 750, 250, 1950 },
+	{ 3000, 1250, 1000, 300, 2925 },
+	{ 4000, 2000, 1000, 300, 3900 },
+	{ 6000, 2200, 2800, 300, 5900 },
+	{ 10000, 2200, 6800, 300, 9900 },
+	{ 30000, 2200, 26800, 300, 29900 },
+};
+
+START_TEST(test_plan)
+{
+	uint64_t limit_ms = plan_cases[_i].limit_ms;
+	struct pw_drain_plan p = pw_drain_plan_for_limit(limit_ms * MS);
+
+	ck_assert_uint_eq(p.grace_us / MS, plan_cases[_i].grace_ms);
+	ck_assert_uint_eq(p.drain_us / MS, plan_cases[_i].drain_ms);
+	ck_assert_uint_eq(p.close_us / MS, plan_cases[_i].close_ms);
+	ck_assert_uint_eq(p.end_us / MS, plan_cases[_i].end_ms);
+}
+END_TEST
+
+/* Guards against a limit for which the steps overlap or an open transaction has too little time. */
+START_TEST(test_plan_invariants)
+{
+	struct pw_drain_plan last = { 0 };
+
+	for (uint64_t limit_us = 0; limit_us <= 60000 * MS; limit_us += 50 * MS) {
+		struct pw_drain_plan p = pw_drain_plan_for_limit(limit_us);
+		uint64_t closed_us = p.grace_us + p.drain_us + p.close_us;
+		const struct pw_drain_window window = {
+			.started_us = 1 + p.grace_us,
+			.ends_us = 1 + p.grace_us + p.drain_us,
+		};
+
+		/* Some time is left to leave the fleet, and some before the kill. */
+		ck_assert_msg(!limit_us || (closed_us < p.end_us && p.end_us < limit_us),
+			      "limit %" G_GUINT64_FORMAT " us", limit_us);
+		ck_assert_msg(closed_us <= limit_us, "limit %" G_GUINT64_FORMAT " us", limit_us);
+		/* A statement of any timeout is passed on in the first half of the limit. */
+		ck_assert_msg(!limit_us || pw_drain_allows_statement(&window, limit_us / 2,
+								     UINT64_MAX / 2),
+			      "limit %" G_GUINT64_FORMAT " us", limit_us);
+		ck_assert_msg(limit_us < 4200 * MS || p.grace_us >= 2000 * MS,
+			      "limit %" G_GUINT64_FORMAT " us", limit_us);
+		/* More time shortens no step. */
+		ck_assert_msg(p.grace_us >= last.grace_us && p.drain_us >= last.drain_us &&
+				      p.close_us >= last.close_us && p.end_us >= last.end_us,
+			      "limit %" G_GUINT64_FORMAT " us", limit_us);
+		last = p;
+	}
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("drain rules");
@@ -131,5 +193,7 @@
 	tcase_add_loop_test(tc, test_operations, 0, PW_ARRAY_LEN(operation_cases));
 	tcase_add_loop_test(tc, test_close, 0, PW_ARRAY_LEN(close_cases));
 	tcase_add_test(tc, test_phases);
+	tcase_add_loop_test(tc, test_plan, 0, PW_ARRAY_LEN(plan_cases));
+	tcase_add_test(tc, test_plan_invariants);
 	return pw_suite_run("drain rules", tc);
 }
