--- a/core/include/pw/core/settings.h
+++ b/core/include/pw/core/settings.h
@@ -42,6 +42,8 @@
 	uint64_t max;               /**< 0: the maximum of the type */
 	const char *const *choices; /**< values of a pw_setting_choice, NULL-terminated */
 	bool required;
+	/** Flags of settings that may not be given beside this one, NULL-terminated; NULL: none. */
+	const char *const *excludes;
 };
 
 extern const struct pw_setting_ops pw_setting_string; /**< char * */
--- a/core/src/settings.c
+++ b/core/src/settings.c
@@ -134,6 +134,34 @@
 	g_free(location);
 }
 
+static bool is_given(const struct parsed_flags *flags, size_t i, char **envp)
+{
+	const char *variable = flags->spec->settings[i].env_variable;
+	const char *value = variable ? g_environ_getenv(envp, variable) : NULL;
+
+	return flags->values[i] || (value && value[0]);
+}
+
+/* Reports the settings that are given although another one excludes them. */
+static void check_exclusions(const struct parsed_flags *flags, char **envp, struct pw_findings *f)
+{
+	const struct pw_settings_spec *spec = flags->spec;
+
+	for (size_t i = 0; i < spec->setting_count; i++) {
+		const char *const *excluded = spec->settings[i].excludes;
+
+		for (; excluded && *excluded && is_given(flags, i, envp); excluded++) {
+			size_t other = find_setting(spec, *excluded);
+			char *location = g_strconcat("--", *excluded, NULL);
+
+			if (other < spec->setting_count && is_given(flags, other, envp))
+				pw_findings_add(f, location, "cannot be given together with --%s",
+						spec->settings[i].flag);
+			g_free(location);
+		}
+	}
+}
+
 int pw_settings_parse(void *out, const struct pw_settings_spec *spec, char **argv, char **envp,
 		      struct pw_settings_arguments *arguments, struct pw_findings *f)
 {
@@ -157,6 +185,8 @@
 	/* After an error GLib does not see the later flags, so none is reported as missing. */
 	for (size_t i = 0; i < spec->setting_count && !arguments->help && !arguments->version; i++)
 		set_value(out, &spec->settings[i], flags.values[i], envp, parsed, f);
+	if (!arguments->help && !arguments->version)
+		check_exclusions(&flags, envp, f);
 	for (size_t i = 0; i < spec->setting_count; i++)
 		g_free(flags.values[i]);
 	g_free(flags.values);
--- a/tests/core/test_settings.c
+++ b/tests/core/test_settings.c
@@ -15,12 +15,15 @@
 	uint32_t tasks;
 	uint64_t memory_bytes;
 	uint64_t grace_us;
+	uint64_t limit_us;
 	uint32_t level;
 	bool json;
 };
 
 static const char *const levels[] = { "debug", "message", "warning", NULL };
 
+static const char *const limit_excludes[] = { "grace", "tasks", NULL };
+
 #define FIELD(member) .offset = offsetof(struct example, member)
 
 static const struct pw_setting settings[] = {
@@ -66,6 +69,12 @@
 	  .help = "Grace",
 	  .max = UINT64_C(60000000),
 	  FIELD(grace_us) },
+	{ .ops = &pw_setting_duration,
+	  .flag = "limit",
+	  .env_variable = "PW_LIMIT",
+	  .help = "Limit",
+	  .excludes = limit_excludes,
+	  FIELD(limit_us) },
 	{ .ops = &pw_setting_choice,
 	  .flag = "level",
 	  .env_variable = "PW_LEVEL",
@@ -165,6 +174,21 @@
 	  { NULL },
 	  NULL,
 	  "--tasks --memory --grace " },
+	{ "setting beside defaults of the ones that it excludes",
+	  { "x", "--name=a", "--limit=1s" },
+	  { "PW_GRACE=" },
+	  "a||127.0.0.1:5432||2|0|5000000|1|0|",
+	  "" },
+	{ "settings that exclude each other",
+	  { "x", "--name=a", "--limit=1s", "--grace=1s" },
+	  { "PW_TASKS=2" },
+	  NULL,
+	  "--grace --tasks " },
+	{ "settings that exclude each other, by environment",
+	  { "x", "--name=a", "--tasks=2" },
+	  { "PW_LIMIT=1s" },
+	  NULL,
+	  "--tasks " },
 	{ "empty value", { "x", "--name=" }, { NULL }, NULL, "--name " },
 	{ "value missing", { "x", "--name" }, { NULL }, NULL, "command line " },
 };
