--- a/daemon/directory.h
+++ b/daemon/directory.h
@@ -12,6 +12,7 @@
 
 #include "binding.h"
 #include "pw/core/msg.h"
+#include "pw/decide/drain.h"
 #include "pw/decide/place.h"
 
 /** Settings of the process; settings.c has their flags, variables, limits and defaults. */
@@ -43,12 +44,14 @@
 	uint32_t log_level_index;  /**< index in the choices of --log-level */
 	uint64_t drain_grace_us;   /**< from the failing readiness check to the end of new work */
 	uint64_t drain_timeout_us; /**< time for open transactions to end in a planned stop */
+	uint64_t stop_timeout_us;  /**< limit of a planned stop; 0: the two times above apply */
 };
 
 /** Has the mailboxes of every kind of task, including the kinds that the binding does not run. */
 struct pw_directory {
 	const struct pw_process_settings *settings;
 	const struct pw_binding *binding;
+	struct pw_drain_plan drain_plan;
 	struct pw_mailbox *root;
 	struct pw_mailbox *shutdown;
 	struct pw_mailbox *store;
--- a/daemon/root.c
+++ b/daemon/root.c
@@ -59,6 +59,17 @@
 	return urls;
 }
 
+static struct pw_drain_plan drain_plan_of(const struct pw_process_settings *s)
+{
+	if (s->stop_timeout_us)
+		return pw_drain_plan_for_limit(s->stop_timeout_us);
+	return (struct pw_drain_plan){
+		.grace_us = s->drain_grace_us,
+		.drain_us = s->drain_timeout_us,
+		.close_us = PW_DRAIN_CLOSE_US,
+	};
+}
+
 static void root_init(struct root *r, const struct pw_process_settings *settings)
 {
 	uint32_t count = MAX(MAX(settings->front_task_count, settings->group_task_count),
@@ -68,6 +79,7 @@
 	r->directory = (struct pw_directory){
 		.settings = settings,
 		.binding = pw_bindings[settings->binding_index],
+		.drain_plan = drain_plan_of(settings),
 		.root = add_mailbox(r),
 		.shutdown = add_mailbox(r),
 		.store = add_mailbox(r),
@@ -153,6 +165,17 @@
 	pw_loop_timer_set(s->task.loop, &s->step_timer, pw_loop_now_us(s->task.loop) + after_us);
 }
 
+/* Returns the time that is left before the planned end of the process. */
+static uint64_t remaining_us(const struct shutdown_task *s)
+{
+	uint64_t end_us = s->directory->drain_plan.end_us;
+	uint64_t elapsed_us = pw_loop_now_us(s->task.loop) - s->signalled_us;
+
+	if (!end_us)
+		return UINT64_MAX;
+	return elapsed_us < end_us ? end_us - elapsed_us : 0;
+}
+
 /* Returns the mailboxes of the tasks that serve callers. */
 static struct pw_mailbox *const *caller_task_inboxes(const struct pw_directory *d)
 {
@@ -195,12 +218,12 @@
 	switch (s->step) {
 	case SHUTDOWN_GRACE:
 		pw_mailbox_send(d->admin, pw_drain_msg());
-		set_step_timeout(s, d->settings->drain_grace_us);
+		set_step_timeout(s, d->drain_plan.grace_us);
 		break;
 	case SHUTDOWN_DRAIN_CALLERS:
 		for (uint32_t i = 0; i < caller_task_count(d); i++)
 			pw_mailbox_send(caller_task_inboxes(d)[i], pw_drain_msg());
-		set_step_timeout(s, d->settings->drain_timeout_us + DRAIN_END_TIMEOUT_US);
+		set_step_timeout(s, d->drain_plan.drain_us + DRAIN_END_TIMEOUT_US);
 		break;
 	case SHUTDOWN_END_DRAIN:
 		for (uint32_t i = 0; i < caller_task_count(d); i++)
@@ -217,11 +240,12 @@
 			return;
 		}
 		pw_mailbox_send(d->ledger, pw_drain_msg());
-		set_step_timeout(s, QUOTA_RELEASE_TIME_US);
+		/* Leaving the fleet needs a part of what is left, too. */
+		set_step_timeout(s, MIN(QUOTA_RELEASE_TIME_US, remaining_us(s) / 2));
 		break;
 	case SHUTDOWN_LEAVE_FLEET:
 		pw_mailbox_send(d->binding->caller ? d->cluster : d->peers, pw_drain_msg());
-		set_step_timeout(s, FLEET_LEAVE_TIMEOUT_US);
+		set_step_timeout(s, MIN(FLEET_LEAVE_TIMEOUT_US, remaining_us(s)));
 		break;
 	default:
 		pw_loop_timer_clear(s->task.loop, &s->step_timer);
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -6,6 +6,8 @@
 #include "pw/codec/document.h"
 #include "pw/core/clock.h"
 
+static const char *const stop_timeout_excludes[] = { "drain-grace", "drain-timeout", NULL };
+
 #define TASKS_PER_KIND_MAX 64
 #define FIELD(name)        .offset = offsetof(struct pw_process_settings, name)
 
@@ -168,6 +170,15 @@
 	  .min = PW_US_PER_MS,
 	  .max = 3600 * PW_US_PER_S,
 	  FIELD(drain_timeout_us) },
+	{ .ops = &pw_setting_duration,
+	  .flag = "stop-timeout",
+	  .env_variable = "PW_STOP_TIMEOUT",
+	  .help = "time between SIGTERM and the end of the process by force; the times of a "
+		  "planned stop are derived from it instead of given by --drain-grace and "
+		  "--drain-timeout; 0s: not known",
+	  .max = 3600 * PW_US_PER_S,
+	  .excludes = stop_timeout_excludes,
+	  FIELD(stop_timeout_us) },
 	{ .ops = &pw_setting_choice,
 	  .flag = "log-level",
 	  .env_variable = "PW_LOG_LEVEL",
--- a/daemon/traffic/front.c
+++ b/daemon/traffic/front.c
@@ -316,7 +316,7 @@
 	close(f->listener.fd);
 	f->listener.fd = -1;
 	pw_loop_timer_set(f->task.loop, &f->drain_timeout_timer,
-			  now_us + f->directory->settings->drain_timeout_us);
+			  now_us + f->directory->drain_plan.drain_us);
 	disconnect_idle_callers(&f->drain_check_timer, now_us);
 }
 
@@ -344,8 +344,7 @@
 		f->draining = false;
 	} else if (!f->draining && !f->drain_grace_timer.node) {
 		pw_loop_timer_set(f->task.loop, &f->drain_grace_timer,
-				  pw_loop_now_us(f->task.loop) +
-					  f->directory->settings->drain_grace_us);
+				  pw_loop_now_us(f->task.loop) + f->directory->drain_plan.grace_us);
 	}
 }
 
--- a/daemon/traffic/gateway_drain.c
+++ b/daemon/traffic/gateway_drain.c
@@ -68,14 +68,14 @@
 	gateway_accept_sessions(g, GATEWAY_SESSIONS_MAX);
 	g->drain = (struct pw_drain_window){
 		.started_us = now_us,
-		.ends_us = now_us + g->directory->settings->drain_timeout_us,
+		.ends_us = now_us + g->directory->drain_plan.drain_us,
 	};
 	pw_loop_unwatch(g->task.loop, &g->listener);
 	close(g->listener.fd);
 	g->listener.fd = -1;
 	g->drain_timer.ops = &drain_timer_ops;
 	pw_loop_timer_set(g->task.loop, &g->drain_timer,
-			  g->drain.ends_us + SESSION_DRAIN_CLOSE_TIMEOUT_US);
+			  g->drain.ends_us + g->directory->drain_plan.close_us);
 	log_start(g, g_hash_table_size(g->sessions) - session_count);
 	gw_drain_continue(g);
 }
@@ -88,7 +88,7 @@
 	if (!pw_drain_is_over(&g->drain, now_us)) {
 		g->drain.ends_us = now_us;
 		pw_loop_timer_set(g->task.loop, &g->drain_timer,
-				  now_us + SESSION_DRAIN_CLOSE_TIMEOUT_US);
+				  now_us + g->directory->drain_plan.close_us);
 	}
 	gw_drain_continue(g);
 }
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -46,11 +46,6 @@
 #define SESSION_OPEN_TIMEOUT_US (5 * PW_US_PER_S)
 /* A caller that has not closed the connection this long after the last message is disconnected. */
 #define SESSION_CLOSE_TIMEOUT_US (2 * PW_US_PER_S)
-/*
- * When the drain is over, callers have this time to read the last answer and to close their
- * connections.
- */
-#define SESSION_DRAIN_CLOSE_TIMEOUT_US (300 * PW_US_PER_MS)
 /*
  * A statement waits in the queue for at most these percentages of its route's target time and of
  * its timeout, whichever is less, and is then refused. The server needs the rest to answer in time.
