--- a/tests/include/platform_fleet.h
+++ b/tests/include/platform_fleet.h
@@ -58,6 +58,7 @@
 static uint32_t sync_replica_count;
 /* Settings of the VMs. */
 static const char *drain_grace = "300ms", *drain_timeout = "2s";
+static const char *stop_timeout; /* instead of the two above; NULL: not set */
 
 static inline size_t append_body(char *data, size_t size, size_t count, void *out)
 {
@@ -154,12 +155,12 @@
 		store,
 		"--promoter",
 		store,
-		"--drain-grace",
-		drain_grace,
-		"--drain-timeout",
-		drain_timeout,
 		"--log-level",
 		"info",
+		stop_timeout ? "--stop-timeout" : "--drain-grace",
+		stop_timeout ? stop_timeout : drain_grace,
+		stop_timeout ? NULL : "--drain-timeout",
+		drain_timeout,
 		NULL,
 	};
 
--- a/tests/platform/test_stops_fleet.c
+++ b/tests/platform/test_stops_fleet.c
@@ -16,7 +16,7 @@
 #define CALLER_TIMEOUT_MS 9000
 /* A request that crosses the close of its connection may get no answer for this long. */
 #define CROSSING_MS 200
-/* The platform kills a process this long after SIGTERM. */
+/* The platform kills a process this long after SIGTERM, unless a case has another limit. */
 #define KILL_AFTER_MS 6000
 
 struct stop_case {
@@ -217,20 +217,18 @@
 }
 
 /*
- * Guards against a request without an answer around a planned stop: a server works on it when its
- * connection is closed, or the VM has read it. A request that crosses the close on its way is
- * excused.
+ * Stops a VM under the load of the case and kills it at the limit, as a platform does. Fails if a
+ * request that the VM has read or a server works on has no answer, or if the process has to be
+ * killed. A request that crosses the close on its way is excused.
  */
-START_TEST(test_stop_answers_every_request)
+static void play_stop(const struct stop_case *stop, uint32_t limit_ms)
 {
-	const struct stop_case *stop = &stop_cases[_i];
 	struct caller callers[CALLERS_MAX];
 	GString *failures = g_string_new(NULL);
 	char *work = g_strdup_printf("%u", stop->work_ms);
 	uint32_t answered_count = 0;
+	bool ended;
 
-	drain_grace = "2200ms";
-	drain_timeout = "2800ms";
 	start_fleet();
 	inject_fault("work", work);
 	__atomic_store_n(&signal_us, 0, __ATOMIC_RELEASE);
@@ -244,6 +242,9 @@
 	__atomic_store_n(&signal_us, g_get_monotonic_time(), __ATOMIC_RELEASE);
 	pw_harness_signal(vms[0].process, SIGTERM);
 	send_further_signals(stop);
+	ended = pw_harness_wait_end(vms[0].process, (uint32_t)MAX(limit_ms - since_signal_ms(), 1));
+	if (!ended)
+		pw_harness_kill(vms[0].process);
 	for (uint32_t i = 0; i < stop->caller_count; i++) {
 		struct caller *c = &callers[i];
 
@@ -258,11 +259,10 @@
 	}
 	if (failures->len)
 		show_stop_log();
-	ck_assert_msg(!failures->len, "%s: no answer%s", stop->label, failures->str);
+	ck_assert_msg(!failures->len, "%s, limit %u ms: no answer%s", stop->label, limit_ms,
+		      failures->str);
 	ck_assert_uint_gt(answered_count, stop->caller_count);
-	ck_assert_msg(pw_harness_wait_end(vms[0].process,
-					  (uint32_t)MAX(KILL_AFTER_MS - since_signal_ms(), 1)),
-		      "%s: the process has not ended", stop->label);
+	ck_assert_msg(ended, "%s, limit %u ms: the process has not ended", stop->label, limit_ms);
 	ck_assert_int_eq(vms[0].process->status, 0);
 	ck_assert_uint_eq(count_log_lines(&vms[0], " unanswered=0 "), 1);
 	ck_assert_uint_eq(count_log_lines(&vms[0], "name=request_unanswered"), 0);
@@ -270,6 +270,51 @@
 	g_free(work);
 	stop_fleet();
 }
+
+/* Guards against a request without an answer around a planned stop. */
+START_TEST(test_stop_answers_every_request)
+{
+	drain_grace = "2200ms";
+	drain_timeout = "2800ms";
+	play_stop(&stop_cases[_i], KILL_AFTER_MS);
+}
+END_TEST
+
+static const uint32_t limits_ms[] = { 2000, 3000, 6000 };
+
+static const struct stop_case limit_cases[] = {
+	{ .label = "statements near their timeout",
+	  .database = "desk",
+	  .statement = "WRITE a v",
+	  .caller_count = 12,
+	  .work_ms = 700 },
+	{ .label = "reads without a pause",
+	  .database = "views",
+	  .statement = "READ a",
+	  .caller_count = 32,
+	  .work_ms = 100 },
+	{ .label = "long transactions",
+	  .database = "desk",
+	  .begin = "BEGIN",
+	  .statement = "WRITE a v",
+	  .caller_count = 16,
+	  .statement_count = 12,
+	  .work_ms = 150,
+	  .pause_min_ms = 50,
+	  .pause_max_ms = 250 },
+};
+
+/* Guards against times of a planned stop that fit one limit only. */
+START_TEST(test_stop_fits_limit)
+{
+	uint32_t limit_ms = limits_ms[(size_t)_i / PW_ARRAY_LEN(limit_cases)];
+	char *text = g_strdup_printf("%ums", limit_ms);
+
+	stop_timeout = text;
+	play_stop(&limit_cases[(size_t)_i % PW_ARRAY_LEN(limit_cases)], limit_ms);
+	stop_timeout = NULL;
+	g_free(text);
+}
 END_TEST
 
 /* Runs statements without a pause. Returns the last answer after which the caller leaves. */
@@ -351,6 +396,8 @@
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	tcase_add_loop_test(tc, test_stop_answers_every_request, 0, PW_ARRAY_LEN(stop_cases));
+	tcase_add_loop_test(tc, test_stop_fits_limit, 0,
+			    PW_ARRAY_LEN(limits_ms) * PW_ARRAY_LEN(limit_cases));
 	tcase_add_loop_test(tc, test_busy_caller_is_refused_before_the_close, 0,
 			    PW_ARRAY_LEN(busy_caller_cases));
 	tcase_add_test(tc, test_request_in_socket_is_answered);
