--- a/core/include/pw/core/settings.h
+++ b/core/include/pw/core/settings.h
@@ -50,7 +50,7 @@
 extern const struct pw_setting_ops pw_setting_bool;   /**< bool */
 extern const struct pw_setting_ops pw_setting_u32;    /**< uint32_t */
 extern const struct pw_setting_ops pw_setting_u64;    /**< uint64_t */
-/** uint64_t in microseconds, given as "250ms", "30s", "2min"; min and max are microseconds, too */
+/** uint64_t in microseconds, given as "250ms", "2.5s", "2min"; min and max are microseconds, too */
 extern const struct pw_setting_ops pw_setting_duration;
 extern const struct pw_setting_ops pw_setting_choice;  /**< uint32_t, index in `choices` */
 extern const struct pw_setting_ops pw_setting_address; /**< char *, "IP:PORT" */
--- a/core/src/settings_types.c
+++ b/core/src/settings_types.c
@@ -99,6 +99,28 @@
 	{ "h", 3600 * PW_US_PER_S },
 };
 
+/* Most digits after the decimal point of a duration. */
+#define FRACTION_DIGITS_MAX 6
+
+/*
+ * Parses the part of a duration from its decimal point on as a fraction of the unit, and moves
+ * `text` to its end. Parts of a microsecond are left out.
+ */
+static bool parse_fraction(uint64_t *out_us, const char **text, uint64_t unit_us)
+{
+	const char *digits = *text + 1;
+	size_t count = strspn(digits, "0123456789");
+	uint64_t n = 0, scale = 1;
+
+	if (count < 1 || count > FRACTION_DIGITS_MAX)
+		return false;
+	for (size_t i = 0; i < count; i++, scale *= 10)
+		n = n * 10 + (uint64_t)(digits[i] - '0');
+	*out_us = n * unit_us / scale;
+	*text = digits + count;
+	return true;
+}
+
 static bool parse_duration(uint64_t *out_us, const char *text)
 {
 	size_t digits = strspn(text, "0123456789");
@@ -108,8 +130,15 @@
 
 	g_free(number);
 	for (size_t i = 0; ok && i < G_N_ELEMENTS(duration_units); i++) {
-		if (strcmp(text + digits, duration_units[i].suffix) == 0)
-			return g_uint64_checked_mul(out_us, n, duration_units[i].size_us);
+		const char *suffix = text + digits;
+		uint64_t fraction_us = 0;
+
+		if (*suffix == '.' &&
+		    !parse_fraction(&fraction_us, &suffix, duration_units[i].size_us))
+			return false;
+		if (strcmp(suffix, duration_units[i].suffix) == 0)
+			return g_uint64_checked_mul(out_us, n, duration_units[i].size_us) &&
+			       g_uint64_checked_add(out_us, *out_us, fraction_us);
 	}
 	return false;
 }
