Planned stops: end the waits for callers' tasks with the limit

The waits for the tasks to drain were not cut by the limit. Part of what is left after the drain stays for leaving the fleet.

The bounds on the waits for the tasks have no test of their own.

--- a/daemon/root.c
+++ b/daemon/root.c
@@ -176,6 +176,17 @@
 	return elapsed_us < end_us ? end_us - elapsed_us : 0;
 }
 
+/* Returns the longest wait for the callers' tasks to drain. Part of the plan is left to leave. */
+static uint64_t drain_wait_us(const struct shutdown_task *s)
+{
+	const struct pw_drain_plan *p = &s->directory->drain_plan;
+
+	if (!p->end_us)
+		return p->drain_us + DRAIN_END_TIMEOUT_US;
+	return MIN(p->drain_us + DRAIN_END_TIMEOUT_US,
+		   (p->drain_us + p->close_us + remaining_us(s)) / 2);
+}
+
 /* Returns the mailboxes of the tasks that serve callers. */
 static struct pw_mailbox *const *caller_task_inboxes(const struct pw_directory *d)
 {
@@ -223,12 +234,12 @@
 	case SHUTDOWN_DRAIN_CALLERS:
 		for (uint32_t i = 0; i < caller_task_count(d); i++)
 			pw_mailbox_send(caller_task_inboxes(d)[i], pw_drain_msg());
-		set_step_timeout(s, d->drain_plan.drain_us + DRAIN_END_TIMEOUT_US);
+		set_step_timeout(s, drain_wait_us(s));
 		break;
 	case SHUTDOWN_END_DRAIN:
 		for (uint32_t i = 0; i < caller_task_count(d); i++)
 			pw_mailbox_send(caller_task_inboxes(d)[i], pw_drain_end_msg());
-		set_step_timeout(s, DRAIN_END_TIMEOUT_US);
+		set_step_timeout(s, MIN(DRAIN_END_TIMEOUT_US, remaining_us(s) / 2));
 		break;
 	case SHUTDOWN_RELEASE_QUOTA:
 		/*
--- a/tests/platform/test_stops_fleet.c
+++ b/tests/platform/test_stops_fleet.c
@@ -7,6 +7,7 @@
 #include <pthread.h>
 #include <stdio.h>
 
+#include "harness_relay.h"
 #include "platform_fleet.h"
 
 #define CALLERS_MAX 64
@@ -317,6 +318,36 @@
 }
 END_TEST
 
+/*
+ * Guards against a VM that is killed while it waits to leave the fleet: VMs that cannot reach the
+ * store hold permits that it has delegated to them.
+ */
+START_TEST(test_stop_with_delegated_permits_fits_limit)
+{
+	struct pw_harness_relay *relay;
+	char *text = g_strdup_printf("%ums", limits_ms[_i]);
+
+	stop_timeout = text;
+	start_fleet();
+	stop_timeout = NULL;
+	relay = pw_harness_relay_new(platform->port);
+	for (uint32_t i = 1; i < VM_COUNT; i++) {
+		pw_harness_stop(vms[i].process);
+		start_vm_with_store(i, pw_harness_relay_port(relay));
+		ck_assert(PW_HARNESS_WAIT_UNTIL(is_ready(&vms[i]), READY_TIMEOUT_MS));
+	}
+	pw_harness_relay_set_mode(relay, PW_RELAY_DISCONNECT);
+	g_usleep(RUN_BEFORE_MS * 2000);
+	pw_harness_signal(vms[0].process, SIGTERM);
+	ck_assert_msg(pw_harness_wait_end(vms[0].process, limits_ms[_i]),
+		      "limit %u ms: the process has not ended", limits_ms[_i]);
+	ck_assert_int_eq(vms[0].process->status, 0);
+	pw_harness_relay_free(relay);
+	g_free(text);
+	stop_fleet();
+}
+END_TEST
+
 /* Runs statements without a pause. Returns the last answer after which the caller leaves. */
 static char *run_until_refused(struct client *c, const char *statement)
 {
@@ -398,6 +429,8 @@
 	tcase_add_loop_test(tc, test_stop_answers_every_request, 0, PW_ARRAY_LEN(stop_cases));
 	tcase_add_loop_test(tc, test_stop_fits_limit, 0,
 			    PW_ARRAY_LEN(limits_ms) * PW_ARRAY_LEN(limit_cases));
+	tcase_add_loop_test(tc, test_stop_with_delegated_permits_fits_limit, 0,
+			    PW_ARRAY_LEN(limits_ms));
 	tcase_add_loop_test(tc, test_busy_caller_is_refused_before_the_close, 0,
 			    PW_ARRAY_LEN(busy_caller_cases));
 	tcase_add_test(tc, test_request_in_socket_is_answered);
