--- a/daemon/traffic/gateway_drain.c
+++ b/daemon/traffic/gateway_drain.c
@@ -68,7 +68,7 @@
 	gateway_accept_sessions(g, GATEWAY_SESSIONS_MAX);
 	g->drain = (struct pw_drain_window){
 		.started_us = now_us,
-		.ends_us = now_us + g->directory->settings->drain_timeout_us,
+		.ends_us = now_us + g->directory->drain_plan.drain_us,
 	};
 	pw_loop_unwatch(g->task.loop, &g->listener);
 	close(g->listener.fd);
@@ -112,7 +112,7 @@
 	if (!g->drain_timer.ops && pw_drain_is_over(&g->drain, gateway_now_us(g))) {
 		g->drain_timer.ops = &drain_timer_ops;
 		pw_loop_timer_set(g->task.loop, &g->drain_timer,
-				  gateway_now_us(g) + SESSION_DRAIN_CLOSE_TIMEOUT_US);
+				  gateway_now_us(g) + g->directory->drain_plan.close_us);
 	}
 	gateway_for_each_session(g, gw_session_drain);
 	report_if_drained(g);
