Planned stops: tell callers truthfully what became of their statements

What callers saw: at the end of the drain of the PostgreSQL binding, each outstanding statement got 08007, "may or may not have taken effect", also those that only waited for a slot of a server and were never sent. A caller that repeats only what has not run could not repeat them elsewhere.

Cause: the front task answered for all statements, without knowing how far they had come. Now it asks the tasks that have them: the new message request_stop takes the way of the request through the ledger task to the group task. A statement that waits there is refused with 57P01, "was not run"; one that a server has got is answered with 08007. The connection closes after the answer, or after 0.3 s with 08007 if the task that had the statement was lost.

--- a/daemon/traffic/front.c
+++ b/daemon/traffic/front.c
@@ -267,8 +267,27 @@
 	g_list_free(callers);
 }
 
-/* Answers an outstanding statement with an error, and disconnects the caller. */
+/* Disconnects a caller, at once or after the answer to its request, which is stopped. */
 static void disconnect_after_drain(struct caller *c)
+{
+	struct front *f = c->front;
+
+	if (c->state == CALLER_CLOSING)
+		return;
+	if (!c->request_id) {
+		caller_send_fatal_error(c, PW_SQLSTATE_SHUTDOWN, PW_COUNTER_REFUSED_DRAINING,
+					"the proxy is stopping");
+		return;
+	}
+	pw_mailbox_send(f->directory->ledger,
+			pw_request_stop_msg(c->request_id,
+					    pw_directory_group_inbox(f->directory, c->database)));
+	pw_loop_timer_set(f->task.loop, &c->timer,
+			  pw_loop_now_us(f->task.loop) + DRAIN_ANSWER_TIMEOUT_US);
+}
+
+/* Answers an outstanding statement with an error, and disconnects the caller. */
+static void disconnect_now(struct caller *c)
 {
 	if (c->state == CALLER_CLOSING)
 		return;
@@ -284,6 +303,9 @@
 	struct front *f = (struct front *)((char *)t - offsetof(struct front, drain_timeout_timer));
 
 	(void)now_us;
+	if (f->drain_is_over)
+		return;
+	f->drain_is_over = true;
 	for_each_caller(f, disconnect_after_drain);
 	report_if_drained(f);
 }
@@ -505,7 +527,7 @@
 
 	/* Keeps caller_close() from reporting that the task has drained. */
 	f->stopping = false;
-	for_each_caller(f, disconnect_after_drain);
+	for_each_caller(f, disconnect_now);
 	for_each_caller(f, caller_close);
 	pw_loop_timer_clear(t->loop, &f->drain_timeout_timer);
 	pw_loop_timer_clear(t->loop, &f->drain_check_timer);
--- a/daemon/traffic/front_private.h
+++ b/daemon/traffic/front_private.h
@@ -53,6 +53,12 @@
 /* Interval of the search for idle callers while the task drains. */
 #define DRAIN_CHECK_INTERVAL_US UINT64_C(100000)
 
+/*
+ * Time for the answers to the requests that are stopped at the end of the drain. A request whose
+ * answer has not come by then was lost with a task that had it.
+ */
+#define DRAIN_ANSWER_TIMEOUT_US UINT64_C(300000)
+
 /* Prepared statements that a connection may keep, and the total size of their Parse messages. */
 #define PREPARED_STATEMENTS_MAX       256
 #define PREPARED_STATEMENTS_MAX_BYTES 262144
@@ -76,6 +82,7 @@
 	struct pw_timer drain_grace_timer; /**< start of draining after the document marks the VM */
 	bool stopping;                     /**< a planned stop has begun */
 	bool draining;       /**< callers are disconnected unless a transaction is open */
+	bool drain_is_over;  /**< callers are disconnected after their outstanding request */
 	bool drain_reported; /**< the shutdown task was told that no caller is left */
 };
 
--- a/daemon/traffic/front_session.c
+++ b/daemon/traffic/front_session.c
@@ -378,5 +378,10 @@
 					"the key of the client account was withdrawn");
 		return;
 	}
+	if (c->front->drain_is_over) {
+		caller_send_fatal_error(c, PW_SQLSTATE_SHUTDOWN, PW_COUNTER_REFUSED_DRAINING,
+					"the proxy is stopping");
+		return;
+	}
 	session_handle_input(c);
 }
--- a/daemon/traffic/group.c
+++ b/daemon/traffic/group.c
@@ -361,6 +361,14 @@
 		work_cancel(w);
 }
 
+static void handle_request_stop(struct group *g, uint64_t request_id)
+{
+	struct work *w = g_hash_table_lookup(g->works_by_request, &request_id);
+
+	if (w)
+		work_stop(w);
+}
+
 static void handle_units_of_database(struct database *db, const struct pw_units_msg *m)
 {
 	GPtrArray *lists[] = { db->servers, db->retired_servers };
@@ -399,6 +407,8 @@
 		work_handle_session_end(g, ((struct pw_session_end *)m)->session_id);
 	else if (m->ops == &pw_cancel_ops)
 		handle_cancel(g, ((struct pw_cancel *)m)->session_id);
+	else if (m->ops == &pw_request_stop_ops)
+		handle_request_stop(g, ((struct pw_request_stop *)m)->request_id);
 	else if (m->ops == &pw_snapshot_ops)
 		apply_snapshot(g, ((struct pw_snapshot *)m)->document);
 	else if (m->ops == &pw_units_msg_ops)
--- a/daemon/traffic/group_private.h
+++ b/daemon/traffic/group_private.h
@@ -221,6 +221,11 @@
 void work_refuse(struct work *w, const char *sqlstate, enum pw_counter counter, const char *text);
 /** Handles a cancel request: refuses a request that waits, cancels one that runs. */
 void work_cancel(struct work *w);
+/**
+ * Ends a request because the VM stops: refuses one that waits, answers one that a server has got
+ * with the error that the outcome is unknown.
+ */
+void work_stop(struct work *w);
 /** Drops the session's request and rolls its transaction back. */
 void work_handle_session_end(struct group *g, uint64_t session_id);
 /** Sends a part of the answer to the front task. */
--- a/daemon/traffic/group_work.c
+++ b/daemon/traffic/group_work.c
@@ -526,22 +526,47 @@
 	}
 }
 
+/* Drops the answer that a server still sends; no credit is needed for it. */
+static void abandon(struct work *w)
+{
+	w->abandoned = true;
+	if (!w->conn)
+		return;
+	w->uncredited_bytes = 0;
+	pw_stream_pause(&w->conn->stream, false);
+}
+
+void work_stop(struct work *w)
+{
+	struct pw_response_end *e;
+
+	if (w->abandoned)
+		return;
+	if (w->state == WORK_QUEUED)
+		pw_pool_cancel(w->server->pool, w->request->id);
+	if (w->state == WORK_QUEUED || w->state == WORK_WAITING) {
+		work_refuse(w, PW_SQLSTATE_SHUTDOWN, PW_COUNTER_REFUSED_DRAINING,
+			    "the proxy is stopping");
+		return;
+	}
+	e = pw_response_end_new_refused(w->request, PW_SQLSTATE_OUTCOME_UNKNOWN,
+					PW_COUNTER_REFUSED_DRAINING,
+					"the proxy stopped before the statement was answered");
+	pw_mailbox_send(w->request->reply_to, &e->base);
+	abandon(w);
+}
+
 void work_handle_session_end(struct group *g, uint64_t session_id)
 {
 	struct work *w = g_hash_table_lookup(g->works_by_session, &session_id);
 	struct conn *c = g_hash_table_lookup(g->pinned_conns, &session_id);
 
 	if (w) {
-		w->abandoned = true;
+		abandon(w);
 		if (w->state == WORK_QUEUED)
 			pw_pool_cancel(w->server->pool, w->request->id);
-		if (w->state == WORK_QUEUED || w->state == WORK_WAITING) {
+		if (w->state == WORK_QUEUED || w->state == WORK_WAITING)
 			work_free(w);
-		} else if (w->conn) {
-			/* The rest of the answer is dropped, so no credit is needed for it. */
-			w->uncredited_bytes = 0;
-			pw_stream_pause(&w->conn->stream, false);
-		}
 	}
 	if (c && c->state == CONN_PINNED)
 		conn_roll_back(c);
--- a/daemon/traffic/ledger.c
+++ b/daemon/traffic/ledger.c
@@ -119,15 +119,20 @@
 	pw_mailbox_send(pw_directory_group_inbox(l->directory, r->database->name), &r->base);
 }
 
-static void refuse_request(struct pw_request *r, const char *text)
+static void refuse_request_with(struct pw_request *r, const char *sqlstate, enum pw_counter counter,
+				const char *text)
 {
-	struct pw_response_end *e = pw_response_end_new_refused(
-		r, PW_SQLSTATE_RATE_EXCEEDED, PW_COUNTER_REFUSED_RATE, "%s", text);
+	struct pw_response_end *e = pw_response_end_new_refused(r, sqlstate, counter, "%s", text);
 
 	pw_mailbox_send(r->reply_to, &e->base);
 	pw_msg_free(&r->base);
 }
 
+static void refuse_request(struct pw_request *r, const char *text)
+{
+	refuse_request_with(r, PW_SQLSTATE_RATE_EXCEEDED, PW_COUNTER_REFUSED_RATE, text);
+}
+
 /*
  * Acquires the missing tokens, until the request has to wait for one. Frees the admission once the
  * request has all tokens and was sent on, or was refused.
@@ -476,6 +481,24 @@
 	pw_mailbox_send(l->directory->peers, &released->base);
 }
 
+/* Refuses a request that waits for tokens; passes the message on to the group task otherwise. */
+static void stop_request(struct ledger *l, struct pw_request_stop *m)
+{
+	struct admission *a = g_hash_table_lookup(l->admissions, &m->request_id);
+	struct pw_request *r;
+
+	if (!a) {
+		pw_mailbox_send(m->group, &m->base);
+		return;
+	}
+	r = a->request;
+	a->request = NULL;
+	g_hash_table_remove(l->admissions, &m->request_id);
+	refuse_request_with(r, PW_SQLSTATE_SHUTDOWN, PW_COUNTER_REFUSED_DRAINING,
+			    "the proxy is stopping");
+	pw_msg_free(&m->base);
+}
+
 static void ledger_receive(struct pw_task *t, struct pw_msg *m)
 {
 	struct ledger *l = (struct ledger *)t;
@@ -484,6 +507,10 @@
 		admit_request(l, (struct pw_request *)m); /* takes ownership */
 		return;
 	}
+	if (m->ops == &pw_request_stop_ops) {
+		stop_request(l, (struct pw_request_stop *)m); /* takes ownership */
+		return;
+	}
 	if (m->ops == &pw_units_msg_ops) {
 		handle_units(l, (struct pw_units_msg *)m);
 	} else if (m->ops == &pw_snapshot_ops) {
--- a/daemon/traffic/request.c
+++ b/daemon/traffic/request.c
@@ -47,6 +47,10 @@
 const struct pw_msg_ops pw_credit_ops = { .name = "credit", .destroy = shallow_destroy };
 const struct pw_msg_ops pw_session_end_ops = { .name = "session_end", .destroy = shallow_destroy };
 const struct pw_msg_ops pw_cancel_ops = { .name = "cancel", .destroy = shallow_destroy };
+const struct pw_msg_ops pw_request_stop_ops = {
+	.name = "request_stop",
+	.destroy = shallow_destroy,
+};
 const struct pw_msg_ops pw_snapshot_ops = { .name = "snapshot", .destroy = snapshot_destroy };
 const struct pw_msg_ops pw_snapshot_request_ops = {
 	.name = "snapshot_ask",
@@ -131,6 +135,16 @@
 	return &c->base;
 }
 
+struct pw_msg *pw_request_stop_msg(uint64_t request_id, struct pw_mailbox *group)
+{
+	struct pw_request_stop *s = g_new0(struct pw_request_stop, 1);
+
+	s->base.ops = &pw_request_stop_ops;
+	s->request_id = request_id;
+	s->group = group;
+	return &s->base;
+}
+
 struct pw_msg *pw_snapshot_msg(const struct pw_document *d)
 {
 	struct pw_snapshot *s = g_new0(struct pw_snapshot, 1);
--- a/daemon/traffic/request.h
+++ b/daemon/traffic/request.h
@@ -92,6 +92,17 @@
 	uint64_t session_id;
 };
 
+/**
+ * Ends an outstanding request at the end of the drain: it is refused if no server has got it, else
+ * answered with the error that the outcome is unknown. Takes the way of the request, through the
+ * ledger task to the group task, so that it cannot overtake it.
+ */
+struct pw_request_stop {
+	struct pw_msg base;
+	uint64_t request_id;
+	struct pw_mailbox *group; /**< group task of the request's database */
+};
+
 /** A new snapshot of the service document, for every task that uses it. */
 struct pw_snapshot {
 	struct pw_msg base;
@@ -115,6 +126,7 @@
 extern const struct pw_msg_ops pw_credit_ops;
 extern const struct pw_msg_ops pw_session_end_ops;
 extern const struct pw_msg_ops pw_cancel_ops;
+extern const struct pw_msg_ops pw_request_stop_ops;
 extern const struct pw_msg_ops pw_snapshot_ops;
 extern const struct pw_msg_ops pw_snapshot_request_ops;
 extern const struct pw_msg_ops pw_drain_ops;
@@ -144,6 +156,7 @@
 struct pw_msg *pw_credit_msg(uint64_t request_id, uint32_t size_bytes);
 struct pw_msg *pw_session_end_msg(uint64_t session_id);
 struct pw_msg *pw_cancel_msg(uint64_t session_id);
+struct pw_msg *pw_request_stop_msg(uint64_t request_id, struct pw_mailbox *group);
 /** The message takes a reference of its own to the document. */
 struct pw_msg *pw_snapshot_msg(const struct pw_document *d);
 struct pw_msg *pw_snapshot_request_msg(struct pw_mailbox *reply_to);
--- a/tests/process/harness_service.c
+++ b/tests/process/harness_service.c
@@ -133,7 +133,8 @@
 	s->store_port = start_store(s->harness);
 	s->caller_port = pw_harness_allocate_port();
 	s->api_port = pw_harness_allocate_port();
-	text = make_document(s, start_database(s->harness), document_members);
+	s->database_port = start_database(s->harness);
+	text = make_document(s, s->database_port, document_members);
 	path = g_build_filename(pw_harness_temp_folder(s->harness), "document.json", NULL);
 	ck_assert(g_file_set_contents(path, text, -1, NULL));
 	apply_args[1] = path;
--- a/tests/process/harness_service.h
+++ b/tests/process/harness_service.h
@@ -19,6 +19,7 @@
 	uint16_t store_port;
 	uint16_t caller_port;
 	uint16_t api_port;
+	uint16_t database_port;
 	struct pw_key keys[2]; /**< of the client accounts amber and birch */
 };
 
