Planned stops: answer the logins that wait when the drain begins

What callers saw: a login was reset, or ended without 57P03, when its connection was not yet accepted or had not sent its startup message as the drain began. A driver does not learn from a reset that the next address may serve it.

Cause: the drain closed the listening socket, and the kernel resets the connections that wait there. A caller that had not logged in was also sent the error at once; libpq does not take an error for the answer to its request for encryption. Now the waiting connections are accepted first, up to the limit of connections, and a login has DRAIN_IDLE_US from its connect, in which it is refused like any other one. At the end of the drain it gets 57P03, not 57P01.

--- a/daemon/traffic/front.c
+++ b/daemon/traffic/front.c
@@ -207,6 +207,7 @@
 	f->next_session_number &= (UINT64_C(1) << SESSION_ID_INDEX_SHIFT) - 1;
 	c->cancel_secret = (uint32_t)pw_clock_random_u64();
 	c->transaction_status = 'I';
+	c->idle_since_us = now_us;
 	c->timer.ops = &caller_timer_ops;
 	/* After a wrap-around the id may still be in use; the connection is then closed. */
 	if (front_find_caller(f, c->session_id) ||
@@ -241,16 +242,38 @@
 
 static const struct pw_source_ops listener_ops = { .ready = listener_ready };
 
+/*
+ * Accepts the connections that wait when the drain begins, which the kernel resets when the socket
+ * is closed. Their logins are refused. None of them takes the place of an earlier one, since no
+ * further connections follow.
+ */
+static uint32_t accept_last_callers(struct front *f)
+{
+	uint32_t count = 0;
+
+	while (limits_has_room(f)) {
+		int32_t fd = accept4(f->listener.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (fd < 0)
+			break;
+		accept_caller(f, fd);
+		count++;
+	}
+	return count;
+}
+
 /*
  * Disconnects a caller that has been idle for DRAIN_IDLE_US without a transaction, or that has not
- * logged in. handle_batch() disconnects the others.
+ * logged in DRAIN_IDLE_US after its connect. handle_batch() and complete_login() disconnect the
+ * others.
  */
 static void disconnect_if_idle(struct caller *c)
 {
 	uint64_t now_us = pw_loop_now_us(c->front->task.loop);
 
-	if (c->state == CALLER_READY && !c->request_id && c->transaction_status == 'I' &&
-	    !c->batch && now_us - c->idle_since_us >= DRAIN_IDLE_US)
+	if (now_us - c->idle_since_us < DRAIN_IDLE_US)
+		return;
+	if (c->state == CALLER_READY && !c->request_id && c->transaction_status == 'I' && !c->batch)
 		caller_send_fatal_error(c, PW_SQLSTATE_SHUTDOWN, PW_COUNTER_REFUSED_DRAINING,
 					"the proxy is stopping");
 	else if (c->state < CALLER_READY)
@@ -267,6 +290,12 @@
 	g_list_free(callers);
 }
 
+/* An error before the login succeeds makes the driver try its next address. */
+static const char *shutdown_sqlstate(const struct caller *c)
+{
+	return c->state < CALLER_READY ? PW_SQLSTATE_UNAVAILABLE : PW_SQLSTATE_SHUTDOWN;
+}
+
 /* Disconnects a caller, at once or after the answer to its request, which is stopped. */
 static void disconnect_after_drain(struct caller *c)
 {
@@ -275,7 +304,7 @@
 	if (c->state == CALLER_CLOSING)
 		return;
 	if (!c->request_id) {
-		caller_send_fatal_error(c, PW_SQLSTATE_SHUTDOWN, PW_COUNTER_REFUSED_DRAINING,
+		caller_send_fatal_error(c, shutdown_sqlstate(c), PW_COUNTER_REFUSED_DRAINING,
 					"the proxy is stopping");
 		return;
 	}
@@ -294,7 +323,7 @@
 	if (c->request_id)
 		session_handle_request_timeout(c);
 	else
-		caller_send_fatal_error(c, PW_SQLSTATE_SHUTDOWN, PW_COUNTER_REFUSED_DRAINING,
+		caller_send_fatal_error(c, shutdown_sqlstate(c), PW_COUNTER_REFUSED_DRAINING,
 					"the proxy is stopping");
 }
 
@@ -334,6 +363,7 @@
 		return;
 	f->stopping = true;
 	f->draining = true;
+	accept_last_callers(f);
 	pw_loop_unwatch(f->task.loop, &f->listener);
 	close(f->listener.fd);
 	f->listener.fd = -1;
--- a/daemon/traffic/front_limits.c
+++ b/daemon/traffic/front_limits.c
@@ -41,9 +41,14 @@
 	g_hash_table_unref(f->usage_by_account);
 }
 
+bool limits_has_room(const struct front *f)
+{
+	return g_hash_table_size(f->callers_by_session) < max_task_connections(f);
+}
+
 bool limits_admit_connection(struct front *f)
 {
-	if (g_hash_table_size(f->callers_by_session) >= max_task_connections(f)) {
+	if (!limits_has_room(f)) {
 		pw_counter_inc(PW_COUNTER_REFUSED_LIMIT);
 		return false;
 	}
--- a/daemon/traffic/front_private.h
+++ b/daemon/traffic/front_private.h
@@ -139,7 +139,8 @@
 	GList *login_link;      /**< node in `pending_logins` of the front task; NULL: not in it */
 	uint64_t memory_bytes;  /**< memory that is included in `account_usage` */
 	uint64_t request_id;    /**< id of the outstanding request; 0: none */
-	uint64_t idle_since_us; /**< end of the last request, or of the login */
+	uint64_t idle_since_us; /**< end of the last request or of the login; before that, time of
+				   the connect */
 	uint64_t uncredited_bytes;     /**< bytes of chunks for which no credit was sent yet */
 	struct pw_mailbox *credit_to;  /**< group task that gets the credit */
 	char transaction_status;       /**< as last sent to the caller */
@@ -171,6 +172,8 @@
 /* front_limits.c */
 void limits_init(struct front *f);
 void limits_dispose(struct front *f);
+/** @return whether the task has fewer connections than its limit */
+bool limits_has_room(const struct front *f);
 /**
  * Decides whether one more connection may be accepted. If too many connections have not logged in,
  * closes the oldest of them.
--- a/tests/process/test_stop_answers.c
+++ b/tests/process/test_stop_answers.c
@@ -247,6 +247,53 @@
 }
 END_TEST
 
+/* More connections than the proxy accepts until the message of the drain arrives. */
+#define WAITING_COUNT 300
+
+/* With "prefer", the login begins with a request for encryption. */
+static const char *const ssl_modes[] = { "disable", "prefer" };
+
+/* Guards against logins that are reset because they wait to be accepted when the drain begins. */
+START_TEST(test_waiting_connections_are_refused)
+{
+	PGconn *waiting[WAITING_COUNT];
+	uint32_t refused_count = 0;
+
+	start_service("--drain-grace=400ms", "--drain-timeout=2s");
+	pw_harness_signal(service.proxy, SIGTERM);
+	g_usleep(200 * 1000);
+	pw_harness_signal(service.proxy, SIGSTOP);
+	for (uint32_t i = 0; i < WAITING_COUNT; i++) {
+		char *conninfo = g_strdup_printf(
+			"host=127.0.0.1 port=%u user=amber password=%s dbname=test sslmode=%s",
+			service.caller_port, service.keys[0].text, ssl_modes[_i]);
+
+		waiting[i] = PQconnectStart(conninfo);
+		PQsetErrorVerbosity(waiting[i], PQERRORS_VERBOSE);
+		g_free(conninfo);
+	}
+	g_usleep(500 * 1000);
+	pw_harness_signal(service.proxy, SIGCONT);
+	for (uint32_t i = 0; i < WAITING_COUNT; i++) {
+		PostgresPollingStatusType state = PGRES_POLLING_WRITING;
+
+		while (state == PGRES_POLLING_WRITING || state == PGRES_POLLING_READING) {
+			struct pollfd p = { .fd = PQsocket(waiting[i]),
+					    .events = state == PGRES_POLLING_READING ? POLLIN
+										     : POLLOUT };
+
+			ck_assert_int_eq(poll(&p, 1, ANSWER_TIMEOUT_MS), 1);
+			state = PQconnectPoll(waiting[i]);
+		}
+		refused_count += strstr(PQerrorMessage(waiting[i]), "57P03") != NULL;
+		PQfinish(waiting[i]);
+	}
+	ck_assert_uint_eq(refused_count, WAITING_COUNT);
+	expect_clean_end();
+	stop_service();
+}
+END_TEST
+
 /* More callers than the loop reads in one iteration, so that timers run before some are read. */
 #define SOCKET_CALLER_COUNT 150
 
@@ -323,6 +370,7 @@
 	TCase *tc = tcase_create("stop answers");
 
 	tcase_add_loop_test(tc, test_end_of_drain_answers_statements, 0, PW_ARRAY_LEN(stop_cases));
+	tcase_add_loop_test(tc, test_waiting_connections_are_refused, 0, PW_ARRAY_LEN(ssl_modes));
 	tcase_add_test(tc, test_request_in_socket_is_answered);
 	tcase_add_test(tc, test_withdrawn_key_answers_pipelined_request);
 	return pw_suite_run("stop answers", tc);
