--- a/daemon/traffic/front.c
+++ b/daemon/traffic/front.c
@@ -62,18 +62,6 @@
 	return g_hash_table_lookup(f->callers_by_session, &session_id);
 }
 
-static void report_if_drained(struct front *f)
-{
-	struct pw_msg *m;
-
-	if (!f->stopping || f->drain_reported || g_hash_table_size(f->callers_by_session))
-		return;
-	f->drain_reported = true;
-	m = g_new0(struct pw_msg, 1);
-	m->ops = &pw_drained_ops;
-	pw_mailbox_send(f->directory->shutdown, m);
-}
-
 void caller_close(struct caller *c)
 {
 	struct front *f = c->front;
@@ -98,7 +86,7 @@
 	g_free(c->database);
 	g_hash_table_remove(f->callers_by_session, &c->session_id);
 	g_free(c);
-	report_if_drained(f);
+	drain_report_if_done(f);
 }
 
 void caller_send(struct caller *c, const GByteArray *b)
@@ -197,7 +185,7 @@
 
 static const struct pw_timer_ops caller_timer_ops = { .expire = caller_timer_expired };
 
-static void accept_caller(struct front *f, int32_t fd)
+void front_accept_caller(struct front *f, int32_t fd)
 {
 	struct caller *c = g_new0(struct caller, 1);
 	uint64_t now_us = pw_loop_now_us(f->task.loop);
@@ -234,7 +222,7 @@
 			return;
 		/* Refused without an error message, which would need memory for each connection. */
 		if (limits_admit_connection(f))
-			accept_caller(f, fd);
+			front_accept_caller(f, fd);
 		else
 			close(fd);
 	}
@@ -242,46 +230,7 @@
 
 static const struct pw_source_ops listener_ops = { .ready = listener_ready };
 
-/*
- * Accepts the connections that wait when the drain begins, which the kernel resets when the socket
- * is closed. Their logins are refused. None of them takes the place of an earlier one, since no
- * further connections follow.
- */
-static uint32_t accept_last_callers(struct front *f)
-{
-	uint32_t count = 0;
-
-	while (limits_has_room(f)) {
-		int32_t fd = accept4(f->listener.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-
-		if (fd < 0)
-			break;
-		accept_caller(f, fd);
-		count++;
-	}
-	return count;
-}
-
-/*
- * Disconnects a caller that has been idle for DRAIN_IDLE_US without a transaction, or that has not
- * logged in DRAIN_IDLE_US after its connect. handle_batch() and complete_login() disconnect the
- * others.
- */
-static void disconnect_if_idle(struct caller *c)
-{
-	uint64_t now_us = pw_loop_now_us(c->front->task.loop);
-
-	if (now_us - c->idle_since_us < DRAIN_IDLE_US)
-		return;
-	if (c->state == CALLER_READY && !c->request_id && c->transaction_status == 'I' && !c->batch)
-		caller_send_fatal_error(c, PW_SQLSTATE_SHUTDOWN, PW_COUNTER_REFUSED_DRAINING,
-					"the proxy is stopping");
-	else if (c->state < CALLER_READY)
-		caller_send_fatal_error(c, PW_SQLSTATE_UNAVAILABLE, PW_COUNTER_REFUSED_DRAINING,
-					"the proxy is stopping");
-}
-
-static void for_each_caller(struct front *f, void (*action)(struct caller *c))
+void front_for_each_caller(struct front *f, void (*action)(struct caller *c))
 {
 	GList *callers = g_hash_table_get_values(f->callers_by_session);
 
@@ -290,117 +239,6 @@
 	g_list_free(callers);
 }
 
-/* An error before the login succeeds makes the driver try its next address. */
-static const char *shutdown_sqlstate(const struct caller *c)
-{
-	return c->state < CALLER_READY ? PW_SQLSTATE_UNAVAILABLE : PW_SQLSTATE_SHUTDOWN;
-}
-
-/* Disconnects a caller, at once or after the answer to its request, which is stopped. */
-static void disconnect_after_drain(struct caller *c)
-{
-	struct front *f = c->front;
-
-	if (c->state == CALLER_CLOSING)
-		return;
-	if (!c->request_id) {
-		caller_send_fatal_error(c, shutdown_sqlstate(c), PW_COUNTER_REFUSED_DRAINING,
-					"the proxy is stopping");
-		return;
-	}
-	pw_mailbox_send(f->directory->ledger,
-			pw_request_stop_msg(c->request_id,
-					    pw_directory_group_inbox(f->directory, c->database)));
-	pw_loop_timer_set(f->task.loop, &c->timer,
-			  pw_loop_now_us(f->task.loop) + DRAIN_ANSWER_TIMEOUT_US);
-}
-
-/* Answers an outstanding statement with an error, and disconnects the caller. */
-static void disconnect_now(struct caller *c)
-{
-	if (c->state == CALLER_CLOSING)
-		return;
-	if (c->request_id)
-		session_handle_request_timeout(c);
-	else
-		caller_send_fatal_error(c, shutdown_sqlstate(c), PW_COUNTER_REFUSED_DRAINING,
-					"the proxy is stopping");
-}
-
-static void drain_timeout_expired(struct pw_timer *t, uint64_t now_us)
-{
-	struct front *f = (struct front *)((char *)t - offsetof(struct front, drain_timeout_timer));
-
-	(void)now_us;
-	if (f->drain_is_over)
-		return;
-	f->drain_is_over = true;
-	for_each_caller(f, disconnect_after_drain);
-	report_if_drained(f);
-}
-
-static const struct pw_timer_ops drain_timeout_ops = { .expire = drain_timeout_expired };
-
-/* Disconnects idle callers, at intervals until draining ends. */
-static void disconnect_idle_callers(struct pw_timer *t, uint64_t now_us)
-{
-	struct front *f = (struct front *)((char *)t - offsetof(struct front, drain_check_timer));
-
-	if (!f->draining)
-		return;
-	pw_loop_timer_set(f->task.loop, t, now_us + DRAIN_CHECK_INTERVAL_US);
-	for_each_caller(f, disconnect_if_idle);
-	report_if_drained(f);
-}
-
-static const struct pw_timer_ops drain_check_ops = { .expire = disconnect_idle_callers };
-
-static void start_drain(struct front *f)
-{
-	uint64_t now_us = pw_loop_now_us(f->task.loop);
-
-	if (f->stopping)
-		return;
-	f->stopping = true;
-	f->draining = true;
-	accept_last_callers(f);
-	pw_loop_unwatch(f->task.loop, &f->listener);
-	close(f->listener.fd);
-	f->listener.fd = -1;
-	pw_loop_timer_set(f->task.loop, &f->drain_timeout_timer,
-			  now_us + f->directory->settings->drain_timeout_us);
-	disconnect_idle_callers(&f->drain_check_timer, now_us);
-}
-
-/* Starts to drain; callers in a transaction are disconnected after it has ended. */
-static void drain_grace_expired(struct pw_timer *t, uint64_t now_us)
-{
-	struct front *f = (struct front *)((char *)t - offsetof(struct front, drain_grace_timer));
-
-	f->draining = true;
-	disconnect_idle_callers(&f->drain_check_timer, now_us);
-}
-
-static const struct pw_timer_ops drain_grace_ops = { .expire = drain_grace_expired };
-
-/*
- * Starts the grace period when the document marks this VM as draining; stops draining when the mark
- * is gone.
- */
-static void apply_draining_mark(struct front *f)
-{
-	if (f->stopping)
-		return;
-	if (!pw_document_is_draining(f->document, f->directory->settings->vm_name)) {
-		pw_loop_timer_clear(f->task.loop, &f->drain_grace_timer);
-		f->draining = false;
-	} else if (!f->draining && !f->drain_grace_timer.node) {
-		pw_loop_timer_set(f->task.loop, &f->drain_grace_timer,
-				  pw_loop_now_us(f->task.loop) +
-					  f->directory->settings->drain_grace_us);
-	}
-}
-
 /* Time for a statement in flight to finish after the key of its caller was withdrawn. */
 #define WITHDRAWN_KEY_GRACE_US UINT64_C(1000000)
 
@@ -427,8 +265,8 @@
 {
 	pw_document_unref(f->document);
 	f->document = pw_document_ref(m->document);
-	for_each_caller(f, disconnect_if_key_withdrawn);
-	apply_draining_mark(f);
+	front_for_each_caller(f, disconnect_if_key_withdrawn);
+	drain_apply_mark(f);
 }
 
 /* Reads the certificate again if its files have changed. After a failure the old one stays. */
@@ -505,11 +343,9 @@
 
 		login_cancel_session(f, cancel->process_id, cancel->secret);
 	} else if (m->ops == &pw_drain_ops) {
-		start_drain(f);
+		drain_start(f);
 	} else if (m->ops == &pw_drain_end_ops) {
-		start_drain(f);
-		pw_loop_timer_clear(f->task.loop, &f->drain_timeout_timer);
-		drain_timeout_expired(&f->drain_timeout_timer, pw_loop_now_us(f->task.loop));
+		drain_end(f);
 	}
 	pw_msg_free(m);
 }
@@ -523,9 +359,7 @@
 	f->directory = args->directory;
 	f->index = args->index;
 	f->fresh_until_us = UINT64_MAX;
-	f->drain_timeout_timer.ops = &drain_timeout_ops;
-	f->drain_check_timer.ops = &drain_check_ops;
-	f->drain_grace_timer.ops = &drain_grace_ops;
+	drain_init(f);
 	f->listener.ops = &listener_ops;
 	/* The id 0 stands for no request. */
 	f->next_request_number = 1;
@@ -555,13 +389,7 @@
 {
 	struct front *f = (struct front *)t;
 
-	/* Keeps caller_close() from reporting that the task has drained. */
-	f->stopping = false;
-	for_each_caller(f, disconnect_now);
-	for_each_caller(f, caller_close);
-	pw_loop_timer_clear(t->loop, &f->drain_timeout_timer);
-	pw_loop_timer_clear(t->loop, &f->drain_check_timer);
-	pw_loop_timer_clear(t->loop, &f->drain_grace_timer);
+	drain_abort(f);
 	stop_tls(f);
 	if (f->listener.fd >= 0) {
 		pw_loop_unwatch(t->loop, &f->listener);
--- /dev/null
+++ b/daemon/traffic/front_drain.c
@@ -0,0 +1,187 @@
+#include "front_private.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "pw/core/clock.h"
+#include "pw/core/event.h"
+
+void drain_report_if_done(struct front *f)
+{
+	struct pw_msg *m;
+
+	if (!f->stopping || f->drain_reported || g_hash_table_size(f->callers_by_session))
+		return;
+	f->drain_reported = true;
+	m = g_new0(struct pw_msg, 1);
+	m->ops = &pw_drained_ops;
+	pw_mailbox_send(f->directory->shutdown, m);
+}
+
+/*
+ * Accepts the connections that wait when the drain begins, which the kernel resets when the socket
+ * is closed. Their logins are refused. None of them takes the place of an earlier one, since no
+ * further connections follow.
+ */
+static uint32_t accept_last_callers(struct front *f)
+{
+	uint32_t count = 0;
+
+	while (limits_has_room(f)) {
+		int32_t fd = accept4(f->listener.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (fd < 0)
+			break;
+		front_accept_caller(f, fd);
+		count++;
+	}
+	return count;
+}
+
+/*
+ * Disconnects a caller that has been idle for DRAIN_IDLE_US without a transaction, or that has not
+ * logged in DRAIN_IDLE_US after its connect. handle_batch() and complete_login() disconnect the
+ * others.
+ */
+static void disconnect_if_idle(struct caller *c)
+{
+	uint64_t now_us = pw_loop_now_us(c->front->task.loop);
+
+	if (now_us - c->idle_since_us < DRAIN_IDLE_US)
+		return;
+	if (c->state == CALLER_READY && !c->request_id && c->transaction_status == 'I' && !c->batch)
+		caller_send_fatal_error(c, PW_SQLSTATE_SHUTDOWN, PW_COUNTER_REFUSED_DRAINING,
+					"the proxy is stopping");
+	else if (c->state < CALLER_READY)
+		caller_send_fatal_error(c, PW_SQLSTATE_UNAVAILABLE, PW_COUNTER_REFUSED_DRAINING,
+					"the proxy is stopping");
+}
+
+/* An error before the login succeeds makes the driver try its next address. */
+static const char *shutdown_sqlstate(const struct caller *c)
+{
+	return c->state < CALLER_READY ? PW_SQLSTATE_UNAVAILABLE : PW_SQLSTATE_SHUTDOWN;
+}
+
+/* Answers an outstanding statement with an error, and disconnects the caller. */
+static void disconnect_now(struct caller *c)
+{
+	if (c->state == CALLER_CLOSING)
+		return;
+	if (c->request_id)
+		session_handle_request_timeout(c);
+	else
+		caller_send_fatal_error(c, shutdown_sqlstate(c), PW_COUNTER_REFUSED_DRAINING,
+					"the proxy is stopping");
+}
+
+/* Disconnects a caller, at once or after the answer to its request, which is stopped. */
+static void disconnect_after_drain(struct caller *c)
+{
+	struct front *f = c->front;
+
+	if (!c->request_id) {
+		disconnect_now(c);
+		return;
+	}
+	pw_mailbox_send(f->directory->ledger,
+			pw_request_stop_msg(c->request_id,
+					    pw_directory_group_inbox(f->directory, c->database)));
+	pw_loop_timer_set(f->task.loop, &c->timer,
+			  pw_loop_now_us(f->task.loop) + DRAIN_ANSWER_TIMEOUT_US);
+}
+
+static void drain_timeout_expired(struct pw_timer *t, uint64_t now_us)
+{
+	struct front *f = (struct front *)((char *)t - offsetof(struct front, drain_timeout_timer));
+
+	(void)now_us;
+	if (f->drain_is_over)
+		return;
+	f->drain_is_over = true;
+	front_for_each_caller(f, disconnect_after_drain);
+	drain_report_if_done(f);
+}
+
+static const struct pw_timer_ops drain_timeout_ops = { .expire = drain_timeout_expired };
+
+/* Disconnects idle callers, at intervals until draining ends. */
+static void disconnect_idle_callers(struct pw_timer *t, uint64_t now_us)
+{
+	struct front *f = (struct front *)((char *)t - offsetof(struct front, drain_check_timer));
+
+	if (!f->draining)
+		return;
+	pw_loop_timer_set(f->task.loop, t, now_us + DRAIN_CHECK_INTERVAL_US);
+	front_for_each_caller(f, disconnect_if_idle);
+	drain_report_if_done(f);
+}
+
+static const struct pw_timer_ops drain_check_ops = { .expire = disconnect_idle_callers };
+
+void drain_start(struct front *f)
+{
+	uint64_t now_us = pw_loop_now_us(f->task.loop);
+
+	if (f->stopping)
+		return;
+	f->stopping = true;
+	f->draining = true;
+	accept_last_callers(f);
+	pw_loop_unwatch(f->task.loop, &f->listener);
+	close(f->listener.fd);
+	f->listener.fd = -1;
+	pw_loop_timer_set(f->task.loop, &f->drain_timeout_timer,
+			  now_us + f->directory->settings->drain_timeout_us);
+	disconnect_idle_callers(&f->drain_check_timer, now_us);
+}
+
+/* Starts to drain; callers in a transaction are disconnected after it has ended. */
+static void drain_grace_expired(struct pw_timer *t, uint64_t now_us)
+{
+	struct front *f = (struct front *)((char *)t - offsetof(struct front, drain_grace_timer));
+
+	f->draining = true;
+	disconnect_idle_callers(&f->drain_check_timer, now_us);
+}
+
+static const struct pw_timer_ops drain_grace_ops = { .expire = drain_grace_expired };
+
+void drain_apply_mark(struct front *f)
+{
+	if (f->stopping)
+		return;
+	if (!pw_document_is_draining(f->document, f->directory->settings->vm_name)) {
+		pw_loop_timer_clear(f->task.loop, &f->drain_grace_timer);
+		f->draining = false;
+	} else if (!f->draining && !f->drain_grace_timer.node) {
+		pw_loop_timer_set(f->task.loop, &f->drain_grace_timer,
+				  pw_loop_now_us(f->task.loop) +
+					  f->directory->settings->drain_grace_us);
+	}
+}
+
+void drain_end(struct front *f)
+{
+	drain_start(f);
+	pw_loop_timer_clear(f->task.loop, &f->drain_timeout_timer);
+	drain_timeout_expired(&f->drain_timeout_timer, pw_loop_now_us(f->task.loop));
+}
+
+void drain_init(struct front *f)
+{
+	f->drain_timeout_timer.ops = &drain_timeout_ops;
+	f->drain_check_timer.ops = &drain_check_ops;
+	f->drain_grace_timer.ops = &drain_grace_ops;
+}
+
+void drain_abort(struct front *f)
+{
+	/* Keeps caller_close() from reporting that the task has drained. */
+	f->stopping = false;
+	front_for_each_caller(f, disconnect_now);
+	front_for_each_caller(f, caller_close);
+	pw_loop_timer_clear(f->task.loop, &f->drain_timeout_timer);
+	pw_loop_timer_clear(f->task.loop, &f->drain_check_timer);
+	pw_loop_timer_clear(f->task.loop, &f->drain_grace_timer);
+}
--- a/daemon/traffic/front_private.h
+++ b/daemon/traffic/front_private.h
@@ -1,7 +1,8 @@
 /*
  * Internal declarations of the front task:
  *
- *   front.c          the task: messages, listener, draining, TLS files
+ *   front.c          the task: messages, listener, TLS files
+ *   front_drain.c    planned stops, and draining while the document marks the VM
  *   front_limits.c   limits on connections, logins and memory
  *   front_login.c    startup messages, keys, cancel requests
  *   front_batch.c    splits a caller's input into batches, keeps its prepared statements
@@ -169,6 +170,27 @@
 /** @return caller with that session id, or NULL */
 struct caller *front_find_caller(struct front *f, uint64_t session_id);
 
+/** Starts the session of an accepted connection. */
+void front_accept_caller(struct front *f, int32_t fd);
+/** Calls a function, which may free the caller, for each caller. */
+void front_for_each_caller(struct front *f, void (*action)(struct caller *c));
+
+/* front_drain.c */
+void drain_init(struct front *f);
+/** Closes the listening socket and begins to disconnect callers. */
+void drain_start(struct front *f);
+/** Answers outstanding requests with an error and disconnects all callers. */
+void drain_end(struct front *f);
+/** Does what drain_end() does when the task ends and gets no more messages. */
+void drain_abort(struct front *f);
+/** Tells the shutdown task, once, that the task has drained and no caller is left. */
+void drain_report_if_done(struct front *f);
+/**
+ * Starts the grace period when the document marks this VM as draining; stops draining when the mark
+ * is gone.
+ */
+void drain_apply_mark(struct front *f);
+
 /* front_limits.c */
 void limits_init(struct front *f);
 void limits_dispose(struct front *f);
