Front task: log what a planned stop did with callers and statements

What is missing: of the PostgreSQL binding, the log of a stopping VM said nothing about the statements that it answered, refused and ended, and neither a line nor a counter told of a statement that got no answer.

Change: the front task writes drain_started and drain_ended with the counts of the gateway task, and request_unanswered (counter unanswered_total) for a caller that the proxy closes with a statement outstanding.

--- a/daemon/traffic/front.c
+++ b/daemon/traffic/front.c
@@ -62,7 +62,7 @@
 	return g_hash_table_lookup(f->callers_by_session, &session_id);
 }
 
-void caller_close(struct caller *c)
+static void close_caller(struct caller *c, bool by_caller)
 {
 	struct front *f = c->front;
 
@@ -76,6 +76,7 @@
 	if (c->uncredited_bytes && c->credit_to)
 		pw_mailbox_send(c->credit_to,
 				pw_credit_msg(c->request_id, (uint32_t)c->uncredited_bytes));
+	drain_record_close(c, by_caller);
 	limits_remove_caller(c);
 	pw_loop_timer_clear(f->task.loop, &c->timer);
 	pw_stream_dispose(&c->stream);
@@ -89,6 +90,11 @@
 	drain_report_if_done(f);
 }
 
+void caller_close(struct caller *c)
+{
+	close_caller(c, false);
+}
+
 void caller_send(struct caller *c, const GByteArray *b)
 {
 	pw_stream_send(&c->stream, b->data, b->len);
@@ -161,7 +167,7 @@
 
 static void caller_connection_closed(struct pw_stream *s)
 {
-	caller_close(caller_of(s));
+	close_caller(caller_of(s), true);
 }
 
 static const struct pw_stream_ops caller_ops = {
--- a/daemon/traffic/front_drain.c
+++ b/daemon/traffic/front_drain.c
@@ -1,11 +1,93 @@
 #include "front_private.h"
 
+#include <inttypes.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "pw/core/clock.h"
 #include "pw/core/event.h"
 
+static uint64_t drain_age_ms(const struct front *f)
+{
+	return f->drain_started_us
+		       ? (pw_loop_now_us(f->task.loop) - f->drain_started_us) / PW_US_PER_MS
+		       : 0;
+}
+
+static void log_start(const struct front *f, uint32_t accepted_count)
+{
+	uint32_t statement_count = 0, transaction_count = 0;
+	GHashTableIter it;
+	gpointer item;
+
+	g_hash_table_iter_init(&it, f->callers_by_session);
+	while (g_hash_table_iter_next(&it, NULL, &item)) {
+		const struct caller *c = item;
+
+		statement_count += c->request_id != 0;
+		transaction_count += c->transaction_status != 'I';
+	}
+	pw_event_log(PW_EVENT_DRAIN_STARTED,
+		     "task=front index=%u sessions=%u statements=%u transactions=%u accepted=%u "
+		     "ends_in_ms=%" PRIu64,
+		     f->index, g_hash_table_size(f->callers_by_session), statement_count,
+		     transaction_count, accepted_count,
+		     f->directory->settings->drain_timeout_us / PW_US_PER_MS);
+}
+
+static void log_end(const struct front *f)
+{
+	const struct drain_counts *n = &f->drain_counts;
+
+	pw_event_log(PW_EVENT_DRAIN_ENDED,
+		     "task=front index=%u ms=%" PRIu64
+		     " answered=%u refused=%u stopped=%u closed=%u left=%u cut=%u unanswered=%u "
+		     "crossed=%u",
+		     f->index, drain_age_ms(f), n->answered, n->refused, n->stopped, n->closed,
+		     n->left, n->cut, n->unanswered, n->crossed);
+}
+
+/*
+ * Returns what the proxy owes a caller that it closes: the answer to a statement that was passed on
+ * ("sent"), one that the caller has not taken ("unwritten"), or one that was not read ("unread").
+ */
+static const char *find_unanswered(const struct caller *c)
+{
+	if (c->request_id)
+		return "sent";
+	if (c->account_usage && pw_stream_output_bytes(&c->stream))
+		return "unwritten";
+	if (c->state == CALLER_READY &&
+	    (pw_stream_input_bytes(&c->stream) || pw_stream_has_unread_input(&c->stream)))
+		return "unread";
+	return NULL;
+}
+
+void drain_record_close(const struct caller *c, bool by_caller)
+{
+	struct front *f = c->front;
+	struct drain_counts *n = &f->drain_counts;
+	const char *state = by_caller ? NULL : find_unanswered(c);
+
+	n->crossed += c->stream.discarded_bytes != 0;
+	if (c->state == CALLER_CLOSING)
+		n->closed++;
+	else if (by_caller)
+		n->left++;
+	else
+		n->cut++;
+	if (!state)
+		return;
+	n->unanswered++;
+	pw_counter_inc(PW_COUNTER_UNANSWERED);
+	pw_event_log(PW_EVENT_REQUEST_UNANSWERED,
+		     "id=%" PRIu64 " account=%s database=%s state=%s server= waited_ms=%" PRIu64
+		     " input=%d drain_ms=%" PRIu64,
+		     c->request_id, c->user, c->database, state,
+		     (pw_loop_now_us(f->task.loop) - c->request_sent_us) / PW_US_PER_MS,
+		     !c->request_id && c->state == CALLER_READY, drain_age_ms(f));
+}
+
 void drain_report_if_done(struct front *f)
 {
 	struct pw_msg *m;
@@ -13,6 +95,7 @@
 	if (!f->stopping || f->drain_reported || g_hash_table_size(f->callers_by_session))
 		return;
 	f->drain_reported = true;
+	log_end(f);
 	m = g_new0(struct pw_msg, 1);
 	m->ops = &pw_drained_ops;
 	pw_mailbox_send(f->directory->shutdown, m);
@@ -84,6 +167,7 @@
 		disconnect_now(c);
 		return;
 	}
+	f->drain_counts.stopped++;
 	pw_mailbox_send(f->directory->ledger,
 			pw_request_stop_msg(c->request_id,
 					    pw_directory_group_inbox(f->directory, c->database)));
@@ -122,12 +206,16 @@
 void drain_start(struct front *f)
 {
 	uint64_t now_us = pw_loop_now_us(f->task.loop);
+	uint32_t accepted_count;
 
 	if (f->stopping)
 		return;
 	f->stopping = true;
 	f->draining = true;
-	accept_last_callers(f);
+	f->drain_started_us = now_us;
+	f->drain_counts = (struct drain_counts){ 0 };
+	accepted_count = accept_last_callers(f);
+	log_start(f, accepted_count);
 	pw_loop_unwatch(f->task.loop, &f->listener);
 	close(f->listener.fd);
 	f->listener.fd = -1;
@@ -177,10 +265,14 @@
 
 void drain_abort(struct front *f)
 {
+	bool is_draining = f->stopping && !f->drain_reported;
+
 	/* Keeps caller_close() from reporting that the task has drained. */
 	f->stopping = false;
 	front_for_each_caller(f, disconnect_now);
 	front_for_each_caller(f, caller_close);
+	if (is_draining)
+		log_end(f);
 	pw_loop_timer_clear(f->task.loop, &f->drain_timeout_timer);
 	pw_loop_timer_clear(f->task.loop, &f->drain_check_timer);
 	pw_loop_timer_clear(f->task.loop, &f->drain_grace_timer);
--- a/daemon/traffic/front_private.h
+++ b/daemon/traffic/front_private.h
@@ -64,6 +64,18 @@
 #define PREPARED_STATEMENTS_MAX       256
 #define PREPARED_STATEMENTS_MAX_BYTES 262144
 
+/* What became of callers and their statements in a planned stop. */
+struct drain_counts {
+	uint32_t answered;   /**< statements that a server has answered */
+	uint32_t refused;    /**< statements refused because the VM drains */
+	uint32_t stopped;    /**< statements in progress at the end of the drain */
+	uint32_t closed;     /**< callers disconnected after a message to them */
+	uint32_t left;       /**< callers that have closed their connection before */
+	uint32_t cut;        /**< callers disconnected as they were */
+	uint32_t unanswered; /**< callers with a statement without an answer among all of these */
+	uint32_t crossed;    /**< callers that sent more after the last message to them */
+};
+
 struct front {
 	struct pw_task task;
 	const struct pw_directory *directory;
@@ -81,10 +93,12 @@
 	struct pw_timer drain_timeout_timer; /**< end of a planned stop: closes all callers */
 	struct pw_timer drain_check_timer;   /**< next search for idle callers while draining */
 	struct pw_timer drain_grace_timer; /**< start of draining after the document marks the VM */
-	bool stopping;                     /**< a planned stop has begun */
-	bool draining;       /**< callers are disconnected unless a transaction is open */
-	bool drain_is_over;  /**< callers are disconnected after their outstanding request */
-	bool drain_reported; /**< the shutdown task was told that no caller is left */
+	struct drain_counts drain_counts;
+	uint64_t drain_started_us; /**< 0: no planned stop has begun to drain */
+	bool stopping;             /**< a planned stop has begun */
+	bool draining;             /**< callers are disconnected unless a transaction is open */
+	bool drain_is_over;        /**< callers are disconnected after their outstanding request */
+	bool drain_reported;       /**< the shutdown task was told that no caller is left */
 };
 
 enum caller_state {
@@ -142,6 +156,7 @@
 	uint64_t request_id;    /**< id of the outstanding request; 0: none */
 	uint64_t idle_since_us; /**< end of the last request or of the login; before that, time of
 				   the connect */
+	uint64_t request_sent_us;      /**< time at which the last request was sent */
 	uint64_t uncredited_bytes;     /**< bytes of chunks for which no credit was sent yet */
 	struct pw_mailbox *credit_to;  /**< group task that gets the credit */
 	char transaction_status;       /**< as last sent to the caller */
@@ -183,6 +198,8 @@
 void drain_end(struct front *f);
 /** Does what drain_end() does when the task ends and gets no more messages. */
 void drain_abort(struct front *f);
+/** Counts a caller that is being closed, and logs a statement of it that has no answer. */
+void drain_record_close(const struct caller *c, bool by_caller);
 /** Tells the shutdown task, once, that the task has drained and no caller is left. */
 void drain_report_if_done(struct front *f);
 /**
--- a/daemon/traffic/front_session.c
+++ b/daemon/traffic/front_session.c
@@ -253,6 +253,7 @@
 
 	pw_counter_inc(PW_COUNTER_REQUESTS);
 	c->request_id = r->id;
+	c->request_sent_us = r->arrived_us;
 	pw_loop_timer_set(c->front->task.loop, &c->timer,
 			  r->deadline_us + r->timeout_us + REQUEST_TIMEOUT_MARGIN_US);
 	pw_stream_pause(&c->stream, true);
@@ -266,6 +267,7 @@
 
 	/* Sent as the answer to the statement, since an earlier error could have crossed it. */
 	if (c->front->draining && c->transaction_status == 'I') {
+		c->front->drain_counts.refused++;
 		caller_send_fatal_error(c, PW_SQLSTATE_SHUTDOWN, PW_COUNTER_REFUSED_DRAINING,
 					"the proxy is stopping");
 		return;
@@ -372,6 +374,7 @@
 		finish_refused(c, e);
 	else
 		finish_answered(c, e);
+	c->front->drain_counts.answered += !e->refusal;
 	if (c->key_withdrawn) {
 		caller_send_fatal_error(c, PW_SQLSTATE_INVALID_KEY,
 					PW_COUNTER_REFUSED_KEY_WITHDRAWN,
--- a/tests/process/test_stop_answers.c
+++ b/tests/process/test_stop_answers.c
@@ -137,6 +137,43 @@
 	return g_string_free(s, FALSE);
 }
 
+static char *read_log(void)
+{
+	return pw_harness_read_output(service.proxy);
+}
+
+/* Returns the first line of the log that contains the text, or NULL; the caller frees it. */
+static char *find_log_line(const char *text)
+{
+	char *log = read_log();
+	char **lines = g_strsplit(log, "\n", -1);
+	char *found = NULL;
+
+	for (char **line = lines; *line && !found; line++)
+		found = strstr(*line, text) ? g_strdup(*line) : NULL;
+	g_strfreev(lines);
+	g_free(log);
+	return found;
+}
+
+static bool log_contains(const char *text)
+{
+	char *line = find_log_line(text);
+	bool found = line != NULL;
+
+	g_free(line);
+	return found;
+}
+
+static void expect_log(const char *text)
+{
+	char *end = find_log_line("name=drain_ended");
+
+	ck_assert_msg(log_contains(text), "the log does not contain \"%s\": %s", text,
+		      end ? end : "it has no drain_ended");
+	g_free(end);
+}
+
 static void expect_clean_end(void)
 {
 	ck_assert_msg(pw_harness_wait_end(service.proxy, EXIT_TIMEOUT_MS), "the proxy still runs");
@@ -365,6 +402,57 @@
 }
 END_TEST
 
+/* Guards against a stop whose log does not tell what became of callers and statements. */
+START_TEST(test_drain_is_logged)
+{
+	start_service("--drain-grace=100ms", "--drain-timeout=1s");
+	open_callers(5);
+	g_free(pw_harness_query(conns[0], ANSWER_TIMEOUT_MS, "BEGIN", NULL));
+	ck_assert(PQsendQuery(conns[1], "SELECT pg_sleep(0.7)"));
+	ck_assert(PQsendQuery(conns[2], "SELECT pg_sleep(20)"));
+	g_usleep(300 * 1000);
+	g_free(pw_harness_query(conns[3], ANSWER_TIMEOUT_MS, "SELECT 1", NULL));
+	pw_harness_signal(service.proxy, SIGTERM);
+	g_usleep(250 * 1000);
+	g_free(pw_harness_query(conns[3], ANSWER_TIMEOUT_MS, "SELECT 1", NULL));
+	expect_clean_end();
+	expect_log("drain_started task=front index=0 sessions=5 statements=2 transactions=1 "
+		   "accepted=0 ends_in_ms=1000");
+	expect_log("answered=1 refused=1 stopped=1 closed=5 left=0 cut=0 unanswered=0 crossed=0");
+	stop_service();
+}
+END_TEST
+
+#define LARGE_ROW_BYTES 900000
+#define LARGE_ROW_COUNT 16
+
+/* Guards against an answer that its caller never takes and that no log line tells of. */
+START_TEST(test_answer_that_is_not_taken_is_logged)
+{
+	char *value = g_strnfill(LARGE_ROW_BYTES, 'x');
+
+	start_service("--drain-grace=10ms", "--drain-timeout=500ms");
+	open_callers(1);
+	for (uint32_t i = 0; i < LARGE_ROW_COUNT; i++) {
+		char *sql = g_strdup_printf("INSERT INTO t (k, v) VALUES ('%u', '%s')", i, value);
+		char *answer = pw_harness_query(conns[0], ANSWER_TIMEOUT_MS, sql, NULL);
+
+		ck_assert_str_eq(answer, "INSERT 0 1");
+		g_free(answer);
+		g_free(sql);
+	}
+	ck_assert(PQsendQuery(conns[0], "SELECT * FROM t"));
+	g_usleep(200 * 1000);
+	pw_harness_signal(service.proxy, SIGTERM);
+	expect_clean_end();
+	expect_log("request_unanswered");
+	expect_log("state=unwritten");
+	expect_log("cut=0 unanswered=1");
+	stop_service();
+	g_free(value);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("stop answers");
@@ -373,5 +461,7 @@
 	tcase_add_loop_test(tc, test_waiting_connections_are_refused, 0, PW_ARRAY_LEN(ssl_modes));
 	tcase_add_test(tc, test_request_in_socket_is_answered);
 	tcase_add_test(tc, test_withdrawn_key_answers_pipelined_request);
+	tcase_add_test(tc, test_drain_is_logged);
+	tcase_add_test(tc, test_answer_that_is_not_taken_is_logged);
 	return pw_suite_run("stop answers", tc);
 }
