--- a/daemon/traffic/front_private.h
+++ b/daemon/traffic/front_private.h
@@ -1,7 +1,8 @@
 /*
  * Internal declarations of the front task:
  *
- *   front.c          the task: messages, listener, draining, TLS files
+ *   front.c          the task: messages, listener, TLS files
+ *   front_drain.c    planned stops, and draining while the document marks the VM
  *   front_limits.c   limits on connections, logins and memory
  *   front_login.c    startup messages, keys, cancel requests
  *   front_batch.c    splits a caller's input into batches, keeps its prepared statements
@@ -53,10 +54,28 @@
 /* Interval of the search for idle callers while the task drains. */
 #define DRAIN_CHECK_INTERVAL_US UINT64_C(100000)
 
+/*
+ * Time for the answers to the requests that are stopped at the end of the drain. A request whose
+ * answer has not come by then was lost with a task that had it.
+ */
+#define DRAIN_ANSWER_TIMEOUT_US UINT64_C(300000)
+
 /* Prepared statements that a connection may keep, and the total size of their Parse messages. */
 #define PREPARED_STATEMENTS_MAX       256
 #define PREPARED_STATEMENTS_MAX_BYTES 262144
 
+/* What became of callers and their statements in a planned stop. */
+struct drain_counts {
+	uint32_t answered;   /**< statements that a server has answered */
+	uint32_t refused;    /**< statements refused because the VM drains */
+	uint32_t stopped;    /**< statements in progress at the end of the drain */
+	uint32_t closed;     /**< callers disconnected after a message to them */
+	uint32_t left;       /**< callers that have closed their connection before */
+	uint32_t cut;        /**< callers disconnected as they were */
+	uint32_t unanswered; /**< callers with a statement without an answer among all of these */
+	uint32_t crossed;    /**< callers that sent more after the last message to them */
+};
+
 struct front {
 	struct pw_task task;
 	const struct pw_directory *directory;
@@ -74,9 +93,12 @@
 	struct pw_timer drain_timeout_timer; /**< end of a planned stop: closes all callers */
 	struct pw_timer drain_check_timer;   /**< next search for idle callers while draining */
 	struct pw_timer drain_grace_timer; /**< start of draining after the document marks the VM */
-	bool stopping;                     /**< a planned stop has begun */
-	bool draining;       /**< callers are disconnected unless a transaction is open */
-	bool drain_reported; /**< the shutdown task was told that no caller is left */
+	struct drain_counts drain_counts;
+	uint64_t drain_started_us; /**< 0: no planned stop has begun to drain */
+	bool stopping;             /**< a planned stop has begun */
+	bool draining;             /**< callers are disconnected unless a transaction is open */
+	bool drain_is_over;        /**< callers are disconnected after their outstanding request */
+	bool drain_reported;       /**< the shutdown task was told that no caller is left */
 };
 
 enum caller_state {
@@ -132,7 +154,9 @@
 	GList *login_link;      /**< node in `pending_logins` of the front task; NULL: not in it */
 	uint64_t memory_bytes;  /**< memory that is included in `account_usage` */
 	uint64_t request_id;    /**< id of the outstanding request; 0: none */
-	uint64_t idle_since_us; /**< end of the last request, or of the login */
+	uint64_t idle_since_us; /**< end of the last request or of the login; before that, time of
+				   the connect */
+	uint64_t request_sent_us;      /**< time at which the last request was sent */
 	uint64_t uncredited_bytes;     /**< bytes of chunks for which no credit was sent yet */
 	struct pw_mailbox *credit_to;  /**< group task that gets the credit */
 	char transaction_status;       /**< as last sent to the caller */
@@ -161,9 +185,34 @@
 /** @return caller with that session id, or NULL */
 struct caller *front_find_caller(struct front *f, uint64_t session_id);
 
+/** Starts the session of an accepted connection. */
+void front_accept_caller(struct front *f, int32_t fd);
+/** Calls a function, which may free the caller, for each caller. */
+void front_for_each_caller(struct front *f, void (*action)(struct caller *c));
+
+/* front_drain.c */
+void drain_init(struct front *f);
+/** Closes the listening socket and begins to disconnect callers. */
+void drain_start(struct front *f);
+/** Answers outstanding requests with an error and disconnects all callers. */
+void drain_end(struct front *f);
+/** Does what drain_end() does when the task ends and gets no more messages. */
+void drain_abort(struct front *f);
+/** Counts a caller that is being closed, and logs a statement of it that has no answer. */
+void drain_record_close(const struct caller *c, bool by_caller);
+/** Tells the shutdown task, once, that the task has drained and no caller is left. */
+void drain_report_if_done(struct front *f);
+/**
+ * Starts the grace period when the document marks this VM as draining; stops draining when the mark
+ * is gone.
+ */
+void drain_apply_mark(struct front *f);
+
 /* front_limits.c */
 void limits_init(struct front *f);
 void limits_dispose(struct front *f);
+/** @return whether the task has fewer connections than its limit */
+bool limits_has_room(const struct front *f);
 /**
  * Decides whether one more connection may be accepted. If too many connections have not logged in,
  * closes the oldest of them.
