Tests: soak of planned stops on nine VMs

Plays a roll of planned stops under the mixed load of a site, on real processes, and checks that each statement that a server has begun, or that the VM has read well before the end of the connection, gets a whole answer. PW_TEST_PROXY runs the processes of another build.

--- /dev/null
+++ b/tests/platform/test_soak_fleet.c
@@ -0,0 +1,687 @@
+/*
+ * Soak test of planned stops: nine proxy processes against the platform stand-in, under mixed load,
+ * while some of them are stopped and started again. Each run has a seed.
+ *
+ * Usage: test_soak_fleet [--seeds FIRST COUNT] [--case INDEX]
+ *
+ * The environment variable PW_TEST_PROXY names another build of the proxy.
+ */
+#include "suite.h"
+
+#include <math.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <sys/wait.h>
+
+#include "harness_delay.h"
+#include "platform_fleet.h"
+
+#define SOAK_VM_COUNT 9
+/* A caller that the VM neither answers nor disconnects is given up after this time. */
+#define CALLER_TIMEOUT_MS 9000
+/* LossSlackMs: a request that crosses the close of its connection may get no answer for so long. */
+#define CROSSING_MS 200
+/* GraceS: the platform kills a process this long after SIGTERM. */
+#define KILL_AFTER_MS 6000
+/* A request sent up to HALF_MS after SIGTERM may end without an answer from LAST_SIXTH_MS on. */
+#define HALF_MS       3000
+#define LAST_SIXTH_MS 5000
+/* New connections reach a VM until its readiness check has failed twice. */
+#define ROTATION_MS 2000
+#define WARM_UP_MS  1000
+#define STOPS_MAX   16
+
+/* Habits of the callers of a database. */
+struct caller_class {
+	const char *database;
+	uint32_t callers_per_vm;
+	uint32_t pause_mean_ms; /* between operations */
+	double write_share, transaction_share;
+	bool read_only;
+	bool session_per_operation;
+};
+
+static const struct caller_class classes[] = {
+	{ "desk", 5, 800, 0.35, 0.4, false, false },
+	{ "views", 3, 500, 0.0, 0.1, true, true },
+	{ "sync", 24, 850, 0.12, 0.12, false, false },
+};
+
+struct soak_case {
+	const char *label;
+	uint32_t work_ms; /* run time of a statement at the server */
+	uint32_t slots;   /* statements that a server runs at a time */
+	uint32_t stop_count;
+	uint32_t stops_at_a_time;
+	uint32_t stop_gap_ms;
+	double second_signal_share; /* of the stops get SIGTERM again */
+	double hangup_share;        /* of the stops get SIGHUP within 1 s of SIGTERM */
+	uint32_t catalog_gap_ms;    /* 0: no change of the catalogue */
+	uint32_t primary_leaves_ms; /* after the first stop; 0: does not */
+	uint32_t replica_leaves_ms;
+	uint32_t lag_ms;
+	uint32_t delay_ms[2]; /* range of the delay of connections in each direction */
+	bool presses;         /* callers of a stopping VM do not pause between operations */
+	bool quarter_cpu;
+	double transaction_share; /* of operations at "desk"; 0: as the class says */
+	bool writes_only;         /* transactions at "desk" are 12 writes */
+};
+
+static const struct soak_case soak_cases[] = {
+	{ .label = "roll",
+	  .work_ms = 10,
+	  .slots = 3,
+	  .stop_count = 4,
+	  .stops_at_a_time = 1,
+	  .stop_gap_ms = 1300 },
+};
+
+/* A statement or start of a session that got no whole answer. */
+struct loss {
+	char *id; /* NULL: start of a session */
+	char *text;
+	uint32_t vm;
+	gint64 sent_us, ended_us;
+	bool timed_out;
+};
+
+struct stop {
+	uint32_t vm;
+	uint32_t due_ms;
+	uint32_t second_signal_ms, hangup_ms; /* after SIGTERM; 0: none */
+	gint64 signal_us, ended_us;           /* 0: not yet */
+	struct pw_harness_process *process;
+};
+
+struct caller {
+	pthread_t thread;
+	const struct soak_case *soak;
+	const struct caller_class *class;
+	GRand *rand;
+	struct client *client;
+	uint32_t vm;
+	uint64_t answered_count;
+};
+
+/* State of a VM as the callers see it. */
+struct rotation {
+	gint64 signal_us; /* 0: it serves; atomic */
+	gint in_use;      /* whether it has started and is ready; atomic */
+};
+
+static uint32_t first_seed = 1;
+static uint32_t seed_count = 1;
+static struct rotation rotations[SOAK_VM_COUNT];
+static struct pw_harness_delay *delays[SOAK_VM_COUNT]; /* NULL: connections without a delay */
+static gint finished;                                  /* atomic */
+static GMutex loss_lock;
+static GArray *losses; /* struct loss */
+static uint32_t last_statement_number;
+static GMutex signal_lock; /* held while processes are stopped, resumed or reaped */
+static bool has_drain_events;
+
+static void add_loss(struct caller *caller, char *id, const char *text, gint64 sent_us,
+		     bool timed_out)
+{
+	struct loss l = { .id = id,
+			  .text = g_strdup(text),
+			  .vm = caller->vm,
+			  .sent_us = sent_us,
+			  .ended_us = g_get_monotonic_time(),
+			  .timed_out = timed_out };
+
+	g_mutex_lock(&loss_lock);
+	g_array_append_val(losses, l);
+	g_mutex_unlock(&loss_lock);
+}
+
+static bool is_answered(const char *answer)
+{
+	return !g_str_has_suffix(answer, "CLOSED") && !g_str_has_suffix(answer, "TIMEOUT");
+}
+
+/* Runs a statement. Returns the state of the session, or 0 at the end of the connection. */
+static char run(struct caller *caller, const char *statement)
+{
+	char *id = g_strdup_printf("s%x",
+				   __atomic_add_fetch(&last_statement_number, 1, __ATOMIC_RELAXED));
+	char *line = g_strdup_printf("QUERY %s %s\r\n", id, statement);
+	gint64 sent_us = g_get_monotonic_time();
+	struct client *c = caller->client;
+	bool sent = c->fd >= 0 &&
+		    send(c->fd, line, strlen(line), MSG_NOSIGNAL) == (ssize_t)strlen(line);
+	char *answer = NULL;
+	char state = 0;
+
+	if (sent) {
+		answer = read_answer(c, CALLER_TIMEOUT_MS);
+		if (is_answered(answer)) {
+			state = answer[strlen(answer) - 1];
+			caller->answered_count++;
+		} else {
+			add_loss(caller, g_steal_pointer(&id), statement, sent_us,
+				 g_str_has_suffix(answer, "TIMEOUT"));
+		}
+	}
+	g_free(answer);
+	g_free(line);
+	g_free(id);
+	return state;
+}
+
+static void sleep_ms(double ms)
+{
+	g_usleep((gulong)(ms * 1000));
+}
+
+static void pause_in_transaction(struct caller *caller)
+{
+	sleep_ms(g_rand_double_range(caller->rand, 0, 150));
+}
+
+static char run_random(struct caller *caller, bool read_only, double write_share)
+{
+	bool writes = !read_only && g_rand_double(caller->rand) < write_share;
+
+	return run(caller, writes ? "WRITE a v" : "READ a");
+}
+
+/* Returns the state of the session after a transaction, or 0 at the end of the connection. */
+static char run_transaction(struct caller *caller)
+{
+	const struct caller_class *class = caller->class;
+	bool is_long = caller->soak->writes_only && class == &classes[0];
+	uint32_t count = is_long ? 12 : (uint32_t)g_rand_int_range(caller->rand, 1, 13);
+	double write_share = is_long ? 1 : class->write_share;
+	bool read_only = class->read_only || (!is_long && g_rand_double(caller->rand) < 0.4);
+	char state = run(caller, read_only ? "BEGIN READ" : "BEGIN");
+
+	for (uint32_t i = 0; i < count && state == 'T'; i++) {
+		pause_in_transaction(caller);
+		state = run_random(caller, read_only, write_share);
+	}
+	if (state == 'T')
+		return run(caller, g_rand_double(caller->rand) < 0.1 ? "ROLLBACK" : "COMMIT");
+	return state == 'E' ? run(caller, "ROLLBACK") : state;
+}
+
+static uint32_t choose_vm(struct caller *caller)
+{
+	for (;;) {
+		uint32_t i = (uint32_t)g_rand_int_range(caller->rand, 0, SOAK_VM_COUNT);
+		gint64 signal_us = __atomic_load_n(&rotations[i].signal_us, __ATOMIC_ACQUIRE);
+
+		if (g_atomic_int_get(&rotations[i].in_use) &&
+		    (!signal_us || g_get_monotonic_time() < signal_us + ROTATION_MS * 1000))
+			return i;
+		g_usleep(1000);
+	}
+}
+
+/* Opens a session at any VM in rotation. Returns false if it is not started. */
+static bool open_caller_session(struct caller *caller)
+{
+	struct vm v;
+	gint64 sent_us = g_get_monotonic_time();
+	char *answer;
+	bool started;
+
+	caller->vm = choose_vm(caller);
+	v = vms[caller->vm];
+	if (delays[caller->vm])
+		v.caller_port = pw_harness_delay_port(delays[caller->vm]);
+	caller->client = client_new(&v);
+	answer = start_session(caller->client, caller->class->database, "amber-key");
+	started = strcmp(answer, "I") == 0;
+	if (!is_answered(answer))
+		add_loss(caller, NULL, "STARTUP", sent_us, g_str_has_suffix(answer, "TIMEOUT"));
+	g_free(answer);
+	return started;
+}
+
+static void pause_between_operations(struct caller *caller)
+{
+	double mean_ms = caller->class->pause_mean_ms;
+
+	if (caller->soak->presses &&
+	    __atomic_load_n(&rotations[caller->vm].signal_us, __ATOMIC_ACQUIRE))
+		return;
+	sleep_ms(MIN(-log(1 - g_rand_double(caller->rand)) * mean_ms, 4 * mean_ms));
+}
+
+static void run_session(struct caller *caller)
+{
+	const struct caller_class *class = caller->class;
+	double transaction_share = caller->soak->transaction_share && class == &classes[0]
+					   ? caller->soak->transaction_share
+					   : class->transaction_share;
+	char state = 'I';
+
+	while (state == 'I' && !g_atomic_int_get(&finished)) {
+		if (g_rand_double(caller->rand) < transaction_share)
+			state = run_transaction(caller);
+		else
+			state = run_random(caller, class->read_only, class->write_share);
+		if (class->session_per_operation)
+			return;
+		if (state == 'I')
+			pause_between_operations(caller);
+	}
+}
+
+static void *run_caller(void *arg)
+{
+	struct caller *caller = arg;
+
+	pause_between_operations(caller);
+	while (!g_atomic_int_get(&finished)) {
+		bool started = open_caller_session(caller);
+
+		if (started)
+			run_session(caller);
+		client_free(caller->client);
+		if (!started || caller->class->session_per_operation)
+			pause_between_operations(caller);
+	}
+	return NULL;
+}
+
+static GArray *start_callers(const struct soak_case *soak, uint32_t seed)
+{
+	GArray *callers = g_array_new(FALSE, TRUE, sizeof(struct caller));
+
+	for (uint32_t k = 0; k < PW_ARRAY_LEN(classes); k++) {
+		for (uint32_t i = 0; i < classes[k].callers_per_vm * SOAK_VM_COUNT; i++) {
+			struct caller c = { .soak = soak,
+					    .class = &classes[k],
+					    .rand = g_rand_new_with_seed(seed * 1000 +
+									 callers->len) };
+
+			g_array_append_val(callers, c);
+		}
+	}
+	for (guint i = 0; i < callers->len; i++) {
+		struct caller *c = &g_array_index(callers, struct caller, i);
+
+		ck_assert_int_eq(pthread_create(&c->thread, NULL, run_caller, c), 0);
+	}
+	return callers;
+}
+
+/* Waits for the callers. Returns the number of statements that were answered. */
+static uint64_t join_callers(GArray *callers)
+{
+	uint64_t answered_count = 0;
+
+	for (guint i = 0; i < callers->len; i++) {
+		struct caller *c = &g_array_index(callers, struct caller, i);
+
+		pthread_join(c->thread, NULL);
+		answered_count += c->answered_count;
+		g_rand_free(c->rand);
+	}
+	g_array_unref(callers);
+	return answered_count;
+}
+
+static uint32_t elapsed_ms(gint64 from_us)
+{
+	return (uint32_t)((g_get_monotonic_time() - from_us) / 1000);
+}
+
+static void plan_stops(const struct soak_case *soak, GRand *rand, struct stop *stops)
+{
+	uint32_t first = (uint32_t)g_rand_int_range(rand, 0, SOAK_VM_COUNT);
+
+	for (uint32_t i = 0; i < soak->stop_count; i++) {
+		struct stop *s = &stops[i];
+
+		/* Any step that has no common divisor with the number of VMs visits them all. */
+		*s = (struct stop){ .vm = (first + 2 * i) % SOAK_VM_COUNT };
+		s->due_ms = WARM_UP_MS + i / soak->stops_at_a_time * soak->stop_gap_ms +
+			    (uint32_t)g_rand_int_range(rand, 0, 300);
+		if (g_rand_double(rand) < soak->second_signal_share)
+			s->second_signal_ms = (uint32_t)g_rand_int_range(rand, 1, 5000);
+		if (g_rand_double(rand) < soak->hangup_share)
+			s->hangup_ms = (uint32_t)g_rand_int_range(rand, 1, 1000);
+	}
+}
+
+/* Whether the process has ended; it is then reaped. */
+static bool reap(struct pw_harness_process *p)
+{
+	bool ended;
+
+	g_mutex_lock(&signal_lock);
+	ended = pw_harness_wait_end(p, 0);
+	g_mutex_unlock(&signal_lock);
+	return ended;
+}
+
+/* Sends the signals that are due, and starts the VM again after its end. Returns false at the end.
+ */
+static bool advance_stop(struct stop *s, gint64 start_us)
+{
+	struct rotation *r = &rotations[s->vm];
+
+	if (s->ended_us) {
+		if (g_atomic_int_get(&r->in_use))
+			return false;
+		if (!is_ready(&vms[s->vm]))
+			return true;
+		__atomic_store_n(&r->signal_us, 0, __ATOMIC_RELEASE);
+		g_atomic_int_set(&r->in_use, 1);
+		return false;
+	}
+	if (!s->signal_us) {
+		if (elapsed_ms(start_us) < s->due_ms || !g_atomic_int_get(&r->in_use))
+			return true;
+		s->process = vms[s->vm].process;
+		s->signal_us = g_get_monotonic_time();
+		__atomic_store_n(&r->signal_us, s->signal_us, __ATOMIC_RELEASE);
+		pw_harness_signal(s->process, SIGTERM);
+	}
+	if (s->hangup_ms && elapsed_ms(s->signal_us) >= s->hangup_ms) {
+		pw_harness_signal(s->process, SIGHUP);
+		s->hangup_ms = 0;
+	}
+	if (s->second_signal_ms && elapsed_ms(s->signal_us) >= s->second_signal_ms) {
+		pw_harness_signal(s->process, SIGTERM);
+		s->second_signal_ms = 0;
+	}
+	if (elapsed_ms(s->signal_us) >= KILL_AFTER_MS)
+		pw_harness_signal(s->process, SIGKILL);
+	if (!reap(s->process))
+		return true;
+	s->ended_us = g_get_monotonic_time();
+	g_atomic_int_set(&r->in_use, 0);
+	start_vm(s->vm);
+	return true;
+}
+
+static char *find_replica(void)
+{
+	char *text = http_request(platform->port, "/state", NULL);
+	json_t *root = json_loads(text, 0, NULL);
+	const json_t *s;
+	char *id = NULL;
+	size_t i;
+
+	json_array_foreach (json_object_get(root, "servers"), i, s) {
+		if (json_is_true(json_object_get(s, "primary")))
+			continue;
+		g_free(id);
+		id = g_strdup(json_string_value(json_object_get(s, "id")));
+	}
+	json_decref(root);
+	g_free(text);
+	return id;
+}
+
+/* Sets a server to leaving at `*due_ms` after the start. */
+static void let_server_leave(char *(*find)(void), uint32_t *due_ms, gint64 start_us)
+{
+	char *id;
+
+	if (!*due_ms || elapsed_ms(start_us) < *due_ms)
+		return;
+	id = find();
+	inject_fault("leave", id);
+	g_free(id);
+	*due_ms = 0;
+}
+
+/* Plays the stops and the changes beside them until all VMs are ready again. */
+static void play(const struct soak_case *soak, struct stop *stops)
+{
+	gint64 start_us = g_get_monotonic_time();
+	uint32_t catalog_due_ms = WARM_UP_MS;
+	uint32_t primary_leaves_ms = soak->primary_leaves_ms;
+	uint32_t replica_leaves_ms = soak->replica_leaves_ms;
+	bool active = true;
+
+	while (active) {
+		active = false;
+		for (uint32_t i = 0; i < soak->stop_count; i++)
+			active |= advance_stop(&stops[i], start_us);
+		let_server_leave(find_primary, &primary_leaves_ms, start_us);
+		let_server_leave(find_replica, &replica_leaves_ms, start_us);
+		if (soak->catalog_gap_ms && elapsed_ms(start_us) >= catalog_due_ms) {
+			publish_catalog(BOTH_KEYS, 3000 + (int)catalog_due_ms % 7);
+			catalog_due_ms += soak->catalog_gap_ms;
+		}
+		g_usleep(2000);
+	}
+}
+
+/* Duty cycle of a quarter: a group of VMs runs for 25 ms and is stopped for 75 ms. */
+static void *limit_cpu(void *arg)
+{
+	(void)arg;
+	for (uint32_t phase = 0; !g_atomic_int_get(&finished); phase++) {
+		g_mutex_lock(&signal_lock);
+		for (uint32_t i = 0; i < SOAK_VM_COUNT; i++)
+			pw_harness_signal(vms[i].process, i % 4 == phase % 4 ? SIGCONT : SIGSTOP);
+		g_mutex_unlock(&signal_lock);
+		g_usleep(25000);
+	}
+	for (uint32_t i = 0; i < SOAK_VM_COUNT; i++)
+		pw_harness_signal(vms[i].process, SIGCONT);
+	return NULL;
+}
+
+/* Prints what a stopping VM has logged of its stop. */
+static void show_stop_log(const struct stop *s)
+{
+	char *log = pw_harness_read_output(s->process);
+	char **lines = g_strsplit(log, "\n", -1);
+
+	fprintf(stderr, "vm-%u:\n", s->vm + 1);
+	for (char **line = lines; *line; line++) {
+		if (strstr(*line, "name=stop_step") || strstr(*line, "name=drain_") ||
+		    strstr(*line, "name=stopped") || strstr(*line, "name=request_unanswered"))
+			fprintf(stderr, "  %s\n", *line);
+	}
+	g_strfreev(lines);
+	g_free(log);
+}
+
+static bool has_started(const char *id)
+{
+	char *path = g_strdup_printf("/started?id=%s", id);
+	char *body = http_request(platform->port, path, NULL);
+	bool started = body != NULL;
+
+	g_free(body);
+	g_free(path);
+	return started;
+}
+
+/* Returns the last stop of the VM that began before the end of the connection, or NULL. */
+static const struct stop *find_stop(const struct soak_case *soak, const struct stop *stops,
+				    const struct loss *l)
+{
+	for (uint32_t i = soak->stop_count; i-- > 0;) {
+		if (stops[i].vm == l->vm && stops[i].signal_us <= l->ended_us)
+			return &stops[i];
+	}
+	return NULL;
+}
+
+/* Whether the rule about answers around a planned stop excuses the loss. */
+static bool is_excused(const struct loss *l, const struct stop *s, bool started)
+{
+	gint64 waited_ms = (l->ended_us - l->sent_us) / 1000;
+
+	if (l->timed_out)
+		return false;
+	if (!started && waited_ms <= CROSSING_MS)
+		return true;
+	return s && l->sent_us <= s->signal_us + HALF_MS * 1000 &&
+	       l->ended_us >= s->signal_us + LAST_SIXTH_MS * 1000;
+}
+
+/* Checks the statements without an answer, and appends those that are not excused. */
+static uint32_t check_losses(const struct soak_case *soak, const struct stop *stops,
+			     GString *failures)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < losses->len; i++) {
+		struct loss *l = &g_array_index(losses, struct loss, i);
+		const struct stop *s = find_stop(soak, stops, l);
+		bool started = l->id && has_started(l->id);
+
+		if (!is_excused(l, s, started)) {
+			count++;
+			g_string_append_printf(failures,
+					       "; %s \"%s\" at vm-%u: sent %" G_GINT64_FORMAT
+					       " ms, ended %" G_GINT64_FORMAT " ms after SIGTERM%s",
+					       l->id ? l->id : "-", l->text, l->vm + 1,
+					       s ? (l->sent_us - s->signal_us) / 1000 : -1,
+					       s ? (l->ended_us - s->signal_us) / 1000
+						 : (l->ended_us - l->sent_us) / 1000,
+					       !s             ? " (VM not stopped)"
+					       : l->timed_out ? " (timeout)"
+					       : started      ? ""
+							      : " (not passed on)");
+		}
+		g_free(l->id);
+		g_free(l->text);
+	}
+	return count;
+}
+
+static void check_stop(const struct stop *s, GString *failures)
+{
+	struct vm stopped = { .process = s->process };
+	uint32_t took_ms = (uint32_t)((s->ended_us - s->signal_us) / 1000);
+
+	if (s->process->status != 0 || took_ms > KILL_AFTER_MS)
+		g_string_append_printf(failures, "; vm-%u ended with status %d after %u ms",
+				       s->vm + 1, s->process->status, took_ms);
+	if (has_drain_events && (count_log_lines(&stopped, " unanswered=0 ") != 1 ||
+				 count_log_lines(&stopped, "name=request_unanswered")))
+		g_string_append_printf(failures, "; vm-%u has logged unanswered statements",
+				       s->vm + 1);
+}
+
+/* Whether the proxy under test logs the end of a drain; builds before this event do not. */
+static bool proxy_logs_drain_events(void)
+{
+	const char *proxy = g_getenv("PW_TEST_PROXY");
+	char *data = NULL;
+	gsize size = 0;
+	bool found;
+
+	if (!proxy)
+		return true;
+	ck_assert(g_file_get_contents(proxy, &data, &size, NULL));
+	found = memmem(data, size, "drain_ended", strlen("drain_ended")) != NULL;
+	g_free(data);
+	return found;
+}
+
+static void set_up(const struct soak_case *soak, GRand *rand)
+{
+	char *work = g_strdup_printf("%u", soak->work_ms);
+	char *slots = g_strdup_printf("%u", soak->slots);
+	char *lag = g_strdup_printf("%u", soak->lag_ms);
+
+	drain_grace = "2200ms";
+	drain_timeout = "2800ms";
+	start_fleet_of(SOAK_VM_COUNT);
+	inject_fault("work", work);
+	inject_fault("slots", slots);
+	inject_fault("conn-limit", "22");
+	inject_fault("lag", lag);
+	for (uint32_t i = 0; i < SOAK_VM_COUNT; i++) {
+		rotations[i] = (struct rotation){ .in_use = 1 };
+		delays[i] = soak->delay_ms[1]
+				    ? pw_harness_delay_new(vms[i].caller_port,
+							   (uint32_t)g_rand_int_range(
+								   rand, (gint32)soak->delay_ms[0],
+								   (gint32)soak->delay_ms[1] + 1))
+				    : NULL;
+	}
+	finished = 0;
+	losses = g_array_new(FALSE, TRUE, sizeof(struct loss));
+	g_free(work);
+	g_free(slots);
+	g_free(lag);
+}
+
+static void tear_down(void)
+{
+	for (uint32_t i = 0; i < SOAK_VM_COUNT; i++)
+		g_clear_pointer(&delays[i], pw_harness_delay_free);
+	g_array_unref(losses);
+	stop_fleet();
+}
+
+/*
+ * Guards against requests without an answer around planned stops of some VMs of a fleet: the
+ * request has been passed on to a server, or was read long before its connection ends.
+ */
+START_TEST(test_stops_answer_every_request)
+{
+	const struct soak_case *soak = &soak_cases[(uint32_t)_i % PW_ARRAY_LEN(soak_cases)];
+	uint32_t seed = first_seed + (uint32_t)_i / PW_ARRAY_LEN(soak_cases);
+	GRand *rand = g_rand_new_with_seed(seed);
+	struct stop stops[STOPS_MAX];
+	GString *failures = g_string_new(NULL);
+	pthread_t limiter;
+	GArray *callers;
+	uint64_t answered_count;
+	uint32_t loss_count;
+
+	set_up(soak, rand);
+	plan_stops(soak, rand, stops);
+	if (soak->quarter_cpu)
+		ck_assert_int_eq(pthread_create(&limiter, NULL, limit_cpu, NULL), 0);
+	callers = start_callers(soak, seed);
+	play(soak, stops);
+	g_atomic_int_set(&finished, 1);
+	answered_count = join_callers(callers);
+	if (soak->quarter_cpu)
+		pthread_join(limiter, NULL);
+	loss_count = check_losses(soak, stops, failures);
+	for (uint32_t i = 0; i < soak->stop_count; i++)
+		check_stop(&stops[i], failures);
+	fprintf(stderr, "%s, seed %u: %u stops, %" G_GUINT64_FORMAT " answers, %u without\n",
+		soak->label, seed, soak->stop_count, answered_count, loss_count);
+	for (uint32_t i = 0; failures->len && i < soak->stop_count; i++)
+		show_stop_log(&stops[i]);
+	tear_down();
+	g_rand_free(rand);
+	ck_assert_msg(!failures->len, "%s, seed %u%s", soak->label, seed, failures->str);
+	ck_assert_uint_gt(answered_count, 1000);
+	g_string_free(failures, TRUE);
+}
+END_TEST
+
+int main(int argc, char **argv)
+{
+	TCase *tc = tcase_create("soak fleet");
+	int first_case = 0, last_case = PW_ARRAY_LEN(soak_cases) - 1;
+
+	for (int i = 1; i < argc; i++) {
+		if (strcmp(argv[i], "--seeds") == 0 && i + 2 < argc) {
+			first_seed = (uint32_t)atoi(argv[++i]);
+			seed_count = (uint32_t)atoi(argv[++i]);
+		} else if (strcmp(argv[i], "--case") == 0 && i + 1 < argc) {
+			first_case = last_case = atoi(argv[++i]);
+		} else {
+			fprintf(stderr, "usage: %s [--seeds FIRST COUNT] [--case INDEX]\n",
+				argv[0]);
+			return EXIT_FAILURE;
+		}
+	}
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	has_drain_events = proxy_logs_drain_events();
+	for (uint32_t i = 0; i < seed_count; i++)
+		tcase_add_loop_test(tc, test_stops_answer_every_request,
+				    (int)(i * PW_ARRAY_LEN(soak_cases)) + first_case,
+				    (int)(i * PW_ARRAY_LEN(soak_cases)) + last_case + 1);
+	return pw_suite_run("soak fleet", tc);
+}
--- a/tests/process/harness.c
+++ b/tests/process/harness.c
@@ -150,7 +150,10 @@
 	struct pw_harness_process *p = g_new0(struct pw_harness_process, 1);
 	GPtrArray *argv = g_ptr_array_new();
 	char **envp = g_strdupv(environ);
-	char *path = g_build_filename(PW_BUILD_DIR, program, NULL);
+	const char *proxy = g_getenv("PW_TEST_PROXY");
+	char *path = proxy && strcmp(program, "daemon/pimentowingd") == 0
+			     ? g_strdup(proxy)
+			     : g_build_filename(PW_BUILD_DIR, program, NULL);
 	char *base_name = g_path_get_basename(program);
 	pid_t parent = getpid();
 	int fd;
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -48,7 +48,8 @@
  * Starts a program and waits until its port accepts connections. Fails the test if the process ends
  * before that or does not accept connections within PW_HARNESS_TIMEOUT_MS.
  *
- * @param program path within the build folder
+ * @param program path within the build folder; the environment variable PW_TEST_PROXY names another
+ *                build of the proxy
  * @param port    port to wait for; 0: returns as soon as the process has been created
  * @param args    arguments after the program's name, NULL-terminated
  * @param env     variables to set in the environment as NAME=VALUE, NULL-terminated, or NULL
