--- a/tests/platform/test_soak_fleet.c
+++ b/tests/platform/test_soak_fleet.c
@@ -133,6 +133,7 @@
 struct loss {
 	char *id; /* NULL: start of a session */
 	char *text;
+	const char *database;
 	uint32_t vm;
 	gint64 sent_us, ended_us;
 	bool timed_out;
@@ -178,6 +179,7 @@
 {
 	struct loss l = { .id = id,
 			  .text = g_strdup(text),
+			  .database = caller->class->database,
 			  .vm = caller->vm,
 			  .sent_us = sent_us,
 			  .ended_us = g_get_monotonic_time(),
@@ -600,9 +602,9 @@
 		if (!is_excused(l, s, started)) {
 			count++;
 			g_string_append_printf(failures,
-					       "; %s \"%s\" at vm-%u: sent %" G_GINT64_FORMAT
+					       "; %s %s \"%s\" at vm-%u: sent %" G_GINT64_FORMAT
 					       " ms, ended %" G_GINT64_FORMAT " ms after SIGTERM%s",
-					       l->id ? l->id : "-", l->text, l->vm + 1,
+					       l->id ? l->id : "-", l->database, l->text, l->vm + 1,
 					       s ? (l->sent_us - s->signal_us) / 1000 : -1,
 					       s ? (l->ended_us - s->signal_us) / 1000
 						 : (l->ended_us - l->sent_us) / 1000,
