--- a/tests/platform/test_soak_fleet.c
+++ b/tests/platform/test_soak_fleet.c
@@ -633,6 +633,15 @@
 				       s->vm + 1);
 }
 
+static uint32_t longest_stop_ms(const struct soak_case *soak, const struct stop *stops)
+{
+	gint64 longest_us = 0;
+
+	for (uint32_t i = 0; i < soak->stop_count; i++)
+		longest_us = MAX(longest_us, stops[i].ended_us - stops[i].signal_us);
+	return (uint32_t)(longest_us / 1000);
+}
+
 /* Whether the proxy under test logs the end of a drain; builds before this event do not. */
 static bool proxy_logs_drain_events(void)
 {
@@ -715,8 +724,10 @@
 	loss_count = check_losses(soak, stops, failures);
 	for (uint32_t i = 0; i < soak->stop_count; i++)
 		check_stop(&stops[i], failures);
-	fprintf(stderr, "%s, seed %u: %u stops, %" G_GUINT64_FORMAT " answers, %u without\n",
-		soak->label, seed, soak->stop_count, answered_count, loss_count);
+	fprintf(stderr,
+		"%s, seed %u: %u stops of up to %u ms, %" G_GUINT64_FORMAT " answers, %u without\n",
+		soak->label, seed, soak->stop_count, longest_stop_ms(soak, stops), answered_count,
+		loss_count);
 	for (uint32_t i = 0; failures->len && i < soak->stop_count; i++)
 		show_stop_log(&stops[i]);
 	tear_down();
