Tests: soak of stops with servers that queue

The stand-in's servers refuse a statement beyond their slots; servers of the platform let some of them wait. The new fault "queue" does that.

--- a/standins/platform/database.c
+++ b/standins/platform/database.c
@@ -43,6 +43,7 @@
 	bool draining;
 	bool deaf;              /**< receives no commits */
 	uint32_t running_count; /**< statements whose run time has not passed yet */
+	GQueue waiting;         /**< struct conn whose statement waits for a slot */
 };
 
 struct group {
@@ -63,6 +64,7 @@
 	uint64_t promotion_delay_us; /**< time from a promotion request until it takes effect */
 	uint64_t run_time_us;        /**< run time of a statement */
 	uint32_t slots;              /**< statements that a server runs at a time; 0: any number */
+	uint32_t queue_length;       /**< statements that may wait for a slot of a server */
 	uint32_t conn_limit;         /**< of a server; 0: none */
 	uint32_t lost_every;         /**< every so many results are lost; 0: none */
 	uint32_t refused_sets;       /**< number of the next SET statements that fail */
@@ -82,6 +84,7 @@
 	bool in_transaction;
 	bool read_only;
 	bool transaction_failed;
+	bool waits; /**< the pending statement waits for a slot */
 	bool closed;
 };
 
@@ -103,6 +106,26 @@
 	g_free(data);
 }
 
+/* Starts the run time of the pending statement. */
+static void start_run(struct conn *c)
+{
+	const struct databases *d = c->server->databases;
+
+	c->waits = false;
+	c->server->running_count++;
+	pw_loop_timer_set(d->loop, &c->timer, pw_clock_now_us() + d->run_time_us);
+}
+
+/* Frees the slot of a statement, and gives it to one that waits. */
+static void free_slot(struct server *s)
+{
+	struct conn *next = g_queue_pop_head(&s->waiting);
+
+	s->running_count--;
+	if (next)
+		start_run(next);
+}
+
 static void conn_close(struct conn *c)
 {
 	if (c->closed)
@@ -112,7 +135,10 @@
 	pw_stream_dispose(&c->stream);
 	g_hash_table_remove(c->server->conns, c);
 	g_free(c->account);
-	c->server->running_count -= c->pending_statement != NULL;
+	if (c->waits)
+		g_queue_remove(&c->server->waiting, c);
+	else if (c->pending_statement)
+		free_slot(c->server);
 	g_free(c->pending_statement);
 	g_ptr_array_unref(c->transaction_writes);
 	g_hash_table_unref(c->settings);
@@ -403,19 +429,24 @@
 	const struct databases *d = c->server->databases;
 	const char *text = strchr(line, ' ');
 	char *copy = g_strdup(text ? text + 1 : "");
+	bool is_full;
 
 	if (text)
 		g_hash_table_add(d->started_ids, g_strndup(line, (gsize)(text - line)));
-	if (d->slots && has_run_time(copy) && c->server->running_count >= d->slots) {
+	is_full = d->slots && has_run_time(copy) && c->server->running_count >= d->slots;
+	if (is_full && c->server->waiting.length >= d->queue_length) {
 		send_error(c, "BUSY");
 		g_free(copy);
 		return;
 	}
 	if (d->run_time_us && has_run_time(copy)) {
-		c->server->running_count++;
 		c->pending_statement = copy;
 		pw_stream_pause(&c->stream, true);
-		pw_loop_timer_set(d->loop, &c->timer, pw_clock_now_us() + d->run_time_us);
+		c->waits = is_full;
+		if (is_full)
+			g_queue_push_tail(&c->server->waiting, c);
+		else
+			start_run(c);
 		return;
 	}
 	run_statement(c, copy);
@@ -482,7 +513,7 @@
 	char *text = g_steal_pointer(&c->pending_statement);
 
 	(void)now_us;
-	c->server->running_count--;
+	free_slot(c->server);
 	if (!c->server->unresponsive)
 		run_statement(c, text);
 	g_free(text);
@@ -754,6 +785,10 @@
 		d->slots = (uint32_t)g_ascii_strtoull(argument, NULL, 10);
 		return true;
 	}
+	if (strcmp(name, "queue") == 0) {
+		d->queue_length = (uint32_t)g_ascii_strtoull(argument, NULL, 10);
+		return true;
+	}
 	if (strcmp(name, "conn-limit") == 0) {
 		d->conn_limit = (uint32_t)g_ascii_strtoull(argument, NULL, 10);
 		return true;
--- a/standins/platform/database.h
+++ b/standins/platform/database.h
@@ -43,6 +43,8 @@
  *
  * The argument of "lose" is a number: of so many results of reads, writes and commits one is lost.
  * The argument of "slots" is the number of statements that a server runs at a time.
+ * The argument of "queue" is the number of statements that wait for a slot instead of failing with
+ * BUSY.
  * The argument of "conn-limit" is the number of connections that a server accepts.
  * The argument of "refuse-set" is a number: so many of the next SET statements fail.
  *
--- a/tests/platform/test_soak_fleet.c
+++ b/tests/platform/test_soak_fleet.c
@@ -55,7 +55,8 @@
 struct soak_case {
 	const char *label;
 	uint32_t work_ms; /* run time of a statement at the server */
-	uint32_t slots;   /* statements that a server runs at a time */
+	uint32_t slots;   /* statements that a server runs at a time; 0: any number */
+	uint32_t queue;   /* statements that wait for a slot of a server; others get BUSY */
 	uint32_t stop_count;
 	uint32_t stops_at_a_time;
 	uint32_t stop_gap_ms;
@@ -127,6 +128,17 @@
 	  .transaction_share = 1,
 	  .pause_scale = 2,
 	  .writes_only = true },
+	{ .label = "servers with queues, callers that press",
+	  .work_ms = 25,
+	  .slots = 3,
+	  .queue = 24,
+	  .transaction_pause_ms = 400,
+	  .pause_scale = 0.5,
+	  .stop_count = 4,
+	  .stops_at_a_time = 2,
+	  .stop_gap_ms = 1300,
+	  .second_signal_share = 0.25,
+	  .presses = true },
 };
 
 /* A statement or start of a session that got no whole answer. */
@@ -662,6 +674,7 @@
 {
 	char *work = g_strdup_printf("%u", soak->work_ms);
 	char *slots = g_strdup_printf("%u", soak->slots);
+	char *queue = g_strdup_printf("%u", soak->queue);
 	char *lag = g_strdup_printf("%u", soak->lag_ms);
 
 	drain_grace = "2200ms";
@@ -669,6 +682,7 @@
 	start_fleet_of(SOAK_VM_COUNT);
 	inject_fault("work", work);
 	inject_fault("slots", slots);
+	inject_fault("queue", queue);
 	inject_fault("conn-limit", "22");
 	inject_fault("lag", lag);
 	for (uint32_t i = 0; i < SOAK_VM_COUNT; i++) {
@@ -684,6 +698,7 @@
 	losses = g_array_new(FALSE, TRUE, sizeof(struct loss));
 	g_free(work);
 	g_free(slots);
+	g_free(queue);
 	g_free(lag);
 }
 
