Sessions: end the idle timeout of a transaction with its rollback

What callers saw: a session that was idle for TxIdleMs after a ROLLBACK got ABORTED for its next statement ("the transaction was rolled back"), and its state was a failed transaction. In a planned stop such a session counts as in a transaction, and stays open until the end of the drain.

Cause: roll_back_transaction() left the idle timer set.

--- a/daemon/traffic/gateway_session.c
+++ b/daemon/traffic/gateway_session.c
@@ -372,6 +372,7 @@
 	}
 	release_conn(s);
 	s->transaction = TRANSACTION_NONE;
+	restart_idle_timer(s);
 	record_drain_served(s);
 	send_complete(s);
 }
--- a/tests/platform/test_platform_fleet.c
+++ b/tests/platform/test_platform_fleet.c
@@ -342,6 +342,25 @@
 }
 END_TEST
 
+/* Guards against an idle timeout that outlives a rollback and fails the next statement. */
+START_TEST(test_rollback_ends_idle_timeout)
+{
+	struct client *c;
+
+	start_fleet();
+	c = open_session(0, "desk");
+	publish_catalog(BOTH_KEYS, 300);
+	g_usleep(300000);
+	expect_answer(c, "BEGIN", "done T");
+	expect_answer(c, "WRITE rolled v", "ok T");
+	expect_answer(c, "ROLLBACK", "done I");
+	g_usleep(600000);
+	expect_answer(c, "READ rolled", "none ok I");
+	client_free(c);
+	stop_fleet();
+}
+END_TEST
+
 /* A transaction that is idle for longer than the catalogue allows must be rolled back. */
 START_TEST(test_idle_transaction)
 {
@@ -780,6 +799,7 @@
 	tcase_add_loop_test(tc, test_failover, 0, PW_ARRAY_LEN(primary_faults));
 	tcase_add_test(tc, test_takeover_after_promotion);
 	tcase_add_test(tc, test_transaction_lost);
+	tcase_add_test(tc, test_rollback_ends_idle_timeout);
 	tcase_add_test(tc, test_idle_transaction);
 	tcase_add_test(tc, test_change_after_restoration);
 	tcase_add_test(tc, test_restoration_during_change);
