--- a/tests/platform/test_ends_fleet.c
+++ b/tests/platform/test_ends_fleet.c
@@ -302,6 +302,25 @@
 }
 END_TEST
 
+/* Guards against an idle timeout that outlives a rollback and fails the next statement. */
+START_TEST(test_rollback_ends_idle_timeout)
+{
+	struct client *c;
+
+	start_fleet();
+	c = open_session(0, "desk");
+	publish_catalog(BOTH_KEYS, 300);
+	g_usleep(300000);
+	expect_answer(c, "BEGIN", "done T");
+	expect_answer(c, "WRITE rolled v", "ok T");
+	expect_answer(c, "ROLLBACK", "done I");
+	g_usleep(600000);
+	expect_answer(c, "READ rolled", "none ok I");
+	client_free(c);
+	stop_fleet();
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("ends fleet");
@@ -317,5 +336,6 @@
 	tcase_add_loop_test(tc, test_pipelined_statements_are_answered, 0,
 			    PW_ARRAY_LEN(signal_cases));
 	tcase_add_test(tc, test_signal_during_start);
+	tcase_add_test(tc, test_rollback_ends_idle_timeout);
 	return pw_suite_run("ends fleet", tc);
 }
