Planned stops: one type for the counts of a drain and one place for its events

The gateway and front tasks each had a copy. The suites of planned stops share their functions, too. No change of behaviour; test_stops_fleet (24), test_ends_fleet (17) and test_stop_answers (12) pass, run beside each other.

--- /dev/null
+++ b/daemon/traffic/drain_log.c
@@ -0,0 +1,39 @@
+#include "drain_log.h"
+
+#include <inttypes.h>
+
+#include "pw/core/clock.h"
+#include "pw/core/event.h"
+
+void pw_drain_counts_add_close(struct pw_drain_counts *n, bool is_closing, bool by_caller,
+			       bool unanswered, bool crossed)
+{
+	n->unanswered += unanswered;
+	n->crossed += crossed;
+	if (is_closing)
+		n->closed++;
+	else if (by_caller)
+		n->left++;
+	else
+		n->cut++;
+}
+
+void pw_drain_log_start(const struct pw_drain_start *s)
+{
+	pw_event_log(PW_EVENT_DRAIN_STARTED,
+		     "task=%s index=%u sessions=%u statements=%u transactions=%u accepted=%u "
+		     "ends_in_ms=%" PRIu64,
+		     s->task, s->index, s->session_count, s->statement_count, s->transaction_count,
+		     s->accepted_count, s->ends_in_us / PW_US_PER_MS);
+}
+
+void pw_drain_log_end(const struct pw_drain_counts *n, const char *task, uint32_t index,
+		      uint64_t age_us)
+{
+	pw_event_log(PW_EVENT_DRAIN_ENDED,
+		     "task=%s index=%u ms=%" PRIu64
+		     " answered=%u refused=%u stopped=%u closed=%u left=%u cut=%u unanswered=%u "
+		     "crossed=%u",
+		     task, index, age_us / PW_US_PER_MS, n->answered, n->refused, n->stopped,
+		     n->closed, n->left, n->cut, n->unanswered, n->crossed);
+}
--- a/daemon/traffic/front_drain.c
+++ b/daemon/traffic/front_drain.c
@@ -27,24 +27,21 @@
 		statement_count += c->request_id != 0;
 		transaction_count += c->transaction_status != 'I';
 	}
-	pw_event_log(PW_EVENT_DRAIN_STARTED,
-		     "task=front index=%u sessions=%u statements=%u transactions=%u accepted=%u "
-		     "ends_in_ms=%" PRIu64,
-		     f->index, g_hash_table_size(f->callers_by_session), statement_count,
-		     transaction_count, accepted_count,
-		     f->directory->drain_plan.drain_us / PW_US_PER_MS);
+	pw_drain_log_start(&(struct pw_drain_start){
+		.task = "front",
+		.index = f->index,
+		.session_count = g_hash_table_size(f->callers_by_session),
+		.statement_count = statement_count,
+		.transaction_count = transaction_count,
+		.accepted_count = accepted_count,
+		.ends_in_us = f->directory->drain_plan.drain_us,
+	});
 }
 
 static void log_end(const struct front *f)
 {
-	const struct drain_counts *n = &f->drain_counts;
-
-	pw_event_log(PW_EVENT_DRAIN_ENDED,
-		     "task=front index=%u ms=%" PRIu64
-		     " answered=%u refused=%u stopped=%u closed=%u left=%u cut=%u unanswered=%u "
-		     "crossed=%u",
-		     f->index, drain_age_ms(f), n->answered, n->refused, n->stopped, n->closed,
-		     n->left, n->cut, n->unanswered, n->crossed);
+	pw_drain_log_end(&f->drain_counts, "front", f->index,
+			 pw_loop_now_us(f->task.loop) - f->drain_started_us);
 }
 
 /*
@@ -66,19 +63,12 @@
 void drain_record_close(const struct caller *c, bool by_caller)
 {
 	struct front *f = c->front;
-	struct drain_counts *n = &f->drain_counts;
 	const char *state = by_caller ? NULL : find_unanswered(c);
 
-	n->crossed += c->stream.discarded_bytes != 0;
-	if (c->state == CALLER_CLOSING)
-		n->closed++;
-	else if (by_caller)
-		n->left++;
-	else
-		n->cut++;
+	pw_drain_counts_add_close(&f->drain_counts, c->state == CALLER_CLOSING, by_caller,
+				  state != NULL, c->stream.discarded_bytes != 0);
 	if (!state)
 		return;
-	n->unanswered++;
 	pw_counter_inc(PW_COUNTER_UNANSWERED);
 	pw_event_log(PW_EVENT_REQUEST_UNANSWERED,
 		     "id=%" PRIu64 " account=%s database=%s state=%s server= waited_ms=%" PRIu64
@@ -213,7 +203,7 @@
 	f->stopping = true;
 	f->draining = true;
 	f->drain_started_us = now_us;
-	f->drain_counts = (struct drain_counts){ 0 };
+	f->drain_counts = (struct pw_drain_counts){ 0 };
 	accepted_count = accept_last_callers(f);
 	log_start(f, accepted_count);
 	pw_loop_unwatch(f->task.loop, &f->listener);
--- a/daemon/traffic/front_private.h
+++ b/daemon/traffic/front_private.h
@@ -16,6 +16,7 @@
 #include <stdint.h>
 
 #include "../directory.h"
+#include "drain_log.h"
 #include "front.h"
 #include "pw/codec/pg.h"
 #include "pw/core/stream.h"
@@ -64,18 +65,6 @@
 #define PREPARED_STATEMENTS_MAX       256
 #define PREPARED_STATEMENTS_MAX_BYTES 262144
 
-/* What became of callers and their statements in a planned stop. */
-struct drain_counts {
-	uint32_t answered;   /**< statements that a server has answered */
-	uint32_t refused;    /**< statements refused because the VM drains */
-	uint32_t stopped;    /**< statements in progress at the end of the drain */
-	uint32_t closed;     /**< callers disconnected after a message to them */
-	uint32_t left;       /**< callers that have closed their connection before */
-	uint32_t cut;        /**< callers disconnected as they were */
-	uint32_t unanswered; /**< callers with a statement without an answer among all of these */
-	uint32_t crossed;    /**< callers that sent more after the last message to them */
-};
-
 struct front {
 	struct pw_task task;
 	const struct pw_directory *directory;
@@ -93,7 +82,7 @@
 	struct pw_timer drain_timeout_timer; /**< end of a planned stop: closes all callers */
 	struct pw_timer drain_check_timer;   /**< next search for idle callers while draining */
 	struct pw_timer drain_grace_timer; /**< start of draining after the document marks the VM */
-	struct drain_counts drain_counts;
+	struct pw_drain_counts drain_counts;
 	uint64_t drain_started_us; /**< 0: no planned stop has begun to drain */
 	bool stopping;             /**< a planned stop has begun */
 	bool draining;             /**< callers are disconnected unless a transaction is open */
--- a/daemon/traffic/gateway_drain.c
+++ b/daemon/traffic/gateway_drain.c
@@ -50,11 +50,15 @@
 		statement_count += s->work != NULL;
 		transaction_count += s->transaction != TRANSACTION_NONE;
 	}
-	pw_event_log(PW_EVENT_DRAIN_STARTED,
-		     "task=gateway index=%u sessions=%u statements=%u transactions=%u accepted=%u "
-		     "ends_in_ms=%" PRIu64,
-		     g->index, g_hash_table_size(g->sessions), statement_count, transaction_count,
-		     accepted_count, (g->drain.ends_us - g->drain.started_us) / PW_US_PER_MS);
+	pw_drain_log_start(&(struct pw_drain_start){
+		.task = "gateway",
+		.index = g->index,
+		.session_count = g_hash_table_size(g->sessions),
+		.statement_count = statement_count,
+		.transaction_count = transaction_count,
+		.accepted_count = accepted_count,
+		.ends_in_us = g->drain.ends_us - g->drain.started_us,
+	});
 }
 
 void gw_drain_start(struct gateway *g)
@@ -109,7 +113,8 @@
 	 * The time to close counts from here: if the process was held up across the end of the
 	 * drain, requests that wait in the sockets are read and refused first.
 	 */
-	if (!g->drain_timer.ops && pw_drain_is_over(&g->drain, gateway_now_us(g))) {
+	if (!g->drain_closing && pw_drain_is_over(&g->drain, gateway_now_us(g))) {
+		g->drain_closing = true;
 		g->drain_timer.ops = &drain_timer_ops;
 		pw_loop_timer_set(g->task.loop, &g->drain_timer,
 				  gateway_now_us(g) + g->directory->drain_plan.close_us);
@@ -120,16 +125,9 @@
 
 void gw_drain_log_end(const struct gateway *g)
 {
-	const struct drain_counts *n = &g->drain_counts;
-
-	if (!pw_drain_has_started(&g->drain))
-		return;
-	pw_event_log(PW_EVENT_DRAIN_ENDED,
-		     "task=gateway index=%u ms=%" PRIu64
-		     " answered=%u refused=%u stopped=%u closed=%u left=%u cut=%u unanswered=%u "
-		     "crossed=%u",
-		     g->index, drain_age_ms(g), n->answered, n->refused, n->stopped, n->closed,
-		     n->left, n->cut, n->unanswered, n->crossed);
+	if (pw_drain_has_started(&g->drain))
+		pw_drain_log_end(&g->drain_counts, "gateway", g->index,
+				 gateway_now_us(g) - g->drain.started_us);
 }
 
 void gw_drain_log_answer(const struct session *s, const struct work *w)
@@ -148,21 +146,6 @@
 		     (gateway_now_us(g) - w->arrived_us) / PW_US_PER_MS, drain_age_ms(g));
 }
 
-/* Counts the end of a session while the gateway drains. */
-static void count_close(const struct session *s, bool by_caller, bool unanswered)
-{
-	struct drain_counts *n = &s->gateway->drain_counts;
-
-	n->unanswered += unanswered;
-	n->crossed += s->stream.discarded_bytes != 0;
-	if (s->state == SESSION_CLOSING)
-		n->closed++;
-	else if (by_caller)
-		n->left++;
-	else
-		n->cut++;
-}
-
 /* Returns what the proxy still owes a caller whose session it closes; NULL: nothing. */
 static const char *find_unanswered(const struct session *s, bool has_input)
 {
@@ -195,7 +178,9 @@
 	const char *state = find_unanswered(s, has_input);
 
 	if (pw_drain_has_started(&s->gateway->drain))
-		count_close(s, by_caller, state && !by_caller);
+		pw_drain_counts_add_close(&s->gateway->drain_counts, s->state == SESSION_CLOSING,
+					  by_caller, state && !by_caller,
+					  s->stream.discarded_bytes != 0);
 	if (!state || (by_caller && !s->work))
 		return;
 	if (!by_caller)
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -22,6 +22,7 @@
 #include "../control/catalog.h"
 #include "../control/cluster.h"
 #include "../directory.h"
+#include "drain_log.h"
 #include "gateway.h"
 #include "pw/core/clock.h"
 #include "pw/core/counter.h"
@@ -133,19 +134,6 @@
 struct server;
 struct account;
 
-/* What became of statements and sessions since the drain began. */
-struct drain_counts {
-	uint32_t answered;   /**< statements that were passed on or waited, and were answered */
-	uint32_t refused;    /**< statements refused, since the drain leaves no time for them */
-	uint32_t stopped;    /**< statements in progress when the drain was over */
-	uint32_t closed;     /**< sessions closed by the proxy with nothing in progress */
-	uint32_t left;       /**< sessions closed by their callers */
-	uint32_t cut;        /**< sessions closed by the proxy as they were */
-	uint32_t unanswered; /**< sessions closed by the proxy with a statement, with unread input,
-				  or with a part of an answer that was not sent */
-	uint32_t crossed;    /**< of those closed, sessions with input after the close */
-};
-
 struct gateway {
 	struct pw_task task;
 	const struct pw_directory *directory;
@@ -170,7 +158,8 @@
 	struct pw_timer drain_timer;
 	uint64_t next_report_us;
 	struct pw_drain_window drain;
-	struct drain_counts drain_counts;
+	struct pw_drain_counts drain_counts;
+	bool drain_closing;  /**< callers have the time of `drain_timer` to close */
 	bool drain_reported; /**< the shutdown task was told that no session is left */
 };
 
--- a/tests/include/platform_fleet.h
+++ b/tests/include/platform_fleet.h
@@ -13,6 +13,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -477,6 +478,33 @@
 	return count;
 }
 
+/* Prints what a stopping VM has logged of its stop. */
+static inline void show_stop_log(const struct vm *v)
+{
+	char *log = pw_harness_read_output(v->process);
+	char **lines = g_strsplit(log ? log : "", "\n", -1);
+
+	for (char **line = lines; *line; line++) {
+		if (strstr(*line, "name=stop_step") || strstr(*line, "name=drain_") ||
+		    strstr(*line, "name=stopped") || strstr(*line, "name=request_unanswered"))
+			fprintf(stderr, "%s\n", *line);
+	}
+	g_strfreev(lines);
+	g_free(log);
+}
+
+/* Returns whether a server has received the statement. */
+static inline bool has_started(const char *id)
+{
+	char *path = g_strdup_printf("/started?id=%s", id);
+	char *body = http_request(platform->port, path, NULL);
+	bool started = body != NULL;
+
+	g_free(body);
+	g_free(path);
+	return started;
+}
+
 /* DrainMs of the platform's settings: after this time a server that is gone gets no statement. */
 #define GONE_TIMEOUT_MS 7000
 
--- a/tests/platform/test_ends_fleet.c
+++ b/tests/platform/test_ends_fleet.c
@@ -69,6 +69,25 @@
 }
 END_TEST
 
+/* Opens a session and sends reads whose answers fill the buffers of the connection. */
+static struct client *send_large_reads(void)
+{
+	struct client *c = open_session(0, "desk");
+	char *value = g_strnfill(LARGE_VALUE_BYTES, 'x');
+	char *statement = g_strdup_printf("WRITE large %s", value);
+	int receive_buffer_bytes = 131072;
+
+	(void)setsockopt(c->fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
+			 sizeof(receive_buffer_bytes));
+	expect_answer(c, statement, "ok I");
+	for (uint32_t i = 0; i < LARGE_READ_COUNT; i++)
+		send_statement(c, "READ large");
+	sleep_ms(500);
+	g_free(statement);
+	g_free(value);
+	return c;
+}
+
 /* Reads answers until one is missing or all are there. Returns the number of complete ones. */
 static uint32_t count_answers(struct client *c, uint32_t max)
 {
@@ -100,19 +119,10 @@
 START_TEST(test_slow_reader_gets_whole_answers)
 {
 	struct client *c;
-	char *value = g_strnfill(LARGE_VALUE_BYTES, 'x');
-	char *statement = g_strdup_printf("WRITE large %s", value);
-	int receive_buffer_bytes = 131072;
 	uint32_t answered_count;
 
 	prepare_fleet("2200ms", "2800ms", "0");
-	c = open_session(0, "desk");
-	(void)setsockopt(c->fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
-			 sizeof(receive_buffer_bytes));
-	expect_answer(c, statement, "ok I");
-	for (uint32_t i = 0; i < LARGE_READ_COUNT; i++)
-		send_statement(c, "READ large");
-	sleep_ms(500);
+	c = send_large_reads();
 	pw_harness_signal(vms[0].process, SIGTERM);
 	sleep_ms(slow_reader_cases[_i].resumes_ms);
 	answered_count = count_answers(c, LARGE_READ_COUNT);
@@ -124,8 +134,6 @@
 	ck_assert_uint_eq(count_log_lines(&vms[0], " state=answering "),
 			  slow_reader_cases[_i].unanswered_count);
 	client_free(c);
-	g_free(statement);
-	g_free(value);
 	stop_fleet();
 }
 END_TEST
@@ -134,19 +142,10 @@
 START_TEST(test_withdrawn_key_gets_whole_answers)
 {
 	struct client *c;
-	char *value = g_strnfill(LARGE_VALUE_BYTES, 'x');
-	char *statement = g_strdup_printf("WRITE large %s", value);
-	int receive_buffer_bytes = 131072;
 	uint32_t answered_count;
 
 	prepare_fleet("300ms", "2s", "0");
-	c = open_session(0, "desk");
-	(void)setsockopt(c->fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
-			 sizeof(receive_buffer_bytes));
-	expect_answer(c, statement, "ok I");
-	for (uint32_t i = 0; i < LARGE_READ_COUNT; i++)
-		send_statement(c, "READ large");
-	sleep_ms(500);
+	c = send_large_reads();
 	publish_catalog("\"other-key\"", 3000);
 	sleep_ms(3500);
 	answered_count = count_answers(c, LARGE_READ_COUNT);
@@ -154,8 +153,6 @@
 		      LARGE_READ_COUNT);
 	expect_answer(c, "READ a", "AUTHFAIL CLOSED");
 	client_free(c);
-	g_free(statement);
-	g_free(value);
 	stop_fleet();
 }
 END_TEST
--- a/tests/platform/test_soak_fleet.c
+++ b/tests/platform/test_soak_fleet.c
@@ -549,33 +549,6 @@
 	return NULL;
 }
 
-/* Prints what a stopping VM has logged of its stop. */
-static void show_stop_log(const struct stop *s)
-{
-	char *log = pw_harness_read_output(s->process);
-	char **lines = g_strsplit(log, "\n", -1);
-
-	fprintf(stderr, "vm-%u:\n", s->vm + 1);
-	for (char **line = lines; *line; line++) {
-		if (strstr(*line, "name=stop_step") || strstr(*line, "name=drain_") ||
-		    strstr(*line, "name=stopped") || strstr(*line, "name=request_unanswered"))
-			fprintf(stderr, "  %s\n", *line);
-	}
-	g_strfreev(lines);
-	g_free(log);
-}
-
-static bool has_started(const char *id)
-{
-	char *path = g_strdup_printf("/started?id=%s", id);
-	char *body = http_request(platform->port, path, NULL);
-	bool started = body != NULL;
-
-	g_free(body);
-	g_free(path);
-	return started;
-}
-
 /* Returns the last stop of the VM that began before the end of the connection, or NULL. */
 static const struct stop *find_stop(const struct soak_case *soak, const struct stop *stops,
 				    const struct loss *l)
@@ -744,7 +717,7 @@
 		soak->label, seed, soak->stop_count, longest_stop_ms(soak, stops), answered_count,
 		loss_count);
 	for (uint32_t i = 0; failures->len && i < soak->stop_count; i++)
-		show_stop_log(&stops[i]);
+		show_stop_log(&(struct vm){ .process = stops[i].process });
 	tear_down();
 	g_rand_free(rand);
 	ck_assert_msg(!failures->len, "%s, seed %u%s", soak->label, seed, failures->str);
--- a/tests/platform/test_stops_fleet.c
+++ b/tests/platform/test_stops_fleet.c
@@ -146,17 +146,6 @@
 	}
 }
 
-static bool has_started(const char *id)
-{
-	char *path = g_strdup_printf("/started?id=%s", id);
-	char *body = http_request(platform->port, path, NULL);
-	bool started = body != NULL;
-
-	g_free(body);
-	g_free(path);
-	return started;
-}
-
 static const struct stop_case stop_cases[] = {
 	{ "single reads, busy callers", "views", NULL, "READ a", 48, 0, 20, 0, 100, 0 },
 	{ "single writes, callers idle at times", "desk", NULL, "WRITE a v", 48, 0, 10, 100, 500,
@@ -202,21 +191,6 @@
 	  { 500, 600 } },
 };
 
-/* Prints what the stopping VM has logged of its stop. */
-static void show_stop_log(void)
-{
-	char *log = pw_harness_read_output(vms[0].process);
-	char **lines = g_strsplit(log ? log : "", "\n", -1);
-
-	for (char **line = lines; *line; line++) {
-		if (strstr(*line, "name=stop_step") || strstr(*line, "name=drain_") ||
-		    strstr(*line, "name=request_unanswered"))
-			fprintf(stderr, "%s\n", *line);
-	}
-	g_strfreev(lines);
-	g_free(log);
-}
-
 /*
  * Stops a VM under the load of the case and kills it at the limit, as a platform does. Fails if a
  * request that the VM has read or a server works on has no answer, or if the process has to be
@@ -259,7 +233,7 @@
 		g_rand_free(c->rand);
 	}
 	if (failures->len)
-		show_stop_log();
+		show_stop_log(&vms[0]);
 	ck_assert_msg(!failures->len, "%s, limit %u ms: no answer%s", stop->label, limit_ms,
 		      failures->str);
 	ck_assert_uint_gt(answered_count, stop->caller_count);
