Observability: bytes of peer messages by kind, steps of a change, why no server took a statement

The logs of a large fleet could not tell which peer messages fill a link, how many members a change waits for, how old the votes are on which it is started, or why a statement was refused. Event 1022 and the counters split the bytes of peers into regular messages, replies, notices and messages with a record of the primaries. The new event 4018 logs the steps of a change with the members that have confirmed, settled or not heard of it. Event 4010 has the live VMs and the age of the votes. Events 4030 and 4031 have the consistency of the route and what blocks the nearest server. No logic changes.

--- a/core/include/pw/core/counter.h
+++ b/core/include/pw/core/counter.h
@@ -67,6 +67,12 @@
 	X(PEER_MESSAGES_DROPPED, "peer_messages_dropped_total",                                    \
 	  "peer messages dropped: unknown version or malformed")                                   \
 	X(PEER_BROADCASTS, "peer_broadcasts_total", "messages sent to all peers at once")          \
+	X(PEER_BYTES_REGULAR, "peer_bytes_regular_total",                                          \
+	  "bytes sent to peers in regular messages without a record of primaries")                 \
+	X(PEER_BYTES_REPLY, "peer_bytes_reply_total", "likewise, in replies")                      \
+	X(PEER_BYTES_NOTICE, "peer_bytes_notice_total", "likewise, in notices")                    \
+	X(PEER_BYTES_RECORD, "peer_bytes_record_total",                                            \
+	  "bytes sent to peers in messages with a record of primaries")                            \
 	X(UPSTREAM_BYTES_SENT, "upstream_bytes_sent_total", "bytes sent to upstreams")             \
 	X(UPSTREAM_BYTES_RECEIVED, "upstream_bytes_received_total",                                \
 	  "bytes received from upstreams")                                                         \
--- a/core/include/pw/core/event.h
+++ b/core/include/pw/core/event.h
@@ -61,6 +61,7 @@
 	X(PROMOTE_ANSWERED, 4015, G_LOG_LEVEL_MESSAGE, "promote_answered")     \
 	X(RECORD_WRITE_SENT, 4016, G_LOG_LEVEL_INFO, "record_write_sent")      \
 	X(RECORD_WRITE_DONE, 4017, G_LOG_LEVEL_INFO, "record_write_done")      \
+	X(CHANGE_STEP, 4018, G_LOG_LEVEL_INFO, "change_step")                  \
 	X(SERVER_GONE, 4020, G_LOG_LEVEL_WARNING, "server_gone")               \
 	X(ENTRY_REFUSED, 4021, G_LOG_LEVEL_WARNING, "entry_refused")           \
 	X(REQUEST_REFUSED, 4030, G_LOG_LEVEL_INFO, "request_refused")          \
--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -388,6 +388,42 @@
 	}
 }
 
+/* Whether a member has confirmed the record of this revision, or a newer one. */
+static bool has_confirmed(struct cluster *c, const char *name, int64_t revision)
+{
+	const struct member *m = g_hash_table_lookup(c->members, name);
+
+	return m && m->confirmed_revision >= revision;
+}
+
+/* Logs a step of the change, and what is known of the members that it waits for. */
+static void log_step(struct change *ch, const char *step)
+{
+	struct cluster *c = ch->cluster;
+	uint32_t confirmed_count = 0, settled_count = 0, unheard_count = 0, revoked_count = 0;
+
+	if (!pw_event_is_logged(PW_EVENT_CHANGE_STEP))
+		return;
+	for (guint i = 0; i < ch->leases->len; i++) {
+		const struct lease *l = &g_array_index(ch->leases, struct lease, i);
+		const struct member *m = g_hash_table_lookup(c->members, l->member);
+
+		revoked_count += l->revoke_sent;
+		if (has_confirmed(c, l->member, ch->marked_revision))
+			confirmed_count++;
+		else if (m && m->settled_revision >= ch->marked_revision)
+			settled_count++;
+		else
+			unheard_count += !m || m->primaries_revision < ch->marked_revision;
+	}
+	pw_event_log(PW_EVENT_CHANGE_STEP,
+		     "database=%s term=%" PRIu64 " step=%s ms=%" PRIu64
+		     " members=%u confirmed=%u settled=%u unheard=%u revoked=%u",
+		     ch->group, ch->fencing_token, step,
+		     (cluster_now_us(c) - ch->started_us) / PW_US_PER_MS, ch->leases->len,
+		     confirmed_count, settled_count, unheard_count, revoked_count);
+}
+
 static void handle_members_result(struct change *ch, const struct pw_store_result *base)
 {
 	const struct pw_store_range_result *r = (const struct pw_store_range_result *)base;
@@ -417,6 +453,7 @@
 		return;
 	}
 	ch->listed_us = cluster_now_us(ch->cluster);
+	log_step(ch, "listed");
 	enter_phase(ch, PHASE_QUIESCE);
 }
 
@@ -476,14 +513,6 @@
 	return false;
 }
 
-/* Whether a member has confirmed the record of this revision, or a newer one. */
-static bool has_confirmed(struct cluster *c, const char *name, int64_t revision)
-{
-	const struct member *m = g_hash_table_lookup(c->members, name);
-
-	return m && m->confirmed_revision >= revision;
-}
-
 static void send_lease_revoke(struct change *ch, guint index)
 {
 	const struct lease *l = &g_array_index(ch->leases, struct lease, index);
@@ -511,6 +540,8 @@
  */
 static void revoke_unconfirmed_leases(struct change *ch, bool silent_only)
 {
+	bool any_sent = false;
+
 	for (guint i = 0; i < ch->leases->len; i++) {
 		struct lease *l = &g_array_index(ch->leases, struct lease, i);
 
@@ -518,10 +549,13 @@
 		    (silent_only && !is_member_silent(ch->cluster, l->member)))
 			continue;
 		l->revoke_sent = true;
+		any_sent = true;
 		pw_event_log(PW_EVENT_PERMIT_REVOKED, "database=%s peer=%s lease=%" PRId64,
 			     ch->group, l->member, l->id);
 		send_lease_revoke(ch, i);
 	}
+	if (any_sent)
+		log_step(ch, "revokes");
 }
 
 static void handle_lease_revoked(struct change *ch, guint index, const struct pw_store_result *base)
@@ -939,6 +973,7 @@
 	case PHASE_QUIESCE:
 		if (!try_quiesce(ch))
 			return;
+		log_step(ch, "quiesced");
 		start_selection(ch);
 		select_candidate(ch);
 		break;
@@ -1043,6 +1078,10 @@
 				v->lost_vote_count += g->unreachable_ms != 0;
 				longest_outage_us =
 					MAX(longest_outage_us, g->unreachable_ms * PW_US_PER_MS);
+				if (g->unreachable_ms)
+					v->lost_votes_age_us =
+						MAX(v->lost_votes_age_us,
+						    now_us - MIN(m->last_heard_us, now_us));
 			}
 			break;
 		}
@@ -1136,10 +1175,12 @@
 	g_hash_table_insert(c->changes, ch->group, ch);
 	pw_counter_inc(PW_COUNTER_FAILOVERS_STARTED);
 	pw_event_log(PW_EVENT_FAILOVER_STARTED,
-		     "database=%s term=%" PRIu64 " primary=%s reason=%s lost=%u reached=%u rank=%u",
+		     "database=%s term=%" PRIu64
+		     " primary=%s reason=%s lost=%u reached=%u live=%u votes_age_ms=%" PRIu64
+		     " rank=%u",
 		     primary->group, primary->generation, primary->server_id,
 		     pw_change_reason_name(reason), v->lost_vote_count, v->reached_vote_count,
-		     v->rank);
+		     v->live_count, v->lost_votes_age_us / PW_US_PER_MS, v->rank);
 	claim_change(ch);
 }
 
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -12,6 +12,19 @@
 /* Maximum number of datagrams received before other sources get their turn. */
 #define RECV_BATCH_MAX 64
 
+/* Why a pulse is sent; each kind has a counter of its bytes. */
+enum pulse_kind {
+	PULSE_REGULAR,
+	PULSE_REPLY,
+	PULSE_NOTICE,
+};
+
+static const enum pw_counter pulse_bytes_counters[] = {
+	[PULSE_REGULAR] = PW_COUNTER_PEER_BYTES_REGULAR,
+	[PULSE_REPLY] = PW_COUNTER_PEER_BYTES_REPLY,
+	[PULSE_NOTICE] = PW_COUNTER_PEER_BYTES_NOTICE,
+};
+
 static void member_free(gpointer data)
 {
 	struct member *m = data;
@@ -187,8 +200,10 @@
 	       m->primaries_revision && m->primaries_revision < c->primaries->revision;
 }
 
-static void send_pulse(struct cluster *c, struct member *m, struct pw_pulse *p)
+static void send_pulse(struct cluster *c, struct member *m, struct pw_pulse *p,
+		       enum pulse_kind kind)
 {
+	enum pw_counter bytes_counter = pulse_bytes_counters[kind];
 	uint8_t data[PW_PULSE_RECORD_MAX_BYTES];
 	size_t size_bytes;
 
@@ -201,8 +216,10 @@
 	p->delegated_permit_ms = delegate_permit(c, m);
 	p->no_change_promise_ms = grant_promise(c, m);
 	m->sent_us[p->sequence % PULSE_SENT_TIME_COUNT] = cluster_now_us(c);
-	if (needs_record(c, m))
+	if (needs_record(c, m)) {
 		p->primaries_record = pw_primaries_encode(c->primaries);
+		bytes_counter = PW_COUNTER_PEER_BYTES_RECORD;
+	}
 	size_bytes = pw_pulse_encode(data, p);
 	g_clear_pointer(&p->primaries_record, g_free);
 	if (!size_bytes)
@@ -217,6 +234,7 @@
 	}
 	pw_counter_inc(PW_COUNTER_PEER_MESSAGES_SENT);
 	pw_counter_add(PW_COUNTER_PEER_BYTES_SENT, size_bytes);
+	pw_counter_add(bytes_counter, size_bytes);
 }
 
 /* Builds a notice without the fields that differ between receivers, which send_pulse() sets. */
@@ -247,7 +265,7 @@
 	add_accounts(c, p);
 }
 
-static void send_to_all(struct cluster *c, struct pw_pulse *p)
+static void send_to_all(struct cluster *c, struct pw_pulse *p, enum pulse_kind kind)
 {
 	GHashTableIter it;
 	gpointer item;
@@ -256,21 +274,22 @@
 	c->announced_confirmed_revision = p->confirmed_revision;
 	g_hash_table_iter_init(&it, c->members);
 	while (g_hash_table_iter_next(&it, NULL, &item))
-		send_pulse(c, item, p);
+		send_pulse(c, item, p, kind);
 }
 
 void pulse_broadcast(struct cluster *c)
 {
+	bool is_large = is_large_fleet(c);
 	struct pw_pulse p;
 
-	if (is_large_fleet(c)) {
+	if (is_large) {
 		build_notice(c, &p);
 	} else {
 		build_pulse(c, &p);
 		pw_loop_timer_set(c->task.loop, &c->pulse_timer,
 				  cluster_now_us(c) + PULSE_INTERVAL_US);
 	}
-	send_to_all(c, &p);
+	send_to_all(c, &p, is_large ? PULSE_NOTICE : PULSE_REGULAR);
 	pw_pulse_dispose(&p);
 }
 
@@ -313,7 +332,7 @@
 
 		if (!ask_all && !pulse_is_member_live(c, m))
 			continue;
-		send_pulse(c, m, p);
+		send_pulse(c, m, p, PULSE_REGULAR);
 		asked_count++;
 	}
 }
@@ -333,7 +352,8 @@
 	 * some members may reach the store and delegate their permits.
 	 */
 	for (guint i = 0; i < PULSE_FANOUT; i++)
-		send_pulse(c, g_list_nth_data(members, (c->next_pulse_member + i) % count), &p);
+		send_pulse(c, g_list_nth_data(members, (c->next_pulse_member + i) % count), &p,
+			   PULSE_REGULAR);
 	c->next_pulse_member = (c->next_pulse_member + PULSE_FANOUT) % count;
 	pw_pulse_dispose(&p);
 	g_list_free(members);
@@ -364,7 +384,7 @@
 			   since_us ? MAX(age_ms(c, since_us), 1) : 0, is_reachable);
 	count = change_find_first_members(c, primary, first, VOTE_RECEIVER_COUNT);
 	for (uint32_t i = 0; i < count; i++)
-		send_pulse(c, first[i], &p);
+		send_pulse(c, first[i], &p, PULSE_NOTICE);
 	pw_pulse_dispose(&p);
 }
 
@@ -383,7 +403,7 @@
 		primary->mark_vm ? g_hash_table_lookup(c->members, primary->mark_vm) : NULL;
 
 	if (m)
-		send_pulse(c, m, p);
+		send_pulse(c, m, p, PULSE_NOTICE);
 	return m || g_strcmp0(primary->mark_vm, c->directory->settings->vm_name) == 0;
 }
 
@@ -405,7 +425,7 @@
 	if (all_known)
 		c->announced_confirmed_revision = p.confirmed_revision;
 	else
-		send_to_all(c, &p);
+		send_to_all(c, &p, PULSE_NOTICE);
 	pw_pulse_dispose(&p);
 }
 
@@ -419,7 +439,7 @@
 	g_hash_table_iter_init(&it, c->members);
 	while (g_hash_table_iter_next(&it, NULL, &item)) {
 		if (needs_record(c, item))
-			send_pulse(c, item, &p);
+			send_pulse(c, item, &p, PULSE_NOTICE);
 	}
 	pw_pulse_dispose(&p);
 }
@@ -462,7 +482,7 @@
 	add_announced_accounts(c, &p);
 	if (p.accounts->len) {
 		c->demand_announced_us = cluster_now_us(c);
-		send_to_all(c, &p);
+		send_to_all(c, &p, PULSE_NOTICE);
 	}
 	pw_pulse_dispose(&p);
 }
@@ -566,7 +586,7 @@
 	struct pw_pulse p;
 
 	build_pulse(c, &p);
-	send_pulse(c, m, &p);
+	send_pulse(c, m, &p, PULSE_REPLY);
 	pw_pulse_dispose(&p);
 }
 
--- a/daemon/control/metrics.c
+++ b/daemon/control/metrics.c
@@ -107,6 +107,8 @@
 
 	pw_event_log(PW_EVENT_TRAFFIC,
 		     "peer_bytes=%" PRIu64 " peer_messages=%" PRIu64 " peer_broadcasts=%" PRIu64
+		     " peer_bytes_regular=%" PRIu64 " peer_bytes_reply=%" PRIu64
+		     " peer_bytes_notice=%" PRIu64 " peer_bytes_record=%" PRIu64
 		     " upstream_bytes_sent=%" PRIu64 " upstream_bytes_received=%" PRIu64
 		     " upstream_bytes_remote=%" PRIu64 " upstream_connects=%" PRIu64
 		     " store_bytes_sent=%" PRIu64 " store_bytes_received=%" PRIu64
@@ -114,6 +116,10 @@
 		     pw_counter_get(PW_COUNTER_PEER_BYTES_SENT),
 		     pw_counter_get(PW_COUNTER_PEER_MESSAGES_SENT),
 		     pw_counter_get(PW_COUNTER_PEER_BROADCASTS),
+		     pw_counter_get(PW_COUNTER_PEER_BYTES_REGULAR),
+		     pw_counter_get(PW_COUNTER_PEER_BYTES_REPLY),
+		     pw_counter_get(PW_COUNTER_PEER_BYTES_NOTICE),
+		     pw_counter_get(PW_COUNTER_PEER_BYTES_RECORD),
 		     pw_counter_get(PW_COUNTER_UPSTREAM_BYTES_SENT),
 		     pw_counter_get(PW_COUNTER_UPSTREAM_BYTES_RECEIVED),
 		     pw_counter_get(PW_COUNTER_UPSTREAM_BYTES_REMOTE),
--- a/daemon/traffic/gateway_group.c
+++ b/daemon/traffic/gateway_group.c
@@ -502,6 +502,76 @@
 	return group->primary;
 }
 
+/* Why a server does not take a statement, ordered by how near it comes to taking it. */
+enum blocking_reason {
+	BLOCKED_UNREGISTERED,
+	BLOCKED_CHANGING,
+	BLOCKED_PERMIT,
+	BLOCKED_LEAVING,
+	BLOCKED_PAUSED,
+	BLOCKED_AVOIDED,
+	BLOCKED_LAGGING,
+	BLOCKED_WINDOW,
+	BLOCKED_CONNECTIONS,
+	BLOCKED_NONE,
+};
+
+static const char *const blocking_reason_names[] = {
+	[BLOCKED_UNREGISTERED] = "unregistered",
+	[BLOCKED_CHANGING] = "changing",
+	[BLOCKED_PERMIT] = "permit",
+	[BLOCKED_LEAVING] = "leaving",
+	[BLOCKED_PAUSED] = "paused",
+	[BLOCKED_AVOIDED] = "avoided",
+	[BLOCKED_LAGGING] = "lagging",
+	[BLOCKED_WINDOW] = "window",
+	[BLOCKED_CONNECTIONS] = "connections",
+	[BLOCKED_NONE] = "none",
+};
+
+static enum blocking_reason find_blocking_reason(const struct work *w, const struct server *s,
+						 const struct read_floor *floor, uint64_t now_us)
+{
+	const struct group *group = s->group;
+	bool has_idle_conn;
+
+	if (!s->registered)
+		return BLOCKED_UNREGISTERED;
+	if (s == group->primary && group->changing)
+		return BLOCKED_CHANGING;
+	if (s == group->primary && !gateway_may_use_primaries(group->gateway))
+		return BLOCKED_PERMIT;
+	if (s->leaving)
+		return BLOCKED_LEAVING;
+	if (now_us < s->pause_until_us)
+		return BLOCKED_PAUSED;
+	if (!w->needs_primary && is_avoided(s, w))
+		return BLOCKED_AVOIDED;
+	if (!w->needs_primary && !is_caught_up(s, floor, now_us))
+		return BLOCKED_LAGGING;
+	if (!may_start(s, now_us))
+		return BLOCKED_WINDOW;
+	return gw_conn_is_available(s, w->account, &has_idle_conn) ? BLOCKED_NONE
+								   : BLOCKED_CONNECTIONS;
+}
+
+const char *gw_group_blocking_reason(const struct work *w)
+{
+	const struct group *group = w->group;
+	uint64_t now_us = gateway_now_us(group->gateway);
+	enum blocking_reason nearest = BLOCKED_UNREGISTERED;
+	struct read_floor floor;
+
+	find_floor(&floor, w, now_us);
+	for (guint i = 0; i < group->servers->len; i++) {
+		const struct server *s = g_ptr_array_index(group->servers, i);
+
+		if (!w->needs_primary || s == group->primary)
+			nearest = MAX(nearest, find_blocking_reason(w, s, &floor, now_us));
+	}
+	return blocking_reason_names[nearest];
+}
+
 void gw_group_record_received(struct server *s)
 {
 	struct group *group = s->group;
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -493,6 +493,8 @@
 uint64_t gw_group_primary_ready_us(const struct group *group);
 /** @return server that can take the statement now, or NULL */
 struct server *gw_group_choose_server(const struct work *w);
+/** @return why the server that comes nearest to taking the statement does not, for the log */
+const char *gw_group_blocking_reason(const struct work *w);
 /** @return whether any server may be sent another statement */
 bool gw_group_has_capacity(const struct group *group);
 /**
--- a/daemon/traffic/gateway_work.c
+++ b/daemon/traffic/gateway_work.c
@@ -110,6 +110,12 @@
 	}
 }
 
+static const char *const consistency_names[] = {
+	[PW_CONSISTENCY_PRIMARY] = "primary",
+	[PW_CONSISTENCY_BOUNDED] = "bounded",
+	[PW_CONSISTENCY_SESSION] = "session",
+};
+
 /* Logs a decision about a statement and the state that the decision is based on. */
 static void log_decision(const struct work *w, enum pw_event event, enum pw_reason reason,
 			 const char *text)
@@ -119,16 +125,18 @@
 
 	if (!pw_event_is_logged(event))
 		return;
-	pw_event_log(event,
-		     "id=%s account=%s database=%s reason=%s text=\"%s\" waited_ms=%" PRIu64
-		     " attempts=%u needs_primary=%d waiting=%u changing=%d permit_left_ms=%" PRId64
-		     " term=%" PRIu64 " server=%s",
-		     w->statement->id, w->account->name, group->name, pw_reason_name(reason), text,
-		     (now_us - w->arrived_us) / PW_US_PER_MS, w->failed_attempts, w->needs_primary,
-		     group->wait_queue.length, group->changing,
-		     ((int64_t)group->gateway->permit_until_us - (int64_t)now_us) /
-			     (int64_t)PW_US_PER_MS,
-		     group->generation, w->avoid_server_id ? w->avoid_server_id : "");
+	pw_event_log(
+		event,
+		"id=%s account=%s database=%s reason=%s text=\"%s\" waited_ms=%" PRIu64
+		" attempts=%u consistency=%s needs_primary=%d blocked=%s waiting=%u changing=%d"
+		" permit_left_ms=%" PRId64 " term=%" PRIu64 " server=%s",
+		w->statement->id, w->account->name, group->name, pw_reason_name(reason), text,
+		(now_us - w->arrived_us) / PW_US_PER_MS, w->failed_attempts,
+		consistency_names[w->operation.consistency], w->needs_primary,
+		gw_group_blocking_reason(w), group->wait_queue.length, group->changing,
+		((int64_t)group->gateway->permit_until_us - (int64_t)now_us) /
+			(int64_t)PW_US_PER_MS,
+		group->generation, w->avoid_server_id ? w->avoid_server_id : "");
 }
 
 void gw_work_refuse(struct work *w, enum pw_reason reason, const char *text)
--- a/decide/include/pw/decide/change.h
+++ b/decide/include/pw/decide/change.h
@@ -72,6 +72,7 @@
 	uint32_t reached_vote_count; /**< votes that it was reached recently, counted likewise */
 	uint32_t live_count;         /**< number of live VMs, this one included */
 	uint64_t lost_since_us;      /**< earliest loss that lost_vote_count reports; 0: none */
+	uint64_t lost_votes_age_us;  /**< since the oldest report among lost_vote_count arrived */
 	uint32_t rank;               /**< this VM's rank for the group among live VMs; 0: first */
 	uint32_t candidate_count;    /**< number of replicas that are registered and not leaving */
 };
