Tests: a large fleet with a link that fills, failing

200 cluster tasks with a store, gateways, servers, a promoter and a link between two regions in one process. A third of the VMs are cut off, or turned away by the store, while primaries are lost. On this code changes of primary are not done in 9 s, VMs that the store turns away get no permit, and peer messages fill the link.

--- /dev/null
+++ b/tests/daemon/test_cluster_link.c
@@ -0,0 +1,87 @@
+/*
+ * Suite of the traffic between the cluster tasks of a large fleet, on the link between two regions.
+ */
+#include "cluster_fleet.h"
+
+/* Time in which a fleet of the design size changes a primary (docs/design.md, 1.3). */
+#define CHANGE_LIMIT_MS 9000
+/* Time after the end of a disruption in which the VMs serve again (`touch_ms` of the deployment).
+ */
+#define RECOVERY_LIMIT_MS 8000
+
+static const struct {
+	const char *label;
+	bool is_cut; /**< from the store and the other VMs; otherwise the store turns them away */
+	uint32_t affected_percent;
+	uint32_t lost_group_count; /**< whose primaries are lost 1 s after the start of the fault */
+} fault_cases[] = {
+	{ "cut from the others", true, 35, 6 },
+	{ "turned away by the store", false, 35, 6 },
+	{ "turned away by the store, most primaries lost", false, 35, 16 },
+};
+
+static void set_fault(struct fleet *f, int case_index, bool is_on)
+{
+	for (uint32_t i = 0; i < FLEET_VM_COUNT * fault_cases[case_index].affected_percent / 100;
+	     i++) {
+		f->vms[i].is_cut = is_on && fault_cases[case_index].is_cut;
+		f->vms[i].is_turned_away = is_on && !fault_cases[case_index].is_cut;
+		fleet_end_watch(&f->vms[i]);
+	}
+}
+
+static bool has_primaries(const struct fleet *f)
+{
+	return fleet_count_lost_groups(f) == 0;
+}
+
+/* Guards against VMs in trouble that cost the others their links, permits and primaries. */
+START_TEST(test_trouble_of_some_vms_spares_the_others)
+{
+	uint64_t link_bytes_per_s =
+		FLEET_LINK_BITS_PER_S / 8 * FLEET_VM_COUNT / FLEET_LINK_VM_COUNT;
+	uint64_t busiest_second_bytes = 0, dropped_count = 0;
+	bool has_started, has_changed, has_recovered, is_helped;
+	uint32_t lost_group_count, revoked_count;
+	struct fleet *f = fleet_start();
+
+	has_started = fleet_wait_for(f, fleet_has_permits, 10000);
+	(void)fleet_wait_for(f, fleet_never, 2000);
+	fleet_reset_counts(f);
+	set_fault(f, _i, true);
+	(void)fleet_wait_for(f, fleet_never, 1000);
+	for (uint32_t i = 0; i < fault_cases[_i].lost_group_count; i++)
+		f->servers[2 * i].is_lost = true;
+	(void)fleet_wait_for(f, fleet_never, 2000);
+	is_helped = fleet_wait_for(f, fleet_has_permits, 3000) || fault_cases[_i].is_cut;
+	set_fault(f, _i, false);
+	has_changed = fleet_wait_for(f, has_primaries, CHANGE_LIMIT_MS - 5000);
+	has_recovered = fleet_wait_for(f, fleet_has_permits, RECOVERY_LIMIT_MS);
+	for (uint32_t i = 0; i < FLEET_REGION_COUNT; i++) {
+		busiest_second_bytes = MAX(busiest_second_bytes, f->links[i].busiest_second_bytes);
+		dropped_count += f->links[i].dropped_count;
+	}
+	lost_group_count = fleet_count_lost_groups(f);
+	revoked_count = f->revoked_in_touch_count;
+	fleet_stop(f);
+	ck_assert_msg(has_started && is_helped && has_changed && has_recovered && !revoked_count &&
+			      !dropped_count && busiest_second_bytes <= link_bytes_per_s,
+		      "%s: started %d, permits in the fault %d, changed %d (%u groups left), "
+		      "recovered %d, %u leases of others revoked, %" G_GUINT64_FORMAT
+		      " bytes in a second over a link of %" G_GUINT64_FORMAT
+		      " bytes/s, %" G_GUINT64_FORMAT " datagrams dropped",
+		      fault_cases[_i].label, has_started, is_helped, has_changed, lost_group_count,
+		      has_recovered, revoked_count, busiest_second_bytes, link_bytes_per_s,
+		      dropped_count);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("cluster_link");
+
+	pw_event_log_init(G_LOG_LEVEL_ERROR);
+	tcase_add_loop_test(tc, test_trouble_of_some_vms_spares_the_others, 0,
+			    PW_ARRAY_LEN(fault_cases));
+	return pw_suite_run("cluster_link", tc);
+}
