Cluster: a permit counts as lost when the record cannot be read

A VM whose watch of the primaries record ended and whose reads of the record then failed kept renewal_ok from before: it renewed nothing, asked no other VM for a permit until its own had long expired, and, if it was the first by rank, claimed a change every 100 ms that the store refused, in the place of a VM that could. A failed read on the way to a renewal now counts like a failed renewal.

--- a/daemon/control/cluster_member.c
+++ b/daemon/control/cluster_member.c
@@ -265,6 +265,7 @@
 	if (!c->registered)
 		return;
 	if (base->code) {
+		set_renewal_ok(c, false);
 		schedule_retry(c);
 		return;
 	}
