--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -553,6 +553,7 @@
 	c->tick_timer.ops = &tick_ops;
 	c->started_us = cluster_now_us(c);
 	c->drain_limit_us = UINT64_MAX;
+	c->own_name_hash = (uint32_t)pw_directory_name_hash(c->directory->settings->vm_name);
 	change_start(c);
 	position_start(c);
 	departed_start(c);
--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -988,10 +988,9 @@
 	}
 }
 
-static uint64_t rank_weight(const struct pw_primary *primary, const char *vm_name)
+static uint64_t rank_weight(const struct pw_primary *primary, const char *vm_name, uint32_t vm_hash)
 {
-	return pw_change_rank_weight(g_strcmp0(primary->leader, vm_name) == 0,
-				     (uint32_t)pw_directory_name_hash(vm_name),
+	return pw_change_rank_weight(g_strcmp0(primary->leader, vm_name) == 0, vm_hash,
 				     g_str_hash(primary->group));
 }
 
@@ -1002,7 +1001,8 @@
  */
 static uint32_t compute_rank(const struct cluster *c, const struct pw_primary *primary)
 {
-	uint64_t own_weight = rank_weight(primary, c->directory->settings->vm_name);
+	uint64_t own_weight =
+		rank_weight(primary, c->directory->settings->vm_name, c->own_name_hash);
 	uint32_t rank = 0;
 	GHashTableIter it;
 	gpointer item;
@@ -1012,7 +1012,7 @@
 		const struct member *m = item;
 
 		rank += pulse_is_member_live(c, m) && !m->needs_permit &&
-			rank_weight(primary, m->name) < own_weight;
+			rank_weight(primary, m->name, m->name_hash) < own_weight;
 	}
 	return rank;
 }
@@ -1027,17 +1027,19 @@
 	g_hash_table_iter_init(&it, c->members);
 	while (g_hash_table_iter_next(&it, NULL, &item)) {
 		struct member *m = item;
-		uint64_t weight = rank_weight(primary, m->name);
+		uint64_t weight = rank_weight(primary, m->name, m->name_hash);
 		uint32_t i;
 
 		if (!pulse_is_member_live(c, m) || m->needs_permit ||
-		    (found_count == count &&
-		     weight >= rank_weight(primary, first[count - 1]->name)))
+		    (found_count == count && weight >= rank_weight(primary, first[count - 1]->name,
+								   first[count - 1]->name_hash)))
 			continue;
 		/* Inserts the member into the sorted list; the last one of a full list drops out.
 		 */
 		i = found_count < count ? found_count++ : count - 1;
-		for (; i > 0 && weight < rank_weight(primary, first[i - 1]->name); i--)
+		for (; i > 0 &&
+		       weight < rank_weight(primary, first[i - 1]->name, first[i - 1]->name_hash);
+		     i--)
 			first[i] = first[i - 1];
 		first[i] = m;
 	}
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -118,6 +118,7 @@
 	bool leaving;
 	bool needs_permit;      /**< it cannot renew its permit at the store */
 	bool has_lost_vote;     /**< it cannot reach some primary, by its pulses */
+	uint32_t name_hash; /**< for the rank, see pw_change_rank_weight() */
 	uint64_t incarnation;   /**< identifies the process that sent its last pulse; 0: none */
 	uint64_t last_heard_us; /**< arrival of its last pulse; 0: none */
 	uint64_t last_heard_sequence;            /**< sequence number of that pulse */
@@ -166,6 +167,7 @@
 	uint64_t incarnation;      /**< random number that identifies this process of the VM */
 	int64_t lease_id;          /**< lease of this VM's entry; 0: none */
 	bool registration_pending; /**< a grant of a lease, or a registration, is in flight */
+	uint32_t own_name_hash; /**< like `name_hash` of a member */
 	bool registered;           /**< the entry was written with the lease */
 	int64_t entry_revision; /**< revision of the entry that the registration replaces; 0: none
 				 */
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -43,6 +43,7 @@
 		m->name = g_strdup(name);
 		m->next_sequence = 1;
 		g_hash_table_insert(c->members, m->name, m);
+		m->name_hash = (uint32_t)pw_directory_name_hash(name);
 	}
 	return m;
 }
