Changes: votes about a primary count for two seconds

A VM of a large fleet hears of each other one by a regular pulse every few seconds, and a member counts as live for five of these. Votes were kept for as long: changes were started on votes of up to 8.9 s that told of a cut that was over, and stale votes of VMs that had been cut off kept a lost primary for seconds, since they said that it was reached. A vote now counts for 2 s, in which a VM hears of 64 others.

--- a/codec/include/pw/codec/pulse.h
+++ b/codec/include/pw/codec/pulse.h
@@ -25,6 +25,7 @@
 	uint64_t generation;     /**< of the primary */
 	uint32_t unreachable_ms; /**< time since contact with the primary was lost; 0: not lost */
 	bool is_reachable;       /**< the primary answered recently */
+	uint64_t heard_us;       /**< set by the receiver: when the above was heard; not encoded */
 	struct pw_position position; /**< newest known position of the primary */
 	/**
 	 * Time of the sender's clock; `position` covers all commits acknowledged before it. 0: no
--- a/codec/src/pulse.c
+++ b/codec/src/pulse.c
@@ -66,11 +66,14 @@
 			g->generation = vote->generation;
 			g->unreachable_ms = vote->unreachable_ms;
 			g->is_reachable = vote->is_reachable;
+			g->heard_us = vote->heard_us;
 			return;
 		}
 	}
 	pw_pulse_add_group(p, vote->name, vote->generation, vote->unreachable_ms,
 			   vote->is_reachable);
+	g_array_index(p->groups, struct pw_pulse_group, p->groups->len - 1).heard_us =
+		vote->heard_us;
 }
 
 void pw_pulse_set_account(struct pw_pulse *p, const char *name, float demand_per_s)
--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -1075,15 +1075,15 @@
 
 			if (strcmp(g->name, primary->group) != 0)
 				continue;
-			if (g->generation == primary->generation) {
+			if (g->generation == primary->generation &&
+			    pw_change_vote_counts(g->heard_us, now_us)) {
 				v->reached_vote_count += g->is_reachable;
 				v->lost_vote_count += g->unreachable_ms != 0;
 				longest_outage_us =
 					MAX(longest_outage_us, g->unreachable_ms * PW_US_PER_MS);
 				if (g->unreachable_ms)
 					v->lost_votes_age_us =
-						MAX(v->lost_votes_age_us,
-						    now_us - MIN(m->last_heard_us, now_us));
+						MAX(v->lost_votes_age_us, now_us - g->heard_us);
 			}
 			break;
 		}
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -696,6 +696,8 @@
 {
 	const char *address = c->directory->settings->peer_address;
 	struct pw_address bind_address;
+	for (guint i = 0; i < p->groups->len; i++)
+		g_array_index(p->groups, struct pw_pulse_group, i).heard_us = m->last_heard_us;
 	int rc = pw_address_parse(&bind_address, address);
 
 	c->members = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, member_free);
--- a/decide/include/pw/decide/change.h
+++ b/decide/include/pw/decide/change.h
@@ -117,6 +117,18 @@
 #define PW_CHANGE_VOTES_MIN      2
 #define PW_CHANGE_VOTES_MIN_LIVE 3
 
+/**
+ * Time for which a vote counts after it was heard. In a large fleet a VM hears of each other one
+ * only every few seconds, but of many in this time; older votes tell of a state that may be over.
+ */
+#define PW_CHANGE_VOTE_MAX_AGE_US UINT64_C(2000000)
+
+/** @return whether a vote that was heard at `heard_us` still counts */
+static inline bool pw_change_vote_counts(uint64_t heard_us, uint64_t now_us)
+{
+	return now_us < heard_us + PW_CHANGE_VOTE_MAX_AGE_US;
+}
+
 /** @return reason for a change that the primary's entry gives, or PW_CHANGE_NONE */
 enum pw_change_reason pw_change_entry_fault(const struct pw_change_view *v);
 
--- a/tests/decide/test_change.c
+++ b/tests/decide/test_change.c
@@ -545,6 +545,28 @@
 }
 END_TEST
 
+static const struct {
+	const char *label;
+	uint64_t age_us;
+	bool counts;
+} vote_age_cases[] = {
+	{ "just heard", 0, true },
+	{ "heard within the limit", PW_CHANGE_VOTE_MAX_AGE_US - 1, true },
+	{ "too old", PW_CHANGE_VOTE_MAX_AGE_US, false },
+	{ "of a member that was heard of seconds ago and still counts as live", 9000000, false },
+};
+
+/* Guards against a change of primary that is started on votes about an outage that is over. */
+START_TEST(test_old_votes_do_not_count)
+{
+	uint64_t now_us = 20000000;
+
+	ck_assert_msg(pw_change_vote_counts(now_us - vote_age_cases[_i].age_us, now_us) ==
+			      vote_age_cases[_i].counts,
+		      "%s", vote_age_cases[_i].label);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("change");
@@ -555,5 +577,6 @@
 	tcase_add_test(tc, test_no_acknowledged_commit_is_lost);
 	tcase_add_loop_test(tc, test_promoted, 0, PW_ARRAY_LEN(promoted_cases));
 	tcase_add_test(tc, test_limits);
+	tcase_add_loop_test(tc, test_old_votes_do_not_count, 0, PW_ARRAY_LEN(vote_age_cases));
 	return pw_suite_run("change", tc);
 }
