Fleet: VMs in trouble no longer cost the others their leases and links

Cause: help was given by everyone to everyone. A VM that cannot renew its permit asked ten members four times a second, and each that delegated could confirm no mark before it: 76 of 113 members had settled the mark of a change and waited, 7 had confirmed. The leader revoked the leases of 106 after 300 ms, the time of two pulses in a small fleet, and waited 1.6 s. Each VM that lost its lease read and told all members. And each message to a member in need contained the whole record of the primaries, by what the sender had heard of it seconds ago: 80% of the bytes of the peers, which filled the link between the regions.

- A VM in need asks the member that helps it, and searches only without one.
- Replies in a large fleet contain no groups and accounts.
- A leader asks members that have not confirmed every 100 ms.
One that has settled keeps its lease: the permits that it has delegated end by themselves in 1.6 s.
One that answers has 900 ms, one that does not 600.
- A VM that loses its lease in a large fleet does not read and tell all members again.

test_record_is_sent_where_needed: in a large fleet only a member that asks gets the record; real VMs set the flag on every request. The cases of a small fleet are as before.

--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -229,6 +229,7 @@
 	/* A delegated permit holds for one revision of the record only. */
 	c->delegated_permit_until_us = 0;
 	cluster_publish_primaries(c);
+	pulse_send_record(c);
 }
 
 bool cluster_reaches_primary(const struct cluster *c, const struct pw_primary *primary,
@@ -438,6 +439,7 @@
 	era_clear_dead_marks(c);
 	change_tick(c);
 	publish_shares(c);
+	pulse_send_record(c);
 	pulse_announce_demand(c);
 	pulse_announce_votes(c);
 	position_publish(c);
@@ -552,8 +554,8 @@
 	c->primary_checked_us = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->tick_timer.ops = &tick_ops;
 	c->started_us = cluster_now_us(c);
-	c->drain_limit_us = UINT64_MAX;
 	c->own_name_hash = (uint32_t)pw_directory_name_hash(c->directory->settings->vm_name);
+	c->drain_limit_us = UINT64_MAX;
 	change_start(c);
 	position_start(c);
 	departed_start(c);
--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -23,8 +23,8 @@
 #include "pw/core/histogram.h"
 
 /*
- * The lease of a member that has not confirmed after this time is revoked. Two pulses from the
- * member can arrive in this time.
+ * In a fleet whose regular pulses go to all, the lease of a member that has not confirmed after
+ * this time is revoked. Two pulses from the member can arrive in this time.
  */
 #define CONFIRM_TIMEOUT_US (300 * PW_US_PER_MS)
 /*
@@ -33,6 +33,16 @@
  * CONFIRM_TIMEOUT_US.
  */
 #define MEMBER_SILENT_US (600 * PW_US_PER_MS)
+/*
+ * The same for a member of a large fleet that answers, but has not heard of the mark yet: records
+ * to all its VMs may queue on a link, and a revocation would take its permit for all groups. It
+ * leaves time for the permit to expire before PW_CHANGE_PROMOTE_DEADLINE_US. A member that does not
+ * answer has MEMBER_SILENT_US.
+ */
+#define ANSWERING_CONFIRM_TIMEOUT_US (900 * PW_US_PER_MS)
+/* Interval at which members of a large fleet that have not confirmed are asked whether they have.
+ */
+#define ASK_INTERVAL_US (100 * PW_US_PER_MS)
 /* Replaces CONFIRM_TIMEOUT_US in a planned change, so that statements in flight can finish. */
 #define PLANNED_CONFIRM_TIMEOUT_US (1500 * PW_US_PER_MS)
 /* Interval of the rounds of status queries. */
@@ -64,7 +74,9 @@
 	char *member;
 	int64_t id;
 	bool revoke_sent;
-	bool revoked;
+	uint64_t revoked_us; /**< when the revocation was answered; 0: not yet */
+	/** When this VM first saw that the member has settled the mark; 0: not yet. */
+	uint64_t settled_us;
 };
 
 struct change {
@@ -86,10 +98,10 @@
 	char *last_member_key; /**< last key of these pages; NULL: none was read */
 	uint64_t listed_us;    /**< when the list of members was complete */
 	bool follows_change;   /**< the record of the group changed just before the claim */
-	uint64_t leases_revoked_us; /**< when the last necessary revocation was done; 0: not yet */
-	GPtrArray *entries;         /**< struct pw_server_entry, servers of the group */
-	GArray *servers;            /**< struct pw_change_server, parallel to `entries` */
-	GPtrArray *queries; /**< struct status_query in flight or NULL, parallel to `entries` */
+	uint64_t next_ask_us;  /**< when members that have not confirmed are asked again */
+	GPtrArray *entries;    /**< struct pw_server_entry, servers of the group */
+	GArray *servers;       /**< struct pw_change_server, parallel to `entries` */
+	GPtrArray *queries;    /**< struct status_query in flight or NULL, parallel to `entries` */
 	uint64_t next_query_us;
 	int32_t target;                        /**< index of the server to promote; -1: none yet */
 	struct pw_change_server target_before; /**< its report before the promotion request */
@@ -306,7 +318,6 @@
 				  c->incarnation, ch->planned);
 	}
 	cluster_apply_primaries(c, record);
-	pulse_send_record(c);
 }
 
 /* Reads the next page of the member list. */
@@ -455,6 +466,7 @@
 	ch->listed_us = cluster_now_us(ch->cluster);
 	log_step(ch, "listed");
 	enter_phase(ch, PHASE_QUIESCE);
+	ch->next_ask_us = ch->listed_us + ASK_INTERVAL_US;
 }
 
 static bool is_listed(const struct change *ch, const char *name)
@@ -532,26 +544,49 @@
 			     MAX(MEMBER_SILENT_US, 2 * pulse_member_interval_us(c));
 }
 
+/* Returns for how long after the list was read a member may take to confirm the mark. */
+static uint64_t confirm_timeout_us(const struct change *ch, const char *name)
+{
+	const struct cluster *c = ch->cluster;
+	const struct member *m = g_hash_table_lookup(c->members, name);
+
+	if (is_member_silent(c, name))
+		return 0;
+	if (ch->planned)
+		return PLANNED_CONFIRM_TIMEOUT_US;
+	if (!cluster_is_large_fleet(c))
+		return CONFIRM_TIMEOUT_US;
+	return m->last_heard_us > ch->listed_us ? ANSWERING_CONFIRM_TIMEOUT_US : MEMBER_SILENT_US;
+}
+
 /*
- * Revokes the leases of members that have not confirmed the mark, so that they cannot renew their
- * permits.
- *
- * @param silent_only only the leases of members that are silent, see is_member_silent()
+ * Revokes the leases of members that have not confirmed the mark in time, so that they cannot renew
+ * their permits.
  */
-static void revoke_unconfirmed_leases(struct change *ch, bool silent_only)
+static void revoke_unconfirmed_leases(struct change *ch)
 {
+	struct cluster *c = ch->cluster;
+	uint64_t waited_us = cluster_now_us(c) - ch->listed_us;
 	bool any_sent = false;
 
 	for (guint i = 0; i < ch->leases->len; i++) {
 		struct lease *l = &g_array_index(ch->leases, struct lease, i);
+		const struct member *m;
 
-		if (l->revoke_sent || has_confirmed(ch->cluster, l->member, ch->marked_revision) ||
-		    (silent_only && !is_member_silent(ch->cluster, l->member)))
+		if (l->revoke_sent || l->settled_us ||
+		    has_confirmed(c, l->member, ch->marked_revision) ||
+		    waited_us < confirm_timeout_us(ch, l->member))
 			continue;
 		l->revoke_sent = true;
 		any_sent = true;
-		pw_event_log(PW_EVENT_PERMIT_REVOKED, "database=%s peer=%s lease=%" PRId64,
-			     ch->group, l->member, l->id);
+		m = g_hash_table_lookup(c->members, l->member);
+		pw_event_log(PW_EVENT_PERMIT_REVOKED,
+			     "database=%s peer=%s lease=%" PRId64 " waited_ms=%" PRIu64
+			     " silent_ms=%" PRIu64 " knows_mark=%d needs_permit=%d",
+			     ch->group, l->member, l->id, waited_us / PW_US_PER_MS,
+			     m ? (cluster_now_us(c) - m->last_heard_us) / PW_US_PER_MS : 0,
+			     m && m->primaries_revision >= ch->marked_revision,
+			     m && m->needs_permit);
 		send_lease_revoke(ch, i);
 	}
 	if (any_sent)
@@ -563,7 +598,8 @@
 	if (index >= ch->leases->len)
 		return;
 	if (base->code == PW_OK || base->code == PW_ENOTFOUND)
-		g_array_index(ch->leases, struct lease, index).revoked = true;
+		g_array_index(ch->leases, struct lease, index).revoked_us =
+			cluster_now_us(ch->cluster);
 	else
 		send_lease_revoke(ch, index);
 }
@@ -627,9 +663,44 @@
 	enter_phase(ch, PHASE_SELECT);
 }
 
+/*
+ * Whether no VM uses the current primary any more by the permit of a lease. A member that has
+ * settled the mark does not use it, and delegates permits only to members that have settled it as
+ * well; those that it delegated before expire within PW_PERMIT_DURATION_US. So its lease need not
+ * be revoked. A member whose lease was revoked has a permit for as long.
+ */
+static bool is_permit_over(const struct change *ch, struct lease *l)
+{
+	struct cluster *c = ch->cluster;
+	const struct member *m = g_hash_table_lookup(c->members, l->member);
+	uint64_t now_us = cluster_now_us(c);
+
+	if (has_confirmed(c, l->member, ch->marked_revision))
+		return true;
+	if (!l->settled_us && m && m->settled_revision >= ch->marked_revision)
+		l->settled_us = now_us;
+	return (l->settled_us && now_us - l->settled_us >= PW_PERMIT_DURATION_US) ||
+	       (l->revoked_us && now_us - l->revoked_us >= PW_PERMIT_DURATION_US);
+}
+
+/* Asks the members that have not confirmed the mark; the notice that they have may be lost. */
+static void ask_unconfirmed_members(struct change *ch)
+{
+	struct cluster *c = ch->cluster;
+
+	ch->next_ask_us = cluster_now_us(c) + ASK_INTERVAL_US;
+	for (guint i = 0; i < ch->leases->len; i++) {
+		const struct lease *l = &g_array_index(ch->leases, struct lease, i);
+		struct member *m = g_hash_table_lookup(c->members, l->member);
+
+		if (m && !has_confirmed(c, l->member, ch->marked_revision))
+			pulse_ask_settled(c, m);
+	}
+}
+
 /*
  * Returns whether no VM can use the current primary any more: this VM has confirmed the mark, and
- * each member has confirmed it as well, or its lease was revoked and its last permit has expired.
+ * the permits of all members are over, see is_permit_over().
  * All permits whose leases were revoked before the list was read have expired as well by then.
  * Once this VM has confirmed the mark, revokes the leases of members that have not confirmed it, if
  * they are silent or have had enough time to do so.
@@ -638,29 +709,19 @@
 {
 	struct cluster *c = ch->cluster;
 	uint64_t now_us = cluster_now_us(c);
-	bool all_confirmed = cluster_confirmed_revision(c) >= ch->marked_revision;
-	bool all_revoked = true;
+	bool all_over = true;
 
-	if (!all_confirmed)
+	if (now_us >= ch->next_ask_us)
+		ask_unconfirmed_members(ch);
+	if (cluster_confirmed_revision(c) < ch->marked_revision)
 		return false;
-	for (guint i = 0; i < ch->leases->len; i++) {
-		const struct lease *l = &g_array_index(ch->leases, struct lease, i);
-
-		if (has_confirmed(c, l->member, ch->marked_revision))
-			continue;
-		all_confirmed = false;
-		all_revoked = all_revoked && l->revoked;
-	}
-	if (all_confirmed)
+	for (guint i = 0; i < ch->leases->len; i++)
+		all_over =
+			is_permit_over(ch, &g_array_index(ch->leases, struct lease, i)) && all_over;
+	if (all_over)
 		return !has_unlisted_permit(ch);
-	revoke_unconfirmed_leases(
-		ch, now_us - ch->phase_entered_us <
-			    (ch->planned ? PLANNED_CONFIRM_TIMEOUT_US : CONFIRM_TIMEOUT_US));
-	if (!all_revoked)
-		return false;
-	if (!ch->leases_revoked_us)
-		ch->leases_revoked_us = now_us;
-	return now_us - ch->leases_revoked_us >= PW_PERMIT_DURATION_US;
+	revoke_unconfirmed_leases(ch);
+	return false;
 }
 
 static void handle_status_row(void *owner, struct status_query *q,
--- a/daemon/control/cluster_member.c
+++ b/daemon/control/cluster_member.c
@@ -214,6 +214,9 @@
 	}
 	c->registered = true;
 	request_primaries(c);
+	/* A VM whose lease was lost knows the members, and they know it. */
+	if (c->members_read_us && cluster_is_large_fleet(c))
+		return;
 	pw_loop_timer_set(c->task.loop, &c->member_list_timer,
 			  cluster_now_us(c) + MEMBERS_READ_INTERVAL_US);
 	request_members(c);
@@ -408,7 +411,11 @@
 	}
 	end_members_read(c);
 	remove_unlisted_members(c);
-	pulse_broadcast(c);
+	/* The others learn of a new VM at once. Later, regular pulses are enough in a large fleet.
+	 */
+	if (!c->members_read_us || !cluster_is_large_fleet(c))
+		pulse_broadcast(c);
+	c->members_read_us = cluster_now_us(c);
 }
 
 void member_refresh_primaries(struct cluster *c)
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -63,6 +63,15 @@
  * One would be enough; the second one covers for its failure.
  */
 #define PROMISE_COLLECTOR_COUNT 2
+/*
+ * A VM of a larger fleet that needs a permit asks only the member that delegated one to it last,
+ * until that has not done so for this long. Each VM that delegates can confirm a mark only after
+ * the one that it helps.
+ */
+#define HELPER_SILENT_US (2 * PULSE_INTERVAL_US + PULSE_INTERVAL_US / 2)
+/* Minimum time between two records of primaries to a member, and between two with one revision. */
+#define RECORD_MIN_INTERVAL_US    (100 * PW_US_PER_MS)
+#define RECORD_RESEND_INTERVAL_US PULSE_INTERVAL_US
 /* Minimum time between two announcements of demand. */
 #define DEMAND_ANNOUNCE_MIN_INTERVAL_US (500 * PW_US_PER_MS)
 /* Minimum interval of checks of a group's primary that some VM cannot reach. */
@@ -112,22 +121,26 @@
 /* Another VM of the fleet. */
 struct member {
 	char *name;
+	uint32_t name_hash; /**< for the rank, see pw_change_rank_weight() */
 	struct pw_address address;
 	bool has_address;
 	bool listed; /**< its entry was found since the last read of all members began */
 	bool leaving;
 	bool needs_permit;      /**< it cannot renew its permit at the store */
 	bool has_lost_vote;     /**< it cannot reach some primary, by its pulses */
-	uint32_t name_hash; /**< for the rank, see pw_change_rank_weight() */
 	uint64_t incarnation;   /**< identifies the process that sent its last pulse; 0: none */
 	uint64_t last_heard_us; /**< arrival of its last pulse; 0: none */
 	uint64_t last_heard_sequence;            /**< sequence number of that pulse */
 	uint64_t next_sequence;                  /**< sequence number of the next pulse to it */
 	uint64_t sent_us[PULSE_SENT_TIME_COUNT]; /**< send times, by sequence number modulo size */
 	uint64_t delegated_until_us; /**< latest end of a permit that this VM delegated to it */
+	uint64_t helped_us;          /**< when it last delegated a permit to this VM; 0: never */
+	uint64_t helped_until_us;    /**< latest end of such a permit */
 	uint64_t promised_until_us; /**< it has promised to claim no change of primary until then */
 	int64_t primaries_revision; /**< of the record that it knows; 0: none */
 	int64_t settled_revision;   /**< newest record that it has settled */
+	int64_t sent_revision;      /**< of the last record that was sent to it; 0: none */
+	uint64_t record_sent_us;    /**< when that was sent */
 	int64_t confirmed_revision; /**< newest record that it has confirmed */
 	struct pw_pulse pulse;      /**< the last one from it; `groups` is NULL before the first */
 };
@@ -159,6 +172,7 @@
 	struct gateway_state *gateways;
 	struct pw_timer tick_timer;
 	uint64_t started_us;
+	uint32_t own_name_hash; /**< like `name_hash` of a member */
 
 	/* Membership. */
 	char *own_member_key;
@@ -167,7 +181,6 @@
 	uint64_t incarnation;      /**< random number that identifies this process of the VM */
 	int64_t lease_id;          /**< lease of this VM's entry; 0: none */
 	bool registration_pending; /**< a grant of a lease, or a registration, is in flight */
-	uint32_t own_name_hash; /**< like `name_hash` of a member */
 	bool registered;           /**< the entry was written with the lease */
 	int64_t entry_revision; /**< revision of the entry that the registration replaces; 0: none
 				 */
@@ -192,6 +205,7 @@
 	struct pw_timer permit_timer;  /**< next step towards a permit, or next renewal */
 	struct pw_timer member_list_timer; /**< next read of all members */
 	bool members_read_pending;         /**< a read of all members is in progress */
+	uint64_t members_read_us;          /**< when the last complete one ended; 0: none yet */
 	char *last_member_key; /**< last key of the pages of this read; NULL: none was read */
 
 	/* Eras of the store. */
@@ -240,6 +254,12 @@
 	pw_mailbox_send(c->directory->store, m);
 }
 
+/** @return whether regular pulses go to some members in turn, not to all */
+static inline bool cluster_is_large_fleet(const struct cluster *c)
+{
+	return g_hash_table_size(c->members) > PULSE_FULL_MESH_MAX;
+}
+
 /* cluster.c */
 /**
  * @return until when all other members have promised to claim no change of primary, which permits
@@ -305,10 +325,17 @@
 /** Sends a pulse to every member now; in a large fleet a notice without groups and accounts. */
 void pulse_broadcast(struct cluster *c);
 /**
- * Sends the record of primaries to the members that cannot read it at the store, so that a change
- * that this VM leads need not wait for the end of their permits.
+ * Sends the record of primaries to the members to which this VM has delegated a permit and, in a
+ * small fleet, to all that cannot read it at the store, so that a change need not wait for the end
+ * of their permits. Called when the record changes, and at each tick for the members that have been
+ * sent another one just before.
  */
 void pulse_send_record(struct cluster *c);
+/**
+ * In a large fleet, asks a member to tell at once which record it has settled and confirmed. In a
+ * small one the next regular pulse tells it.
+ */
+void pulse_ask_settled(struct cluster *c, struct member *m);
 /** @return interval between two pulses from one member to another */
 uint64_t pulse_member_interval_us(const struct cluster *c);
 /**
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -17,12 +17,14 @@
 	PULSE_REGULAR,
 	PULSE_REPLY,
 	PULSE_NOTICE,
+	PULSE_RECORD, /**< notice for a member that needs the record of primaries */
 };
 
 static const enum pw_counter pulse_bytes_counters[] = {
 	[PULSE_REGULAR] = PW_COUNTER_PEER_BYTES_REGULAR,
 	[PULSE_REPLY] = PW_COUNTER_PEER_BYTES_REPLY,
 	[PULSE_NOTICE] = PW_COUNTER_PEER_BYTES_NOTICE,
+	[PULSE_RECORD] = PW_COUNTER_PEER_BYTES_RECORD,
 };
 
 static void member_free(gpointer data)
@@ -41,9 +43,9 @@
 	if (!m) {
 		m = g_new0(struct member, 1);
 		m->name = g_strdup(name);
+		m->name_hash = (uint32_t)pw_directory_name_hash(name);
 		m->next_sequence = 1;
 		g_hash_table_insert(c->members, m->name, m);
-		m->name_hash = (uint32_t)pw_directory_name_hash(name);
 	}
 	return m;
 }
@@ -81,11 +83,6 @@
 	}
 }
 
-static bool is_large_fleet(const struct cluster *c)
-{
-	return g_hash_table_size(c->members) > PULSE_FULL_MESH_MAX;
-}
-
 static void add_accounts(const struct cluster *c, struct pw_pulse *p)
 {
 	GHashTableIter it;
@@ -97,7 +94,8 @@
 		double demand_per_s = pw_demand_per_s_at(&d->own, cluster_now_us(c));
 
 		/* In a small fleet a datagram has room for all accounts. */
-		if (pw_demand_should_report(demand_per_s, is_large_fleet(c) ? d->rate_per_s : 0,
+		if (pw_demand_should_report(demand_per_s,
+					    cluster_is_large_fleet(c) ? d->rate_per_s : 0,
 					    g_hash_table_size(c->members) + 1))
 			pw_pulse_add_account(p, name, (float)demand_per_s);
 	}
@@ -201,6 +199,26 @@
 	       m->primaries_revision && m->primaries_revision < c->primaries->revision;
 }
 
+/*
+ * Whether a member needs the record, and has not been sent one too recently. While several groups
+ * change, the record does so every few milliseconds.
+ */
+static bool may_send_record(const struct cluster *c, const struct member *m)
+{
+	uint64_t elapsed_us = cluster_now_us(c) - m->record_sent_us;
+
+	return needs_record(c, m) &&
+	       elapsed_us >= (m->sent_revision == c->primaries->revision ? RECORD_RESEND_INTERVAL_US
+									 : RECORD_MIN_INTERVAL_US);
+}
+
+/*
+ * Sends a pulse, with a permit or the record of primaries if the member needs them. In a large
+ * fleet only replies delegate a permit, since each VM that has done so can confirm a mark only
+ * after the member. Only replies, and pulses to members that this VM helps, contain a record: what
+ * this VM knows of the others is old, and a record from each VM to each member that needs one fills
+ * the links.
+ */
 static void send_pulse(struct cluster *c, struct member *m, struct pw_pulse *p,
 		       enum pulse_kind kind)
 {
@@ -214,12 +232,16 @@
 	p->echo_incarnation = m->incarnation;
 	p->echo_sequence = m->last_heard_sequence;
 	p->echo_heard_us = m->last_heard_us;
-	p->delegated_permit_ms = delegate_permit(c, m);
+	p->delegated_permit_ms =
+		kind == PULSE_REPLY || !cluster_is_large_fleet(c) ? delegate_permit(c, m) : 0;
 	p->no_change_promise_ms = grant_promise(c, m);
 	m->sent_us[p->sequence % PULSE_SENT_TIME_COUNT] = cluster_now_us(c);
-	if (needs_record(c, m)) {
+	if (may_send_record(c, m) &&
+	    (kind == PULSE_REPLY || kind == PULSE_RECORD || !cluster_is_large_fleet(c))) {
 		p->primaries_record = pw_primaries_encode(c->primaries);
 		bytes_counter = PW_COUNTER_PEER_BYTES_RECORD;
+		m->sent_revision = c->primaries->revision;
+		m->record_sent_us = cluster_now_us(c);
 	}
 	size_bytes = pw_pulse_encode(data, p);
 	g_clear_pointer(&p->primaries_record, g_free);
@@ -280,7 +302,7 @@
 
 void pulse_broadcast(struct cluster *c)
 {
-	bool is_large = is_large_fleet(c);
+	bool is_large = cluster_is_large_fleet(c);
 	struct pw_pulse p;
 
 	if (is_large) {
@@ -313,20 +335,43 @@
 	return preceding_count < PROMISE_COLLECTOR_COUNT;
 }
 
+/* Returns the member that delegated a permit to this VM last, or NULL if none did lately. */
+static struct member *find_helper(const struct cluster *c, const GList *members)
+{
+	struct member *helper = NULL;
+
+	for (const GList *l = members; l; l = l->next) {
+		struct member *m = l->data;
+
+		if (m->helped_us && cluster_now_us(c) - m->helped_us < HELPER_SILENT_US &&
+		    (!helper || m->helped_us > helper->helped_us))
+			helper = m;
+	}
+	return helper;
+}
+
 /*
  * Asks members for a delegated permit or for promises while this VM does not reach the store. In a
- * large fleet not every VM can ask every other one several times a second. So only
- * PROMISE_COLLECTOR_COUNT VMs ask all members, to collect their promises; the others ask these VMs,
- * which delegate to them the permit that results from the promises.
+ * large fleet not every VM can ask every other one several times a second. So each asks the member
+ * that helps it. Without one, PROMISE_COLLECTOR_COUNT VMs ask all members, to collect their
+ * promises; the others ask these VMs, which delegate to them the permit that results from the
+ * promises, and those whose turn it is, which may reach the store. `wants_reply` stays set for
+ * these.
  *
  * @param members all members, sorted by name
  */
 static void request_permit(struct cluster *c, const GList *members, struct pw_pulse *p)
 {
+	struct member *helper = find_helper(c, members);
 	bool ask_all = is_collector(c, members);
 	uint32_t asked_count = 0;
 
 	p->wants_reply = true;
+	if (helper) {
+		send_pulse(c, helper, p, PULSE_REGULAR);
+		p->wants_reply = false;
+		return;
+	}
 	for (const GList *l = members; l && (ask_all || asked_count < PROMISE_COLLECTOR_COUNT);
 	     l = l->next) {
 		struct member *m = l->data;
@@ -348,10 +393,6 @@
 	build_pulse(c, &p);
 	if (!c->renewal_ok)
 		request_permit(c, members, &p);
-	/*
-	 * `wants_reply` stays set after request_permit(), so these pulses ask for a permit as well:
-	 * some members may reach the store and delegate their permits.
-	 */
 	for (guint i = 0; i < PULSE_FANOUT; i++)
 		send_pulse(c, g_list_nth_data(members, (c->next_pulse_member + i) % count), &p,
 			   PULSE_REGULAR);
@@ -391,7 +432,7 @@
 
 void pulse_announce_votes(struct cluster *c)
 {
-	if (!is_large_fleet(c) || !c->primaries)
+	if (!cluster_is_large_fleet(c) || !c->primaries)
 		return;
 	for (guint i = 0; i < c->primaries->entries->len; i++)
 		announce_vote(c, g_ptr_array_index(c->primaries->entries, i));
@@ -408,16 +449,36 @@
 	return m || g_strcmp0(primary->mark_vm, c->directory->settings->vm_name) == 0;
 }
 
+/*
+ * Tells the members that have delegated a permit to this VM that it has settled the record: they
+ * confirm it, and delegate again, only after that.
+ */
+static void tell_helpers(struct cluster *c, struct pw_pulse *p)
+{
+	GHashTableIter it;
+	gpointer item;
+
+	p->wants_reply = true;
+	g_hash_table_iter_init(&it, c->members);
+	while (g_hash_table_iter_next(&it, NULL, &item)) {
+		if (pw_permit_is_valid(((struct member *)item)->helped_until_us, cluster_now_us(c)))
+			send_pulse(c, item, p, PULSE_NOTICE);
+	}
+	p->wants_reply = false;
+}
+
 void pulse_announce_confirmation(struct cluster *c)
 {
 	struct pw_pulse p;
-	bool all_known = is_large_fleet(c) && c->primaries;
+	bool all_known = cluster_is_large_fleet(c) && c->primaries;
 
-	if (!is_large_fleet(c)) {
+	if (!cluster_is_large_fleet(c)) {
 		pulse_broadcast(c);
 		return;
 	}
 	build_notice(c, &p);
+	if (!c->renewal_ok)
+		tell_helpers(c, &p);
 	for (guint i = 0; all_known && i < c->primaries->entries->len; i++) {
 		const struct pw_primary *primary = g_ptr_array_index(c->primaries->entries, i);
 
@@ -439,12 +500,28 @@
 	build_notice(c, &p);
 	g_hash_table_iter_init(&it, c->members);
 	while (g_hash_table_iter_next(&it, NULL, &item)) {
-		if (needs_record(c, item))
-			send_pulse(c, item, &p, PULSE_NOTICE);
+		const struct member *m = item;
+
+		if (may_send_record(c, m) &&
+		    (!cluster_is_large_fleet(c) ||
+		     pw_permit_is_valid(m->delegated_until_us, cluster_now_us(c))))
+			send_pulse(c, item, &p, PULSE_RECORD);
 	}
 	pw_pulse_dispose(&p);
 }
 
+void pulse_ask_settled(struct cluster *c, struct member *m)
+{
+	struct pw_pulse p;
+
+	if (!cluster_is_large_fleet(c))
+		return;
+	build_notice(c, &p);
+	p.wants_reply = true;
+	send_pulse(c, m, &p, PULSE_NOTICE);
+	pw_pulse_dispose(&p);
+}
+
 /* Adds the accounts whose demand has to be announced. */
 static void add_announced_accounts(struct cluster *c, struct pw_pulse *p)
 {
@@ -476,7 +553,7 @@
 	struct pw_pulse p;
 
 	/* In a small fleet, the next regular pulse to all members follows soon. */
-	if (!is_large_fleet(c) ||
+	if (!cluster_is_large_fleet(c) ||
 	    cluster_now_us(c) - c->demand_announced_us < DEMAND_ANNOUNCE_MIN_INTERVAL_US)
 		return;
 	build_notice(c, &p);
@@ -531,6 +608,8 @@
 		return;
 	until_us = m->sent_us[p->echo_sequence % PULSE_SENT_TIME_COUNT] +
 		   p->delegated_permit_ms * PW_US_PER_MS;
+	m->helped_us = cluster_now_us(c);
+	m->helped_until_us = MAX(m->helped_until_us, until_us);
 	if (until_us > c->delegated_permit_until_us) {
 		c->delegated_permit_until_us = until_us;
 		cluster_publish_primaries(c);
@@ -581,12 +660,18 @@
 	}
 }
 
-/* Replies at once to a member whose permit could expire before its turn in the round-robin. */
+/*
+ * Replies at once to a member whose permit could expire before its turn in the round-robin. It asks
+ * several times a second, so a reply in a large fleet contains what it asks for only.
+ */
 static void reply_to_member(struct cluster *c, struct member *m)
 {
 	struct pw_pulse p;
 
-	build_pulse(c, &p);
+	if (cluster_is_large_fleet(c))
+		build_notice(c, &p);
+	else
+		build_pulse(c, &p);
 	send_pulse(c, m, &p, PULSE_REPLY);
 	pw_pulse_dispose(&p);
 }
@@ -629,6 +714,8 @@
 	has_settled = p->settled_revision > m->settled_revision;
 	m->settled_revision = p->settled_revision;
 	m->confirmed_revision = p->confirmed_revision;
+	for (guint i = 0; i < p->groups->len; i++)
+		g_array_index(p->groups, struct pw_pulse_group, i).heard_us = m->last_heard_us;
 	handle_record(c, p);
 	handle_delegated_permit(c, m, p);
 	handle_promise(c, m, p);
@@ -649,9 +736,10 @@
 	 * large fleet the new member learns of this VM by a regular pulse, or by the reply if it
 	 * wants one.
 	 */
-	if (is_new && !is_large_fleet(c))
+	if (is_new && !cluster_is_large_fleet(c))
 		pulse_broadcast(c);
-	else if (wants_reply || (has_settled && m->needs_permit) || needs_record(c, m))
+	else if (wants_reply || (!cluster_is_large_fleet(c) &&
+				 ((has_settled && m->needs_permit) || needs_record(c, m))))
 		reply_to_member(c, m);
 }
 
@@ -684,7 +772,7 @@
 	struct cluster *c = (struct cluster *)((char *)t - offsetof(struct cluster, pulse_timer));
 
 	(void)now_us;
-	if (is_large_fleet(c))
+	if (cluster_is_large_fleet(c))
 		send_round_robin(c);
 	else
 		pulse_broadcast(c);
@@ -696,8 +784,6 @@
 {
 	const char *address = c->directory->settings->peer_address;
 	struct pw_address bind_address;
-	for (guint i = 0; i < p->groups->len; i++)
-		g_array_index(p->groups, struct pw_pulse_group, i).heard_us = m->last_heard_us;
 	int rc = pw_address_parse(&bind_address, address);
 
 	c->members = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, member_free);
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -66,6 +66,10 @@
 	char name[8], address[32];
 	int fd;
 	bool listed, is_silent, confirms;
+	bool settles;            /* it says so, without confirming */
+	bool asks;               /* its pulses want a reply */
+	bool delegates;          /* it delegates a permit when it is asked */
+	bool is_asked;           /* since its last pulse */
 	uint32_t unreachable_ms; /* in its pulses, about the primary of GROUP */
 	uint64_t sequence;
 	bool needs_permit;          /* it asks for a delegated permit */
@@ -78,7 +82,9 @@
 	uint32_t catalog_notice_count; /* notices of that VM with CATALOG_VERSION */
 	bool has_catalog;              /* its pulses say that it has just read CATALOG_VERSION */
 	uint32_t delegated_count;      /* delegated permits that it got from the VM under test */
-	uint32_t pulse_count, promise_count; /* pulses of that VM, and those with a promise */
+	uint32_t pulse_count, promise_count;  /* pulses of that VM, and those with a promise */
+	uint32_t asked_count;                 /* pulses of that VM that want a reply */
+	uint64_t vm_incarnation, vm_sequence; /* of the last pulse of that VM */
 };
 
 enum gateway_view { VIEW_NONE, VIEW_REACHED, VIEW_LOST };
@@ -118,6 +124,7 @@
 	uint32_t page_items_max;    /* 0: no limit */
 	uint32_t failed_page_reads; /* number of reads of later pages that are still to fail */
 	bool holds_record;          /* reads of the record are not answered */
+	bool fails_record;          /* reads of the record are refused */
 	enum cluster_tag failed_page_tag;
 	bool holds_revocations;    /* revocations of members' leases are not answered */
 	bool loses_own_lease;      /* the next renewal is answered with "not found" */
@@ -312,9 +319,16 @@
 	p.address = g_strdup(m->address);
 	p.incarnation = 1;
 	p.sequence = ++m->sequence;
-	p.settled_revision = p.confirmed_revision = m->confirms ? x->record->revision : 0;
+	p.confirmed_revision = m->confirms ? x->record->revision : 0;
+	p.settled_revision = m->confirms || m->settles ? x->record->revision : 0;
+	p.wants_reply = m->asks;
+	p.delegated_permit_ms = m->delegates && m->is_asked ? 1000 : 0;
+	m->is_asked = false;
+	p.echo_incarnation = m->vm_incarnation;
+	p.echo_sequence = m->vm_sequence;
 	p.needs_permit = m->needs_permit;
-	p.primaries_revision = m->primaries_revision;
+	/* A permit is delegated for the record that the receiver knows. */
+	p.primaries_revision = m->delegates ? x->settled_revision : m->primaries_revision;
 	p.primaries_record = g_strdup(m->record);
 	p.catalog_version = m->has_catalog ? CATALOG_VERSION : 0;
 	if (m->unreachable_ms)
@@ -335,6 +349,10 @@
 
 		ck_assert_int_eq(pw_pulse_decode(&p, data, (size_t)n), PW_OK);
 		m->pulse_count++;
+		m->asked_count += p.wants_reply;
+		m->is_asked = m->is_asked || p.wants_reply;
+		m->vm_incarnation = p.incarnation;
+		m->vm_sequence = p.sequence;
 		m->promise_count += p.no_change_promise_ms > 0;
 		m->delegated_count += p.delegated_permit_ms > 0;
 		m->record_count += p.primaries_record != NULL;
@@ -452,6 +470,11 @@
 		send_result(x, tag, pw_store_result_new(PW_STORE_RANGE, PW_ETIMEOUT, "no answer"));
 		return;
 	}
+	if (!is_list && x->fails_record) {
+		pw_store_result_free(r);
+		send_result(x, tag, pw_store_result_new(PW_STORE_RANGE, PW_EUNAVAILABLE, "503"));
+		return;
+	}
 	x->list_count += is_list;
 	range->kvs = g_new0(struct pw_store_kv, MEMBER_COUNT);
 	for (size_t i = 0; is_list && i < MEMBER_COUNT; i++) {
@@ -802,6 +825,16 @@
 	return false;
 }
 
+static bool has_claimed(struct fixture *x)
+{
+	return x->claim_count > 0;
+}
+
+static bool has_promoted(struct fixture *x)
+{
+	return x->promote_count != 0;
+}
+
 static bool has_revoked_member(struct fixture *x)
 {
 	return x->revoked_members != 0;
@@ -1127,13 +1160,18 @@
 
 static const struct {
 	const char *label;
-	bool needs_permit;     /* the member */
+	uint32_t member_count;
+	bool needs_permit;     /* the first member */
+	bool asks;             /* that member, for a reply */
 	int32_t revision_step; /* from the record of the VM to that of the member */
 	bool is_sent;          /* expected */
 } record_sender_cases[] = {
-	{ "member with an older record that the store turns away", true, -1, true },
-	{ "member that reads the store", false, -1, false },
-	{ "member with the same record", true, 0, false },
+	{ "member with an older record that the store turns away", 1, true, false, -1, true },
+	{ "member that reads the store", 1, false, false, -1, false },
+	{ "member with the same record", 1, true, false, 0, false },
+	{ "member of a large fleet that asks", MEMBER_COUNT, true, true, -1, true },
+	{ "member of a large fleet that asks others", MEMBER_COUNT, true, false, -1, false },
+	{ "member of a large fleet with the same record", MEMBER_COUNT, true, true, 0, false },
 };
 
 /* Guards against records in pulses to members that need none, and against none where one is needed.
@@ -1143,9 +1181,12 @@
 	struct fixture x;
 
 	setup(&x);
-	x.members[0].listed = true;
-	x.members[0].is_silent = false;
+	for (uint32_t i = 0; i < record_sender_cases[_i].member_count; i++) {
+		x.members[i].listed = true;
+		x.members[i].is_silent = false;
+	}
 	x.members[0].needs_permit = record_sender_cases[_i].needs_permit;
+	x.members[0].asks = record_sender_cases[_i].asks;
 	start(&x, false);
 	(void)wait_for(&x, never, 300);
 	x.members[0].primaries_revision =
@@ -1158,6 +1199,126 @@
 }
 END_TEST
 
+static const struct {
+	const char *label;
+	uint32_t helper_count;    /* members that delegate a permit */
+	uint32_t asked_count_min; /* expected number of members that are asked later on */
+	uint32_t asked_count_max;
+} helper_cases[] = {
+	{ "all members delegate", MEMBER_COUNT, 1, 2 },
+	{ "one member delegates", 1, 1, 1 },
+	{ "no member delegates", 0, MEMBER_COUNT, MEMBER_COUNT },
+};
+
+/* Guards against a VM in trouble whose requests keep all others from confirming marks. */
+START_TEST(test_permit_is_asked_of_one_helper)
+{
+	uint32_t asked_count = 0;
+	struct fixture x;
+	bool asked;
+
+	setup(&x);
+	for (uint32_t i = 0; i < MEMBER_COUNT; i++) {
+		x.members[i].listed = true;
+		x.members[i].is_silent = false;
+		x.members[i].delegates = i < helper_cases[_i].helper_count;
+	}
+	start(&x, false);
+	(void)wait_for(&x, never, 300);
+	x.loses_later_renewals = x.holds_grants = true;
+	asked = wait_for(&x, has_asked_for_permit, 3000);
+	(void)wait_for(&x, never, 1000);
+	for (uint32_t i = 0; i < MEMBER_COUNT; i++)
+		x.members[i].asked_count = 0;
+	(void)wait_for(&x, never, 1500);
+	teardown(&x);
+	for (uint32_t i = 0; i < MEMBER_COUNT; i++)
+		asked_count += x.members[i].asked_count > 0;
+	ck_assert_msg(asked && asked_count >= helper_cases[_i].asked_count_min &&
+			      asked_count <= helper_cases[_i].asked_count_max,
+		      "%s: %u members were asked", helper_cases[_i].label, asked_count);
+	pw_primaries_unref(x.record);
+}
+END_TEST
+
+static const struct {
+	const char *label;
+	bool settles, confirms;
+	bool is_revoked;
+	uint64_t wait_min_us; /* from the list of members to the promotion request */
+	uint64_t wait_max_us;
+} settled_cases[] = {
+	{ "member confirms", true, true, false, 0, 1000 * PW_US_PER_MS },
+	{ "member has settled", true, false, false, PW_PERMIT_DURATION_US, 3000 * PW_US_PER_MS },
+	{ "member does neither", false, false, true, PW_PERMIT_DURATION_US, 3400 * PW_US_PER_MS },
+};
+
+/* Guards against revoking the leases of members that wait for VMs which use their permits. */
+START_TEST(test_lease_of_settled_member_is_kept)
+{
+	uint64_t marked_us, waited_us;
+	struct fixture x;
+	bool claimed, promoted;
+
+	setup(&x);
+	/* The VM that led the last change is the first to lead the next one. */
+	pw_primaries_set(x.record, GROUP, x.servers[0].id, "vm1", FIRST_GENERATION);
+	for (uint32_t i = 0; i < MEMBER_COUNT; i++) {
+		x.members[i].listed = true;
+		x.members[i].is_silent = false;
+		x.members[i].confirms = i || settled_cases[_i].confirms;
+		x.members[i].settles = i || settled_cases[_i].settles;
+	}
+	start(&x, true);
+	claimed = wait_for(&x, has_claimed, 5000);
+	marked_us = pw_clock_now_us();
+	promoted = wait_for(&x, has_promoted, 4000);
+	waited_us = pw_clock_now_us() - marked_us;
+	teardown(&x);
+	ck_assert_msg(claimed && promoted && !!x.revoked_members == settled_cases[_i].is_revoked &&
+			      waited_us >= settled_cases[_i].wait_min_us &&
+			      waited_us <= settled_cases[_i].wait_max_us,
+		      "%s: promoted %d after %" PRIu64 " ms, revoked leases 0x%x",
+		      settled_cases[_i].label, promoted, waited_us / PW_US_PER_MS,
+		      x.revoked_members);
+	pw_primaries_unref(x.record);
+}
+END_TEST
+
+static const struct {
+	const char *label;
+	uint32_t member_count;
+	uint32_t list_count; /* expected reads of the list after the lease was lost */
+} registration_cases[] = {
+	{ "small fleet", SMALL_MEMBER_COUNT, 1 },
+	{ "large fleet", MEMBER_COUNT, 0 },
+};
+
+/* Guards against reads of all members by each VM of a large fleet that loses its lease. */
+START_TEST(test_lost_lease_costs_no_list_in_large_fleet)
+{
+	struct fixture x;
+	uint32_t before_count;
+
+	setup(&x);
+	for (uint32_t i = 0; i < registration_cases[_i].member_count; i++) {
+		x.members[i].listed = true;
+		x.members[i].is_silent = false;
+	}
+	start(&x, false);
+	(void)wait_for(&x, never, 1000);
+	before_count = x.list_count;
+	x.loses_own_lease = true;
+	(void)wait_for(&x, never, 1100);
+	teardown(&x);
+	ck_assert_msg(x.registration_count == 2 &&
+			      x.list_count - before_count == registration_cases[_i].list_count,
+		      "%s: %u registrations, %u reads of the list", registration_cases[_i].label,
+		      x.registration_count, x.list_count - before_count);
+	pw_primaries_unref(x.record);
+}
+END_TEST
+
 static void mark_by_earlier_process(struct pw_primaries *p)
 {
 	pw_primaries_mark(p, GROUP, "vm1", 1, false);
@@ -1180,11 +1341,6 @@
 	  9 * PW_US_PER_S },
 };
 
-static bool has_promoted(struct fixture *x)
-{
-	return x->promote_count != 0;
-}
-
 /*
  * Guards against a group that has no primary for seconds although the VM that led its change runs
  * again, and against a promotion while a request of the earlier process may still arrive.
@@ -1545,11 +1701,6 @@
 	  false },
 };
 
-static bool has_claimed(struct fixture *x)
-{
-	return x->claim_count > 0;
-}
-
 /* Fails if the gateway tasks of one VM have more than one vote on the loss of a primary. */
 START_TEST(test_one_vote_per_vm)
 {
@@ -1744,6 +1895,26 @@
 }
 END_TEST
 
+/* Guards against a VM that takes an expired permit for a valid one, since it renews nothing. */
+START_TEST(test_unreadable_record_ends_permit)
+{
+	struct fixture x;
+	bool had_permit, asked;
+
+	setup(&x);
+	x.members[0].listed = true;
+	x.members[0].is_silent = false;
+	start(&x, false);
+	had_permit = wait_for(&x, has_permit, 3000);
+	x.fails_record = true;
+	end_watch(&x);
+	asked = wait_for(&x, has_asked_for_permit, 1500);
+	teardown(&x);
+	pw_primaries_unref(x.record);
+	ck_assert(had_permit && asked);
+}
+END_TEST
+
 /* Guards against two registrations at a time, whose order at the store is not known. */
 START_TEST(test_one_registration_at_a_time)
 {
@@ -1780,6 +1951,12 @@
 	tcase_add_test(tc, test_unanswered_promotion_of_former_primary);
 	tcase_add_test(tc, test_read_under_revoked_lease_does_not_extend_drain);
 	tcase_add_test(tc, test_one_registration_at_a_time);
+	tcase_add_test(tc, test_unreadable_record_ends_permit);
+	tcase_add_loop_test(tc, test_permit_is_asked_of_one_helper, 0, PW_ARRAY_LEN(helper_cases));
+	tcase_add_loop_test(tc, test_lease_of_settled_member_is_kept, 0,
+			    PW_ARRAY_LEN(settled_cases));
+	tcase_add_loop_test(tc, test_lost_lease_costs_no_list_in_large_fleet, 0,
+			    PW_ARRAY_LEN(registration_cases));
 	tcase_add_loop_test(tc, test_lease_outlives_delegated_permit, 0, 2);
 	tcase_add_test(tc, test_no_promise_without_record);
 	tcase_add_loop_test(tc, test_late_registration_keeps_current_lease, 0, 2);
--- a/tests/include/cluster_fleet.h
+++ b/tests/include/cluster_fleet.h
@@ -102,6 +102,7 @@
 	struct fleet_server servers[FLEET_SERVER_COUNT];
 	struct pw_catalog *catalog;
 	struct pw_primaries *record;
+	char *record_text;
 	GSequence *events; /* struct fleet_event, used by the test's thread only */
 	GAsyncQueue *sent; /* struct fleet_event of datagrams from the tasks' threads */
 	uint16_t *vm_by_port;
@@ -245,8 +246,8 @@
 	char line[256] = "", answer[256];
 	struct pollfd p = { .fd = fd, .events = POLLIN };
 
-	(void)!write(fd, "READY I -\r\n", 11);
-	while (!strstr(line, "QUERY") && poll(&p, 1, 100) > 0) {
+	(void)!send(fd, "READY I -\r\n", 11, MSG_NOSIGNAL);
+	while (!strstr(line, "QUERY") && poll(&p, 1, 20) > 0) {
 		size_t used_bytes = strlen(line);
 		ssize_t n = recv(fd, line + used_bytes, sizeof(line) - 1 - used_bytes, 0);
 
@@ -260,7 +261,7 @@
 		 ".100 0 0 0 1\r\nCOMPLETE -\r\nREADY I -\r\n",
 		 s->is_primary ? "primary" : "replica", s->term, s->term);
 	g_mutex_unlock(&f->lock);
-	(void)!write(fd, answer, strlen(answer));
+	(void)!send(fd, answer, strlen(answer), MSG_NOSIGNAL);
 	close(fd);
 }
 
@@ -364,12 +365,10 @@
 
 static struct pw_store_kv fleet_record_kv(const struct fleet *f)
 {
-	char *text = pw_primaries_encode(f->record);
-
 	return (struct pw_store_kv){
 		.key = g_strdup(FLEET_RECORD_KEY),
-		.value = text,
-		.size_bytes = strlen(text),
+		.value = g_strdup(f->record_text),
+		.size_bytes = strlen(f->record_text),
 		.mod_revision = f->record->revision,
 	};
 }
@@ -525,6 +524,8 @@
 				 PW_OK);
 		pw_primaries_unref(f->record);
 		f->record = record;
+		g_free(f->record_text);
+		f->record_text = g_strdup(m->txn.changes[0].value);
 		r->revision = ++f->revision;
 		fleet_publish_record(f);
 	} else {
@@ -781,6 +782,7 @@
 	f->sender_fd = fleet_open_socket(SOCK_DGRAM, address, &port);
 	for (uint32_t i = 0; i < FLEET_SERVER_COUNT; i++)
 		fleet_add_server(f, i);
+	f->record_text = pw_primaries_encode(f->record);
 	for (uint32_t i = 0; i < FLEET_VM_COUNT; i++)
 		fleet_init_vm(f, i);
 	for (uint32_t i = 0; i < FLEET_VM_COUNT; i++)
@@ -898,6 +900,7 @@
 	g_free(f->vm_by_port);
 	pw_catalog_unref(f->catalog);
 	pw_primaries_unref(f->record);
+	g_free(f->record_text);
 	g_mutex_clear(&f->lock);
 	g_free(f);
 }
