--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -22,29 +22,14 @@
 #include "pw/core/event.h"
 #include "pw/core/histogram.h"
 
-/*
- * In a fleet whose regular pulses go to all, the lease of a member that has not confirmed after
- * this time is revoked. Two pulses from the member can arrive in this time.
- */
-#define CONFIRM_TIMEOUT_US (300 * PW_US_PER_MS)
 /*
  * The lease of a member that has sent no pulse for this long (more than two PULSE_INTERVAL_US), or
- * for two intervals of its pulses if that is longer, is revoked without waiting for
- * CONFIRM_TIMEOUT_US.
+ * for two intervals of its pulses if that is longer, is revoked at once.
  */
 #define MEMBER_SILENT_US (600 * PW_US_PER_MS)
-/*
- * The same for a member of a large fleet that answers, but has not heard of the mark yet: records
- * to all its VMs may queue on a link, and a revocation would take its permit for all groups. It
- * leaves time for the permit to expire before PW_CHANGE_PROMOTE_DEADLINE_US. A member that does not
- * answer has MEMBER_SILENT_US.
- */
-#define ANSWERING_CONFIRM_TIMEOUT_US (900 * PW_US_PER_MS)
 /* Interval at which members of a large fleet that have not confirmed are asked whether they have.
  */
 #define ASK_INTERVAL_US (100 * PW_US_PER_MS)
-/* Replaces CONFIRM_TIMEOUT_US in a planned change, so that statements in flight can finish. */
-#define PLANNED_CONFIRM_TIMEOUT_US (1500 * PW_US_PER_MS)
 /* Interval of the rounds of status queries. */
 #define QUERY_INTERVAL_US (50 * PW_US_PER_MS)
 /*
@@ -544,19 +529,19 @@
 			     MAX(MEMBER_SILENT_US, 2 * pulse_member_interval_us(c));
 }
 
-/* Returns for how long after the list was read a member may take to confirm the mark. */
-static uint64_t confirm_timeout_us(const struct change *ch, const char *name)
+/* What this VM knows of the member of a lease. */
+static struct pw_change_member view_member(const struct change *ch, const struct lease *l)
 {
-	const struct cluster *c = ch->cluster;
-	const struct member *m = g_hash_table_lookup(c->members, name);
+	struct cluster *c = ch->cluster;
+	const struct member *m = g_hash_table_lookup(c->members, l->member);
 
-	if (is_member_silent(c, name))
-		return 0;
-	if (ch->planned)
-		return PLANNED_CONFIRM_TIMEOUT_US;
-	if (!cluster_is_large_fleet(c))
-		return CONFIRM_TIMEOUT_US;
-	return m->last_heard_us > ch->listed_us ? ANSWERING_CONFIRM_TIMEOUT_US : MEMBER_SILENT_US;
+	return (struct pw_change_member){
+		.confirmed = has_confirmed(c, l->member, ch->marked_revision),
+		.silent = is_member_silent(c, l->member),
+		.answers = m && m->last_heard_us > ch->listed_us,
+		.settled_us = l->settled_us,
+		.revoked_us = l->revoked_us,
+	};
 }
 
 /*
@@ -566,16 +551,19 @@
 static void revoke_unconfirmed_leases(struct change *ch)
 {
 	struct cluster *c = ch->cluster;
+	const struct pw_change_quiesce q = {
+		.planned = ch->planned,
+		.by_asking = cluster_is_large_fleet(c),
+	};
 	uint64_t waited_us = cluster_now_us(c) - ch->listed_us;
 	bool any_sent = false;
 
 	for (guint i = 0; i < ch->leases->len; i++) {
 		struct lease *l = &g_array_index(ch->leases, struct lease, i);
+		const struct pw_change_member view = view_member(ch, l);
 		const struct member *m;
 
-		if (l->revoke_sent || l->settled_us ||
-		    has_confirmed(c, l->member, ch->marked_revision) ||
-		    waited_us < confirm_timeout_us(ch, l->member))
+		if (l->revoke_sent || !pw_change_should_revoke(&view, &q, waited_us))
 			continue;
 		l->revoke_sent = true;
 		any_sent = true;
@@ -663,24 +651,30 @@
 	enter_phase(ch, PHASE_SELECT);
 }
 
-/*
- * Whether no VM uses the current primary any more by the permit of a lease. A member that has
- * settled the mark does not use it, and delegates permits only to members that have settled it as
- * well; those that it delegated before expire within PW_PERMIT_DURATION_US. So its lease need not
- * be revoked. A member whose lease was revoked has a permit for as long.
- */
-static bool is_permit_over(const struct change *ch, struct lease *l)
+/* Records that the members of leases have settled the mark, see pw_change_permit_is_over(). */
+static void record_settled_members(struct change *ch)
 {
 	struct cluster *c = ch->cluster;
-	const struct member *m = g_hash_table_lookup(c->members, l->member);
-	uint64_t now_us = cluster_now_us(c);
 
-	if (has_confirmed(c, l->member, ch->marked_revision))
-		return true;
-	if (!l->settled_us && m && m->settled_revision >= ch->marked_revision)
-		l->settled_us = now_us;
-	return (l->settled_us && now_us - l->settled_us >= PW_PERMIT_DURATION_US) ||
-	       (l->revoked_us && now_us - l->revoked_us >= PW_PERMIT_DURATION_US);
+	for (guint i = 0; i < ch->leases->len; i++) {
+		struct lease *l = &g_array_index(ch->leases, struct lease, i);
+		const struct member *m = g_hash_table_lookup(c->members, l->member);
+
+		if (!l->settled_us && m && m->settled_revision >= ch->marked_revision)
+			l->settled_us = cluster_now_us(c);
+	}
+}
+
+static bool are_permits_over(const struct change *ch)
+{
+	for (guint i = 0; i < ch->leases->len; i++) {
+		const struct pw_change_member view =
+			view_member(ch, &g_array_index(ch->leases, struct lease, i));
+
+		if (!pw_change_permit_is_over(&view, cluster_now_us(ch->cluster)))
+			return false;
+	}
+	return true;
 }
 
 /* Asks the members that have not confirmed the mark; the notice that they have may be lost. */
@@ -700,25 +694,20 @@
 
 /*
  * Returns whether no VM can use the current primary any more: this VM has confirmed the mark, and
- * the permits of all members are over, see is_permit_over().
- * All permits whose leases were revoked before the list was read have expired as well by then.
- * Once this VM has confirmed the mark, revokes the leases of members that have not confirmed it, if
- * they are silent or have had enough time to do so.
+ * the permits of all members are over. All permits whose leases were revoked before the list was
+ * read have expired as well by then. Once this VM has confirmed the mark, revokes the leases of
+ * members that have had enough time to confirm it.
  */
 static bool try_quiesce(struct change *ch)
 {
 	struct cluster *c = ch->cluster;
-	uint64_t now_us = cluster_now_us(c);
-	bool all_over = true;
 
-	if (now_us >= ch->next_ask_us)
+	record_settled_members(ch);
+	if (cluster_now_us(c) >= ch->next_ask_us)
 		ask_unconfirmed_members(ch);
 	if (cluster_confirmed_revision(c) < ch->marked_revision)
 		return false;
-	for (guint i = 0; i < ch->leases->len; i++)
-		all_over =
-			is_permit_over(ch, &g_array_index(ch->leases, struct lease, i)) && all_over;
-	if (all_over)
+	if (are_permits_over(ch))
 		return !has_unlisted_permit(ch);
 	revoke_unconfirmed_leases(ch);
 	return false;
--- a/decide/include/pw/decide/change.h
+++ b/decide/include/pw/decide/change.h
@@ -144,6 +144,40 @@
  */
 uint64_t pw_change_rank_weight(bool led_last_change, uint32_t vm_hash, uint32_t group_hash);
 
+/** What the VM that leads a change knows of a member that may use the current primary. */
+struct pw_change_member {
+	bool confirmed; /**< it has confirmed the mark */
+	bool silent;    /**< nothing was heard of it for so long that it is not waited for */
+	bool answers; /**< it has answered since it was asked, in a fleet where members are asked */
+	/** When this VM first knew that the member has settled the mark; 0: it has not. */
+	uint64_t settled_us;
+	uint64_t revoked_us; /**< when the revocation of its lease was done; 0: it was not */
+};
+
+/** How the members learn of a mark, and what they may finish. */
+struct pw_change_quiesce {
+	bool planned;   /**< statements in flight may finish */
+	bool by_asking; /**< members are asked, since their regular messages come too seldom */
+};
+
+/**
+ * Decides whether no VM uses the current primary any more by a permit of the member. A member that
+ * has settled the mark does not use it, and delegates permits only to members that have settled it
+ * as well; those that it delegated before expire within PW_PERMIT_DURATION_US. A member whose lease
+ * was revoked has a permit for as long.
+ */
+bool pw_change_permit_is_over(const struct pw_change_member *m, uint64_t now_us);
+
+/**
+ * Decides whether to revoke the lease of a member, so that the change need not wait for it longer
+ * than PW_PERMIT_DURATION_US. A revocation takes the member's permit for all groups, so one that
+ * has settled the mark, or answers and may yet hear of it, gets time.
+ *
+ * @param waited_us time since the members were listed
+ */
+bool pw_change_should_revoke(const struct pw_change_member *m, const struct pw_change_quiesce *q,
+			     uint64_t waited_us);
+
 /** Server of the group: a candidate, or the current primary. */
 struct pw_change_server {
 	bool is_primary; /**< it is the primary according to the record */
--- a/decide/src/change.c
+++ b/decide/src/change.c
@@ -69,6 +69,44 @@
 	return now_us >= due_us + delay_us ? reason : PW_CHANGE_NONE;
 }
 
+/*
+ * Time to confirm where regular messages go to all members: two of them can arrive.
+ */
+#define CONFIRM_TIMEOUT_US UINT64_C(300000)
+/* Time in which a member that is asked answers at least once. */
+#define ANSWER_TIMEOUT_US UINT64_C(600000)
+/*
+ * Time to confirm for a member that answers: records for all VMs of a large fleet may queue on a
+ * link. It leaves time for its permit to expire before PW_CHANGE_PROMOTE_DEADLINE_US.
+ */
+#define ANSWERING_CONFIRM_TIMEOUT_US UINT64_C(900000)
+/* Time to confirm in a planned change, so that statements in flight can finish. */
+#define PLANNED_CONFIRM_TIMEOUT_US UINT64_C(1500000)
+
+bool pw_change_permit_is_over(const struct pw_change_member *m, uint64_t now_us)
+{
+	return m->confirmed || (m->settled_us && now_us - m->settled_us >= PW_PERMIT_DURATION_US) ||
+	       (m->revoked_us && now_us - m->revoked_us >= PW_PERMIT_DURATION_US);
+}
+
+static uint64_t confirm_timeout_us(const struct pw_change_member *m,
+				   const struct pw_change_quiesce *q)
+{
+	if (m->silent)
+		return 0;
+	if (q->planned)
+		return PLANNED_CONFIRM_TIMEOUT_US;
+	if (!q->by_asking)
+		return CONFIRM_TIMEOUT_US;
+	return m->answers ? ANSWERING_CONFIRM_TIMEOUT_US : ANSWER_TIMEOUT_US;
+}
+
+bool pw_change_should_revoke(const struct pw_change_member *m, const struct pw_change_quiesce *q,
+			     uint64_t waited_us)
+{
+	return !m->confirmed && !m->settled_us && waited_us >= confirm_timeout_us(m, q);
+}
+
 uint64_t pw_change_rank_weight(bool led_last_change, uint32_t vm_hash, uint32_t group_hash)
 {
 	return led_last_change ? 0 : UINT64_C(1) + (vm_hash ^ group_hash);
--- a/tests/decide/test_change.c
+++ b/tests/decide/test_change.c
@@ -545,6 +545,68 @@
 }
 END_TEST
 
+/* Time since an event of the cases below. */
+#define AGO(ms) (NOW_US - (ms)*UINT64_C(1000))
+#define NOW_US  UINT64_C(20000000)
+
+static const struct {
+	const char *label;
+	struct pw_change_member member;
+	bool is_over;
+} permit_cases[] = {
+	{ "confirmed", { .confirmed = true }, true },
+	{ "nothing known", { .answers = true }, false },
+	{ "settled just now", { .settled_us = AGO(0) }, false },
+	{ "settled, delegated permits may hold", { .settled_us = AGO(1599) }, false },
+	{ "settled, delegated permits are over", { .settled_us = AGO(1600) }, true },
+	{ "lease revoked, its permit may hold", { .revoked_us = AGO(1599) }, false },
+	{ "lease revoked, its permit is over", { .revoked_us = AGO(1600) }, true },
+};
+
+/* Guards against a promotion while some VM may still use the former primary. */
+START_TEST(test_permit_is_over)
+{
+	ck_assert_msg(pw_change_permit_is_over(&permit_cases[_i].member, NOW_US) ==
+			      permit_cases[_i].is_over,
+		      "%s", permit_cases[_i].label);
+}
+END_TEST
+
+static const struct {
+	const char *label;
+	struct pw_change_member member;
+	struct pw_change_quiesce quiesce;
+	uint32_t revoked_after_ms; /* UINT32_MAX: never */
+} revoke_cases[] = {
+	{ "confirmed", { .confirmed = true, .silent = true }, { 0 }, UINT32_MAX },
+	{ "settled", { .settled_us = AGO(0) }, { .by_asking = true }, UINT32_MAX },
+	{ "settled, then silent", { .settled_us = AGO(0), .silent = true }, { 0 }, UINT32_MAX },
+	{ "silent", { .silent = true }, { 0 }, 0 },
+	{ "silent, planned change", { .silent = true }, { .planned = true }, 0 },
+	{ "small fleet", { .answers = true }, { 0 }, 300 },
+	{ "large fleet, no answer", { 0 }, { .by_asking = true }, 600 },
+	{ "large fleet, answers", { .answers = true }, { .by_asking = true }, 900 },
+	{ "planned change", { .answers = true }, { .planned = true, .by_asking = true }, 1500 },
+};
+
+/* Guards against revoking the leases of members that will confirm a mark by themselves. */
+START_TEST(test_revocation)
+{
+	const struct pw_change_member *m = &revoke_cases[_i].member;
+	uint64_t due_us = revoke_cases[_i].revoked_after_ms * UINT64_C(1000);
+
+	if (revoke_cases[_i].revoked_after_ms == UINT32_MAX) {
+		ck_assert_msg(!pw_change_should_revoke(m, &revoke_cases[_i].quiesce, NOW_US), "%s",
+			      revoke_cases[_i].label);
+		return;
+	}
+	ck_assert_msg(pw_change_should_revoke(m, &revoke_cases[_i].quiesce, due_us) &&
+			      (!due_us ||
+			       !pw_change_should_revoke(m, &revoke_cases[_i].quiesce, due_us - 1)),
+		      "%s", revoke_cases[_i].label);
+}
+END_TEST
+
 static const struct {
 	const char *label;
 	uint64_t age_us;
@@ -577,6 +639,8 @@
 	tcase_add_test(tc, test_no_acknowledged_commit_is_lost);
 	tcase_add_loop_test(tc, test_promoted, 0, PW_ARRAY_LEN(promoted_cases));
 	tcase_add_test(tc, test_limits);
+	tcase_add_loop_test(tc, test_permit_is_over, 0, PW_ARRAY_LEN(permit_cases));
+	tcase_add_loop_test(tc, test_revocation, 0, PW_ARRAY_LEN(revoke_cases));
 	tcase_add_loop_test(tc, test_old_votes_do_not_count, 0, PW_ARRAY_LEN(vote_age_cases));
 	return pw_suite_run("change", tc);
 }
