Changes: a VM without a permit has no vote about primaries

A VM that has no permit sends nothing to primaries, so what it last knew of them is of the time before. Such a VM now tells of no primary, and an outage counts from when it has a permit again, so that it first finds out. test_vm_without_permit_has_no_vote fails without the change.

--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -121,14 +121,24 @@
 	return until_us == UINT64_MAX ? 0 : until_us;
 }
 
+/* Updates the end of the permit that the gateways get, and since when they have had one. */
+static void update_permit(struct cluster *c)
+{
+	uint64_t now_us = cluster_now_us(c);
+
+	if (!pw_permit_is_valid(c->published_permit_until_us, now_us))
+		c->permitted_since_us = now_us;
+	c->published_permit_until_us = MAX(MAX(c->permit_until_us, c->delegated_permit_until_us),
+					   cluster_promised_permit_until_us(c));
+}
+
 static void send_primaries(const struct cluster *c, struct pw_mailbox *to)
 {
 	struct pw_primaries_msg *m = g_new0(struct pw_primaries_msg, 1);
 
 	m->base.ops = &pw_primaries_msg_ops;
 	m->primaries = c->primaries ? pw_primaries_ref(c->primaries) : NULL;
-	m->permit_until_us = MAX(MAX(c->permit_until_us, c->delegated_permit_until_us),
-				 cluster_promised_permit_until_us(c));
+	m->permit_until_us = c->published_permit_until_us;
 	m->drain_limit_us = c->drain_limit_us;
 	m->member_count = fleet_size(c);
 	pw_mailbox_send(to, &m->base);
@@ -136,6 +146,7 @@
 
 void cluster_publish_primaries(struct cluster *c)
 {
+	update_permit(c);
 	send_primaries(c, c->directory->admin);
 	for (uint32_t i = 0; i < c->directory->gateway_count; i++)
 		send_primaries(c, c->directory->gateways[i]);
@@ -237,6 +248,9 @@
 {
 	uint64_t last_answer_us = 0, since_us = UINT64_MAX;
 
+	*unreachable_since_us = 0;
+	if (!pw_permit_is_valid(c->published_permit_until_us, cluster_now_us(c)))
+		return false;
 	for (uint32_t i = 0; i < c->directory->gateway_count; i++) {
 		const struct pw_primary_reachability *reachability =
 			g_hash_table_lookup(c->gateways[i].reachability, primary->group);
@@ -247,7 +261,8 @@
 		if (reachability->unreachable_since_us)
 			since_us = MIN(since_us, reachability->unreachable_since_us);
 	}
-	*unreachable_since_us = since_us == UINT64_MAX ? 0 : since_us;
+	if (since_us != UINT64_MAX)
+		*unreachable_since_us = MAX(since_us, c->permitted_since_us);
 	return !*unreachable_since_us && last_answer_us &&
 	       cluster_now_us(c) - last_answer_us < PW_CHANGE_LOST_AFTER_US;
 }
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -201,6 +201,8 @@
 	/** End of the permit under the lease before that one, if a group was marked then. */
 	uint64_t drain_limit_us;
 	uint64_t delegated_permit_until_us; /**< end of the permit that a member has delegated */
+	uint64_t published_permit_until_us; /**< end of the permit that the gateways know */
+	uint64_t permitted_since_us;        /**< since when they have had one without a break */
 	uint64_t own_promise_until_us; /**< this VM has promised to claim no change until then */
 	struct pw_timer permit_timer;  /**< next step towards a permit, or next renewal */
 	struct pw_timer member_list_timer; /**< next read of all members */
@@ -287,7 +289,8 @@
 int64_t cluster_settled_revision(const struct cluster *c);
 /**
  * Combines what the gateways of this VM know about the reachability of a group's primary. A gateway
- * that has lost contact with it overrides gateways that reach it.
+ * that has lost contact with it overrides gateways that reach it. Without a permit they send
+ * nothing to primaries, so contact neither counts as lost then nor as lost since before.
  *
  * @param unreachable_since_us receives since when contact is lost; 0: it is not
  * @return whether the primary answered recently and no gateway has lost contact with it
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -82,8 +82,9 @@
 	uint32_t catalog_notice_count; /* notices of that VM with CATALOG_VERSION */
 	bool has_catalog;              /* its pulses say that it has just read CATALOG_VERSION */
 	uint32_t delegated_count;      /* delegated permits that it got from the VM under test */
-	uint32_t pulse_count, promise_count;  /* pulses of that VM, and those with a promise */
-	uint32_t asked_count;                 /* pulses of that VM that want a reply */
+	uint32_t pulse_count, promise_count; /* pulses of that VM, and those with a promise */
+	uint32_t asked_count;                /* pulses of that VM that want a reply */
+	uint32_t told_lost_count;            /* pulses of that VM that say that a primary is lost */
 	uint64_t vm_incarnation, vm_sequence; /* of the last pulse of that VM */
 };
 
@@ -361,6 +362,10 @@
 			m->lost_vote_count +=
 				g_array_index(p.groups, struct pw_pulse_group, i).unreachable_ms >
 				0;
+		for (guint i = 0; i < p.groups->len; i++)
+			m->told_lost_count +=
+				g_array_index(p.groups, struct pw_pulse_group, i).unreachable_ms >
+				0;
 		m->catalog_notice_count += p.notice && p.catalog_version == CATALOG_VERSION;
 		if (p.notice)
 			m->noticed_revision = MAX(m->noticed_revision, p.confirmed_revision);
@@ -1915,6 +1920,38 @@
 }
 END_TEST
 
+static const struct {
+	const char *label;
+	bool has_permit;
+	bool is_told; /* expected */
+} isolated_vote_cases[] = {
+	{ "VM with a permit", true, true },
+	{ "VM whose permit has expired", false, false },
+};
+
+/* Guards against votes of VMs that are cut off themselves for the change of a primary. */
+START_TEST(test_vm_without_permit_has_no_vote)
+{
+	struct fixture x;
+
+	setup(&x);
+	x.members[0].listed = true;
+	x.members[0].is_silent = false;
+	start(&x, false);
+	(void)wait_for(&x, never, 300);
+	x.loses_later_renewals = x.holds_grants = !isolated_vote_cases[_i].has_permit;
+	(void)wait_for(&x, never, 2500);
+	x.lost_since_us = pw_clock_now_us();
+	x.views[0] = x.views[1] = VIEW_LOST;
+	(void)wait_for(&x, never, 800);
+	teardown(&x);
+	ck_assert_msg((x.members[0].told_lost_count > 0) == isolated_vote_cases[_i].is_told,
+		      "%s: %u pulses say that the primary is lost", isolated_vote_cases[_i].label,
+		      x.members[0].told_lost_count);
+	pw_primaries_unref(x.record);
+}
+END_TEST
+
 /* Guards against two registrations at a time, whose order at the store is not known. */
 START_TEST(test_one_registration_at_a_time)
 {
@@ -1952,6 +1989,8 @@
 	tcase_add_test(tc, test_read_under_revoked_lease_does_not_extend_drain);
 	tcase_add_test(tc, test_one_registration_at_a_time);
 	tcase_add_test(tc, test_unreadable_record_ends_permit);
+	tcase_add_loop_test(tc, test_vm_without_permit_has_no_vote, 0,
+			    PW_ARRAY_LEN(isolated_vote_cases));
 	tcase_add_loop_test(tc, test_permit_is_asked_of_one_helper, 0, PW_ARRAY_LEN(helper_cases));
 	tcase_add_loop_test(tc, test_lease_of_settled_member_is_kept, 0,
 			    PW_ARRAY_LEN(settled_cases));
