Fleet: VMs that collect promises do not rely on each other

While the store is down for all, two VMs of a large fleet collect the promises of the others.

test_permit_is_asked_of_one_helper, "all delegate what rests on promises".

--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -367,7 +367,8 @@
 	uint32_t asked_count = 0;
 
 	p->wants_reply = true;
-	if (helper) {
+	/* Two collectors that help each other by promises would both stop to collect them. */
+	if (helper && !(ask_all && helper->needs_permit)) {
 		send_pulse(c, helper, p, PULSE_REGULAR);
 		p->wants_reply = false;
 		return;
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -1207,12 +1207,14 @@
 static const struct {
 	const char *label;
 	uint32_t helper_count;    /* members that delegate a permit */
+	bool need_permits;        /* they do not reach the store either */
 	uint32_t asked_count_min; /* expected number of members that are asked later on */
 	uint32_t asked_count_max;
 } helper_cases[] = {
-	{ "all members delegate", MEMBER_COUNT, 1, 2 },
-	{ "one member delegates", 1, 1, 1 },
-	{ "no member delegates", 0, MEMBER_COUNT, MEMBER_COUNT },
+	{ "all members delegate", MEMBER_COUNT, false, 1, 2 },
+	{ "one member delegates", 1, false, 1, 1 },
+	{ "no member delegates", 0, false, MEMBER_COUNT, MEMBER_COUNT },
+	{ "all delegate what rests on promises", MEMBER_COUNT, true, MEMBER_COUNT, MEMBER_COUNT },
 };
 
 /* Guards against a VM in trouble whose requests keep all others from confirming marks. */
@@ -1227,6 +1229,7 @@
 		x.members[i].listed = true;
 		x.members[i].is_silent = false;
 		x.members[i].delegates = i < helper_cases[_i].helper_count;
+		x.members[i].needs_permit = helper_cases[_i].need_permits;
 	}
 	start(&x, false);
 	(void)wait_for(&x, never, 300);
