--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -64,11 +64,12 @@
  */
 #define PROMISE_COLLECTOR_COUNT 2
 /*
- * A VM of a larger fleet that needs a permit asks only the member that delegated one to it last,
- * until that has not done so for this long. Each VM that delegates can confirm a mark only after
- * the one that it helps.
+ * A VM of a larger fleet that needs a permit asks only the member that delegated one to it last, as
+ * long as that permit has this much left: a member that renews its own always delegates more. The
+ * rest is time to find another member. Each VM that delegates can confirm a mark only after the one
+ * that it helps.
  */
-#define HELPER_SILENT_US (2 * PULSE_INTERVAL_US + PULSE_INTERVAL_US / 2)
+#define HELPER_PERMIT_MIN_US (600 * PW_US_PER_MS)
 /* Minimum time between two records of primaries to a member, and between two with one revision. */
 #define RECORD_MIN_INTERVAL_US    (100 * PW_US_PER_MS)
 #define RECORD_RESEND_INTERVAL_US PULSE_INTERVAL_US
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -335,7 +335,7 @@
 	return preceding_count < PROMISE_COLLECTOR_COUNT;
 }
 
-/* Returns the member that delegated a permit to this VM last, or NULL if none did lately. */
+/* Returns the member that delegated a permit to this VM last, or NULL if it does not go on. */
 static struct member *find_helper(const struct cluster *c, const GList *members)
 {
 	struct member *helper = NULL;
@@ -343,11 +343,13 @@
 	for (const GList *l = members; l; l = l->next) {
 		struct member *m = l->data;
 
-		if (m->helped_us && cluster_now_us(c) - m->helped_us < HELPER_SILENT_US &&
-		    (!helper || m->helped_us > helper->helped_us))
+		if (m->helped_us && (!helper || m->helped_us > helper->helped_us))
 			helper = m;
 	}
-	return helper;
+	return helper && pw_permit_is_valid(helper->helped_until_us,
+					    cluster_now_us(c) + HELPER_PERMIT_MIN_US)
+		       ? helper
+		       : NULL;
 }
 
 /*
