Tests: a drained session is closed after a refusal, unless a request has arrived

test_stop of test_platform_fleet sent the next request at once after the refusal and expected the close. The request is sent 50 ms after the refusal now, by when the session has to be closed.

--- a/tests/platform/test_platform_fleet.c
+++ b/tests/platform/test_platform_fleet.c
@@ -686,6 +686,8 @@
 	g_usleep(500000);
 	expect_answer(c, "COMMIT", "ok I");
 	expect_answer(c, "READ a", "BUSY I");
+	/* A request that has arrived before the close is refused, not cut. */
+	g_usleep(50000);
 	expect_answer(c, "READ a", "CLOSED");
 	expect_answer(idle_session, "READ a", "CLOSED");
 	ck_assert(pw_harness_wait_end(vms[0].process, 4000));
