--- a/tests/include/cluster_fleet.h
+++ b/tests/include/cluster_fleet.h
@@ -75,7 +75,7 @@
 };
 
 struct fleet_server {
-	char id[16], group[16], address[32];
+	char id[32], group[32], address[32];
 	int listener;
 	bool is_primary, is_lost; /* a lost one answers nobody */
 	uint64_t term;
