--- a/core/include/pw/core/counter.h
+++ b/core/include/pw/core/counter.h
@@ -56,6 +56,12 @@
 	  "upstream connections discarded: state uncertain")                                       \
 	X(UPSTREAM_SILENT, "upstream_silent_total",                                                \
 	  "upstream connections closed: no answer in time")                                        \
+	X(UPSTREAM_CHECKS, "upstream_checks_total",                                                \
+	  "upstream connections opened to check a primary that another VM cannot reach")           \
+	X(UPSTREAM_OPEN_TIMEOUTS, "upstream_open_timeouts_total",                                  \
+	  "upstream connections closed: not accepted in time")                                     \
+	X(UPSTREAM_OPENS_REFUSED, "upstream_opens_refused_total",                                  \
+	  "upstream connections that the server refused or reset")                                 \
 	X(TRANSACTIONS_IDLE, "transactions_idle_total",                                            \
 	  "transactions rolled back: idle for too long")                                           \
 	X(FAILOVERS_STARTED, "failovers_started_total", "promotions started by this VM")           \
--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "pw/core/counter.h"
 #include "pw/core/error.h"
 
 /* TCP keepalive takes 2 + 2 * 1 seconds to detect that the other end of a connection is gone. */
@@ -105,7 +106,7 @@
 	if (c->state != CONN_IDLE)
 		pw_counter_inc(PW_COUNTER_UPSTREAM_DISCARDED);
 	if (c->state == CONN_CONNECTING)
-		gw_group_record_server_failure(c->server);
+		gw_group_record_server_failure(c->server, FAILURE_CONNECT);
 	c->work = NULL;
 	c->session = NULL;
 	close_conn(c);
@@ -442,6 +443,7 @@
 	 * A server with too many connections may still have free slots, so statements on open
 	 * connections continue.
 	 */
+	pw_counter_inc(PW_COUNTER_UPSTREAM_OPENS_REFUSED);
 	if (reason == PW_REASON_CONNECTION_LIMIT)
 		c->server->full_until_us = gateway_now_us(gateway_of(c)) + SERVER_FULL_PAUSE_US;
 	else
@@ -554,8 +556,10 @@
 
 	(void)now_us;
 	pw_counter_inc(PW_COUNTER_UPSTREAM_SILENT);
-	if (c->state == CONN_OPENING)
-		gw_group_record_server_failure(c->server);
+	if (c->state == CONN_OPENING) {
+		pw_counter_inc(PW_COUNTER_UPSTREAM_OPEN_TIMEOUTS);
+		gw_group_record_server_failure(c->server, FAILURE_OPEN);
+	}
 	gw_conn_fail(c, "the server did not answer in time");
 }
 
@@ -675,7 +679,7 @@
 	}
 	c = open_conn(s, w->account);
 	if (!c) {
-		gw_group_record_server_failure(s);
+		gw_group_record_server_failure(s, FAILURE_CONNECT);
 		w->conn = NULL;
 		gw_work_handle_conn_lost(w, pw_error_message());
 		return;
@@ -696,8 +700,11 @@
 		return true;
 	if (!c) {
 		g_hash_table_iter_init(&it, g->accounts);
-		return may_open && s->conns->len < conn_limit(s) &&
-		       g_hash_table_iter_next(&it, NULL, &account) && open_conn(s, account) != NULL;
+		if (!may_open || s->conns->len >= conn_limit(s) ||
+		    !g_hash_table_iter_next(&it, NULL, &account) || !open_conn(s, account))
+			return false;
+		pw_counter_inc(PW_COUNTER_UPSTREAM_CHECKS);
+		return true;
 	}
 	b = g_byte_array_new();
 	put_reset(c, b);
--- a/daemon/traffic/gateway_group.c
+++ b/daemon/traffic/gateway_group.c
@@ -1,5 +1,6 @@
 #include "gateway_private.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #include "pw/core/error.h"
@@ -599,14 +600,26 @@
 	s->last_contact_us = gateway_now_us(s->group->gateway);
 }
 
-void gw_group_record_server_failure(struct server *s)
+static const char *const failure_names[] = {
+	[FAILURE_CONNECT] = "connect",
+	[FAILURE_OPEN] = "open",
+	[FAILURE_PROBE] = "probe",
+	[FAILURE_SILENT] = "silent",
+};
+
+void gw_group_record_server_failure(struct server *s, enum server_failure failure)
 {
 	struct group *group = s->group;
 	uint64_t now_us = gateway_now_us(group->gateway);
 
 	if (s == group->primary && !group->primary_unreachable_since_us) {
 		group->primary_unreachable_since_us = now_us;
-		pw_event_log(PW_EVENT_UPSTREAM_DOWN, "database=%s server=%s", group->name, s->id);
+		pw_event_log(PW_EVENT_UPSTREAM_DOWN,
+			     "database=%s server=%s cause=%s unanswered_ms=%" PRIu64, group->name,
+			     s->id, failure_names[failure],
+			     s->unanswered_since_us
+				     ? (now_us - s->unanswered_since_us) / PW_US_PER_MS
+				     : 0);
 	}
 	s->backoff_us = s->backoff_us ? MIN(s->backoff_us * 2, SERVER_BACKOFF_MAX_US)
 				      : SERVER_BACKOFF_INITIAL_US;
@@ -644,7 +657,7 @@
 	struct server *s = probe->server;
 
 	end_probe(probe);
-	gw_group_record_server_failure(s);
+	gw_group_record_server_failure(s, FAILURE_PROBE);
 	/* Answers that are overdue will not come from a server that cannot be reached. */
 	fail_conns(s, awaits_overdue_answer, "the server cannot be reached");
 }
@@ -693,7 +706,7 @@
 	probe->timer.ops = &probe_timer_ops;
 	if (pw_stream_connect(&probe->stream, &probe_ops, g->task.loop, s->address)) {
 		g_free(probe);
-		gw_group_record_server_failure(s);
+		gw_group_record_server_failure(s, FAILURE_CONNECT);
 		return;
 	}
 	s->probe = probe;
@@ -728,7 +741,7 @@
 		if (s->registered && s->unanswered_since_us &&
 		    now_us - s->unanswered_since_us > SERVER_UNRESPONSIVE_US &&
 		    now_us >= s->pause_until_us) {
-			gw_group_record_server_failure(s);
+			gw_group_record_server_failure(s, FAILURE_SILENT);
 			fail_conns(s, awaits_overdue_answer, "the server does not answer");
 		}
 
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -335,6 +335,14 @@
 	struct probe *probe;       /**< in progress; NULL: none */
 };
 
+/* How a server has failed. */
+enum server_failure {
+	FAILURE_CONNECT, /**< the TCP connect was refused or timed out */
+	FAILURE_OPEN,    /**< it did not accept the handshake in time */
+	FAILURE_PROBE,   /**< likewise for a probe of a server that owes an answer */
+	FAILURE_SILENT,  /**< it has left a message unanswered for SERVER_UNRESPONSIVE_US */
+};
+
 /*
  * A replicated database: a primary and its replicas, called a group in the catalogue. It has
  * nothing to do with the group task of group.h.
@@ -515,7 +523,7 @@
 void gw_group_record_answer(struct server *s, struct conn *c, uint64_t sent_us,
 			    const struct pw_position *position);
 /** Records that the server could not be reached or did not answer, and backs off. */
-void gw_group_record_server_failure(struct server *s);
+void gw_group_record_server_failure(struct server *s, enum server_failure failure);
 /** Records that the overloaded server refused a statement or a connection. */
 void gw_group_record_server_busy(struct server *s);
 /** Records that bytes were received from the server. */
