Tests: a fleet that starts together, suspicions of a primary, reset connections; failing

The model of a large fleet has 295 VMs now, pages of 500 members and the bytes of a real item, as the platform has them; its link is that of the deployment in full (200 VMs with their part of it before).

--- a/standins/platform/database.c
+++ b/standins/platform/database.c
@@ -68,6 +68,7 @@
 	uint32_t conn_limit;         /**< of a server; 0: none */
 	uint32_t lost_every;         /**< every so many results are lost; 0: none */
 	uint32_t refused_sets;       /**< number of the next SET statements that fail */
+	bool resets_opens;           /**< new connections are reset when they send a message */
 	uint64_t last_signature;     /**< number in the signature of the last result */
 	GHashTable *started_ids;     /**< set of the ids of all statements that were received */
 };
@@ -461,8 +462,15 @@
 			strcmp(words[0], c->server->group->name) == 0 &&
 			(!words[2] || strcmp(words[2], c->server->id) == 0);
 
-	if (is_valid && c->server->databases->conn_limit &&
-	    g_hash_table_size(c->server->conns) > c->server->databases->conn_limit) {
+	if (c->server->databases->resets_opens) {
+		const struct linger no_linger = { .l_onoff = 1 };
+
+		/* Closing the socket then sends a reset. */
+		(void)setsockopt(c->stream.source.fd, SOL_SOCKET, SO_LINGER, &no_linger,
+				 sizeof(no_linger));
+		conn_close(c);
+	} else if (is_valid && c->server->databases->conn_limit &&
+		   g_hash_table_size(c->server->conns) > c->server->databases->conn_limit) {
 		send_line(c, "ERROR CONNLIMIT %s\r\n", c->server->id);
 		pw_stream_shutdown(&c->stream);
 	} else if (is_valid) {
@@ -781,6 +789,10 @@
 		d->refused_sets = (uint32_t)g_ascii_strtoull(argument, NULL, 10);
 		return true;
 	}
+	if (strcmp(name, "reset-opens") == 0) {
+		d->resets_opens = strcmp(argument, "1") == 0;
+		return true;
+	}
 	if (strcmp(name, "slots") == 0) {
 		d->slots = (uint32_t)g_ascii_strtoull(argument, NULL, 10);
 		return true;
--- a/standins/platform/database.h
+++ b/standins/platform/database.h
@@ -46,6 +46,7 @@
  * The argument of "queue" is the number of statements that wait for a slot instead of failing with
  * BUSY.
  * The argument of "conn-limit" is the number of connections that a server accepts.
+ * The argument of "reset-opens" is 1 if servers reset new connections instead of answering, else 0.
  * The argument of "refuse-set" is a number: so many of the next SET statements fail.
  *
  * The argument of these faults is a time in milliseconds:
--- a/tests/daemon/test_cluster_link.c
+++ b/tests/daemon/test_cluster_link.c
@@ -38,8 +38,7 @@
 /* Guards against VMs in trouble that cost the others their links, permits and primaries. */
 START_TEST(test_trouble_of_some_vms_spares_the_others)
 {
-	uint64_t link_bytes_per_s =
-		FLEET_LINK_BITS_PER_S / 8 * FLEET_VM_COUNT / FLEET_LINK_VM_COUNT;
+	uint64_t link_bytes_per_s = FLEET_LINK_BITS_PER_S / 8;
 	uint64_t busiest_second_bytes = 0, dropped_count = 0;
 	bool has_started, has_changed, has_recovered, is_helped;
 	uint32_t lost_group_count, revoked_count;
@@ -76,6 +75,97 @@
 }
 END_TEST
 
+/* Time in which a fleet that starts has read what it needs. */
+#define START_MS 6000
+/* A minute after the start, for what VMs do at intervals that begin with it. */
+#define AFTER_START_MS 60000
+/* Longest wait at the link that a connect bears: CONN_CONNECT_TIMEOUT_US less a round trip. */
+#define LINK_WAIT_LIMIT_US (160 * PW_US_PER_MS)
+
+/* Guards against VMs that started together and later fill the link together. */
+START_TEST(test_start_of_all_keeps_the_link_free_later)
+{
+	struct fleet *f = fleet_start();
+	uint64_t longest_wait_us = 0;
+	bool has_started = fleet_wait_for(f, fleet_has_permits, 10000), has_changed;
+	uint32_t late_count, revoked_count;
+
+	(void)fleet_wait_for(f, fleet_never, START_MS);
+	fleet_reset_counts(f);
+	/* Primaries change while the first of these intervals end. */
+	(void)fleet_wait_for(f, fleet_never, 10000 - START_MS);
+	for (uint32_t i = 0; i < 3; i++)
+		f->servers[2 * i].is_lost = true;
+	has_changed = fleet_wait_for(f, has_primaries, CHANGE_LIMIT_MS);
+	(void)fleet_wait_for(f, fleet_never, AFTER_START_MS);
+	for (uint32_t i = 0; i < FLEET_REGION_COUNT; i++)
+		longest_wait_us = MAX(longest_wait_us, f->links[i].longest_wait_us);
+	late_count = f->late_renewal_count;
+	revoked_count = f->revoked_in_touch_count;
+	fleet_stop(f);
+	ck_assert_msg(
+		has_started && has_changed && !late_count && !revoked_count &&
+			longest_wait_us <= LINK_WAIT_LIMIT_US,
+		"started %d, changed %d, %u renewals late, %u leases revoked, %" G_GUINT64_FORMAT
+		" us until the link was free",
+		has_started, has_changed, late_count, revoked_count, longest_wait_us);
+}
+END_TEST
+
+static const struct {
+	const char *label;
+	/** VMs that have lost the primary, and VMs that have its answers; the others do not use it.
+	 */
+	uint32_t lost_count, answered_count;
+	bool is_changed;
+} suspicion_cases[] = {
+	{ "one VM has lost it, which all others reach", 1, 294, false },
+	{ "fewer VMs have lost it than have its answers", 30, 60, false },
+	{ "most VMs that use it have lost it", 60, 10, true },
+	{ "one VM has lost it, which hardly any other uses", 1, 4, false },
+};
+
+static bool is_first_changed(const struct fleet *f)
+{
+	return ((const struct pw_primary *)g_ptr_array_index(f->record->entries, 0))->changing ||
+	       f->record->fencing_token > FLEET_GROUP_COUNT;
+}
+
+/* Guards against a suspicion of some VMs that replaces a primary which serves others. */
+START_TEST(test_suspicion_of_some_vms_is_weighed)
+{
+	uint32_t lost_count = suspicion_cases[_i].lost_count;
+	uint64_t duration_us = 6 * PW_US_PER_S;
+	uint64_t check_limit = (lost_count + VOTE_RECEIVER_COUNT + 1) * duration_us /
+			       PRIMARY_CHECK_MIN_INTERVAL_US;
+	struct fleet *f = fleet_start();
+	bool has_started = fleet_wait_for(f, fleet_has_permits, 10000), is_changed;
+	uint32_t check_count;
+
+	/* Until the VMs have heard of each other. */
+	(void)fleet_wait_for(f, fleet_never, 12000);
+	fleet_reset_counts(f);
+	for (uint32_t i = 0; i < FLEET_VM_COUNT; i++) {
+		/* Spreads the VMs with an opinion over both regions and all names. */
+		uint32_t k = i * 7 % FLEET_VM_COUNT;
+
+		f->vms[k].contact = i < lost_count ? FLEET_CONTACT_LOST
+				    : i < lost_count + suspicion_cases[_i].answered_count
+					    ? FLEET_CONTACT_ANSWERED
+					    : FLEET_CONTACT_NONE;
+	}
+	is_changed = fleet_wait_for(f, is_first_changed, (uint32_t)(duration_us / PW_US_PER_MS));
+	check_count = f->check_count;
+	fleet_stop(f);
+	ck_assert_msg(
+		has_started && is_changed == suspicion_cases[_i].is_changed &&
+			check_count <= check_limit,
+		"%s: started %d, changed %d, %u checks of the primary, at most %" G_GUINT64_FORMAT
+		" expected",
+		suspicion_cases[_i].label, has_started, is_changed, check_count, check_limit);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("cluster_link");
@@ -83,5 +173,8 @@
 	pw_event_log_init(G_LOG_LEVEL_ERROR);
 	tcase_add_loop_test(tc, test_trouble_of_some_vms_spares_the_others, 0,
 			    PW_ARRAY_LEN(fault_cases));
+	tcase_add_test(tc, test_start_of_all_keeps_the_link_free_later);
+	tcase_add_loop_test(tc, test_suspicion_of_some_vms_is_weighed, 0,
+			    PW_ARRAY_LEN(suspicion_cases));
 	return pw_suite_run("cluster_link", tc);
 }
--- a/tests/include/cluster_fleet.h
+++ b/tests/include/cluster_fleet.h
@@ -31,16 +31,15 @@
 #include "pw/core/event.h"
 #include "pw/platform/platform.h"
 
-#define FLEET_VM_COUNT     200
+#define FLEET_VM_COUNT     295
 #define FLEET_GROUP_COUNT  20
 #define FLEET_SERVER_COUNT (2 * FLEET_GROUP_COUNT)
 #define FLEET_REGION_COUNT 2
-#define FLEET_MEMBERS_PAGE 50
+#define FLEET_MEMBERS_PAGE 500
 #define FLEET_RECORD_KEY   "pimentowing/example/primaries"
 
-/* Bandwidth of the link, each way, of the deployment `mistry-enrol-large`, and its VMs. */
+/* Bandwidth of the link, each way, of the deployment `mistry-enrol-large` with 295 VMs. */
 #define FLEET_LINK_BITS_PER_S UINT64_C(150000000)
-#define FLEET_LINK_VM_COUNT   295
 /* A datagram is dropped if the link needs longer than this for what waits already. */
 #define FLEET_LINK_QUEUE_US (500 * PW_US_PER_MS)
 /* One-way latencies. */
@@ -48,9 +47,18 @@
 #define FLEET_LOCAL_LATENCY_US  (PW_US_PER_MS / 2)
 /* Bytes of an HTTP call to the store beside the values in it. */
 #define FLEET_CALL_BYTES 300
+/* Bytes of an item beside its value: its key, revisions, lease and the names of the fields. */
+#define FLEET_ITEM_BYTES 150
 
 struct fleet;
 
+/* What a gateway has heard of the primary of the first group lately. */
+enum fleet_contact {
+	FLEET_CONTACT_ANSWERED,
+	FLEET_CONTACT_NONE, /* it has sent nothing there */
+	FLEET_CONTACT_LOST, /* nothing in time, though the server runs */
+};
+
 struct fleet_vm {
 	struct fleet *fleet;
 	uint32_t index;
@@ -72,6 +80,7 @@
 	/* State of the gateway. */
 	struct pw_primaries *primaries;
 	uint64_t permit_until_us, next_report_us;
+	enum fleet_contact contact;
 };
 
 struct fleet_server {
@@ -85,6 +94,7 @@
 	uint64_t busy_until_us;
 	uint64_t second_started_us, second_bytes; /* of the datagrams in the second */
 	uint64_t busiest_second_bytes;
+	uint64_t longest_wait_us; /* until what was sent had left the link */
 	uint64_t dropped_count;
 };
 
@@ -108,6 +118,8 @@
 	uint16_t *vm_by_port;
 	int64_t revision, last_lease_id; /* of the store */
 	uint32_t revoked_in_touch_count; /* leases of VMs that reach the store and the others */
+	uint32_t late_renewal_count;     /* renewals of such VMs that timed out */
+	uint32_t check_count;            /* requests to gateways to check a primary */
 	int sender_fd;
 	GMutex lock;                                 /* of the members below, and of `servers` */
 	struct fleet_link links[FLEET_REGION_COUNT]; /* by the region that they leave */
@@ -131,7 +143,6 @@
 {
 	struct fleet_link *l = &f->links[from];
 	uint64_t now_us = pw_clock_now_us(), arrival_us = 0;
-	uint64_t bits_per_s = FLEET_LINK_BITS_PER_S * FLEET_VM_COUNT / FLEET_LINK_VM_COUNT;
 
 	g_mutex_lock(&f->lock);
 	if (now_us - l->second_started_us >= PW_US_PER_S) {
@@ -143,8 +154,9 @@
 	if (is_datagram && l->busy_until_us > now_us + FLEET_LINK_QUEUE_US) {
 		l->dropped_count++;
 	} else {
-		l->busy_until_us =
-			MAX(l->busy_until_us, now_us) + size_bytes * 8 * PW_US_PER_S / bits_per_s;
+		l->busy_until_us = MAX(l->busy_until_us, now_us) +
+				   size_bytes * 8 * PW_US_PER_S / FLEET_LINK_BITS_PER_S;
+		l->longest_wait_us = MAX(l->longest_wait_us, l->busy_until_us - now_us);
 		arrival_us = l->busy_until_us + FLEET_REGION_LATENCY_US;
 	}
 	g_mutex_unlock(&f->lock);
@@ -379,7 +391,7 @@
 
 	/* Values are base64 text. */
 	for (size_t i = 0; i < count; i++)
-		size_bytes += 100 + kvs[i].size_bytes * 4 / 3;
+		size_bytes += FLEET_ITEM_BYTES + kvs[i].size_bytes * 4 / 3;
 	return size_bytes;
 }
 
@@ -398,6 +410,7 @@
 	if (timeout_us && (vm->is_cut || arrival_us > now_us + timeout_us)) {
 		enum pw_store_kind kind = r->kind;
 
+		f->late_renewal_count += tag == TAG_LEASE_RENEW && !vm->is_cut;
 		pw_store_result_free(r);
 		r = pw_store_result_new(kind, PW_ETIMEOUT, "no answer");
 		arrival_us = now_us + timeout_us;
@@ -625,9 +638,11 @@
 			.generation = p->generation,
 		};
 
-		if (s->is_lost || vm->is_cut)
+		enum fleet_contact contact = i == 0 ? vm->contact : FLEET_CONTACT_ANSWERED;
+
+		if (s->is_lost || vm->is_cut || contact == FLEET_CONTACT_LOST)
 			reachability.unreachable_since_us = now_us - 600 * PW_US_PER_MS;
-		else
+		else if (contact == FLEET_CONTACT_ANSWERED)
 			reachability.last_answer_us = now_us;
 		g_array_append_val(r->reachability, reachability);
 	}
@@ -648,6 +663,8 @@
 			vm->primaries = pw_primaries_ref(msg->primaries);
 			fleet_send_report(vm);
 		}
+	} else if (m->ops == &pw_primary_check_msg_ops) {
+		vm->fleet->check_count++;
 	}
 	pw_msg_free(m);
 }
@@ -856,7 +873,7 @@
 /* Starts the counts of the links and of leases that were revoked. */
 static void fleet_reset_counts(struct fleet *f)
 {
-	f->revoked_in_touch_count = 0;
+	f->revoked_in_touch_count = f->late_renewal_count = f->check_count = 0;
 	g_mutex_lock(&f->lock);
 	for (uint32_t i = 0; i < FLEET_REGION_COUNT; i++)
 		f->links[i] = (struct fleet_link){ .busy_until_us = f->links[i].busy_until_us };
