Gateway: an answer is owed only on a connection that is open or was given up

Callers saw: after a start of all VMs of the large site, databases whose primaries ran were changed one after the other, from 3 s after the start on, and refused meanwhile.

Cause: a server counted as silent 1.2 s after a message that was sent on a connection which the server has since reset, as it does with connections over its limit. No answer can come on it. In a small fleet other bytes of the server clear the state in time; a VM of a large one hears nothing else of it for seconds, votes for the loss of the primary, and does not check it either, since an answer seemed to be outstanding.

Change: decide/silence. A message counts while its connection is open, or if the connection was closed because its answer was overdue. A check of a primary waits for an answer on an open connection only.

--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -51,7 +51,8 @@
 static void send_bytes(struct conn *c, GByteArray *b)
 {
 	count_bytes(c, PW_COUNTER_UPSTREAM_BYTES_SENT, b->len);
-	gw_group_record_sent(c->server);
+	pw_silence_record_sent(&c->server->silence, &c->unanswered_since_us,
+			       gateway_now_us(gateway_of(c)));
 	pw_stream_send(&c->stream, b->data, b->len);
 	g_byte_array_unref(b);
 }
@@ -117,6 +118,12 @@
 	gw_work_dispatch_waiting(group);
 }
 
+void gw_conn_abandon(struct conn *c, const char *text)
+{
+	pw_silence_record_abandoned(&c->server->silence, c->unanswered_since_us);
+	gw_conn_fail(c, text);
+}
+
 /* Makes the connection available to other statements, or closes it if it must not be reused. */
 static void make_idle(struct conn *c)
 {
@@ -560,7 +567,7 @@
 		pw_counter_inc(PW_COUNTER_UPSTREAM_OPEN_TIMEOUTS);
 		gw_group_record_server_failure(c->server, FAILURE_OPEN);
 	}
-	gw_conn_fail(c, "the server did not answer in time");
+	gw_conn_abandon(c, "the server did not answer in time");
 }
 
 static const struct pw_timer_ops timer_ops = { .expire = conn_timer_expired };
--- a/daemon/traffic/gateway_group.c
+++ b/daemon/traffic/gateway_group.c
@@ -86,9 +86,11 @@
 /*
  * Fails the connections of a server that meet a condition. Their statements are retried, refused,
  * or answered as having an unknown outcome.
+ *
+ * `fail` is gw_conn_fail() or gw_conn_abandon().
  */
 static void fail_conns(struct server *s, bool (*should_fail)(const struct conn *c),
-		       const char *text)
+		       void (*fail)(struct conn *c, const char *text), const char *text)
 {
 	GPtrArray *conns = g_ptr_array_copy(s->conns, NULL, NULL);
 
@@ -96,7 +98,7 @@
 		struct conn *c = g_ptr_array_index(conns, i);
 
 		if (!c->closed && should_fail(c))
-			gw_conn_fail(c, text);
+			fail(c, text);
 	}
 	g_ptr_array_unref(conns);
 }
@@ -132,10 +134,10 @@
 	if (s->started_ms == e->started_ms && strcmp(s->address, e->address) == 0)
 		return;
 	if (s->started_ms) {
-		fail_conns(s, matches_any_conn, "the server was restarted");
+		fail_conns(s, matches_any_conn, gw_conn_fail, "the server was restarted");
 		s->latency_us = 0;
 		s->pause_until_us = 0;
-		s->unanswered_since_us = 0;
+		s->silence = (struct pw_silence){ 0 };
 		s->congestion = (struct pw_congestion){ 0 };
 	}
 	s->started_ms = e->started_ms;
@@ -221,7 +223,7 @@
 	group->primary_last_answer_us = 0;
 	group->primary_unreachable_since_us = 0;
 	if (old_primary)
-		fail_conns(old_primary, runs_on_primary, "the primary was replaced");
+		fail_conns(old_primary, runs_on_primary, gw_conn_fail, "the primary was replaced");
 }
 
 static void apply_primary(struct group *group, const struct pw_primary *p)
@@ -311,7 +313,8 @@
 	}
 	group->settled = true;
 	if (group->primary)
-		fail_conns(group->primary, runs_on_primary, "the primary is being changed");
+		fail_conns(group->primary, runs_on_primary, gw_conn_fail,
+			   "the primary is being changed");
 	gateway_send_report(group->gateway);
 }
 
@@ -578,19 +581,13 @@
 	struct group *group = s->group;
 
 	s->last_contact_us = gateway_now_us(group->gateway);
-	s->unanswered_since_us = 0;
+	pw_silence_record_received(&s->silence, s->last_contact_us);
 	if (s == group->primary) {
 		group->primary_last_answer_us = s->last_contact_us;
 		group->primary_unreachable_since_us = 0;
 	}
 }
 
-void gw_group_record_sent(struct server *s)
-{
-	if (!s->unanswered_since_us)
-		s->unanswered_since_us = gateway_now_us(s->group->gateway);
-}
-
 void gw_group_record_connected(struct server *s)
 {
 	/*
@@ -600,6 +597,31 @@
 	s->last_contact_us = gateway_now_us(s->group->gateway);
 }
 
+/* Returns since when the server has left a message unanswered; 0: it has not. */
+static uint64_t unanswered_since_us(const struct server *s)
+{
+	uint64_t since_us = s->silence.abandoned_since_us;
+
+	for (guint i = 0; i < s->conns->len; i++) {
+		const struct conn *c = g_ptr_array_index(s->conns, i);
+
+		since_us = pw_silence_since_us(&s->silence, since_us, c->unanswered_since_us);
+	}
+	return since_us;
+}
+
+/* Whether an open connection to the server waits for an answer. */
+static bool owes_answer(const struct server *s)
+{
+	for (guint i = 0; i < s->conns->len; i++) {
+		const struct conn *c = g_ptr_array_index(s->conns, i);
+
+		if (pw_silence_owes(&s->silence, c->unanswered_since_us))
+			return true;
+	}
+	return false;
+}
+
 static const char *const failure_names[] = {
 	[FAILURE_CONNECT] = "connect",
 	[FAILURE_OPEN] = "open",
@@ -610,16 +632,14 @@
 void gw_group_record_server_failure(struct server *s, enum server_failure failure)
 {
 	struct group *group = s->group;
-	uint64_t now_us = gateway_now_us(group->gateway);
+	uint64_t now_us = gateway_now_us(group->gateway), since_us = unanswered_since_us(s);
 
 	if (s == group->primary && !group->primary_unreachable_since_us) {
 		group->primary_unreachable_since_us = now_us;
 		pw_event_log(PW_EVENT_UPSTREAM_DOWN,
 			     "database=%s server=%s cause=%s unanswered_ms=%" PRIu64, group->name,
 			     s->id, failure_names[failure],
-			     s->unanswered_since_us
-				     ? (now_us - s->unanswered_since_us) / PW_US_PER_MS
-				     : 0);
+			     since_us ? (now_us - since_us) / PW_US_PER_MS : 0);
 	}
 	s->backoff_us = s->backoff_us ? MIN(s->backoff_us * 2, SERVER_BACKOFF_MAX_US)
 				      : SERVER_BACKOFF_INITIAL_US;
@@ -659,7 +679,7 @@
 	end_probe(probe);
 	gw_group_record_server_failure(s, FAILURE_PROBE);
 	/* Answers that are overdue will not come from a server that cannot be reached. */
-	fail_conns(s, awaits_overdue_answer, "the server cannot be reached");
+	fail_conns(s, awaits_overdue_answer, gw_conn_abandon, "the server cannot be reached");
 }
 
 static void probe_connected(struct pw_stream *stream)
@@ -715,7 +735,7 @@
 
 void gw_group_ping_primary(struct group *group)
 {
-	if (group->primary && group->primary->registered && !group->primary->unanswered_since_us &&
+	if (group->primary && group->primary->registered && !owes_answer(group->primary) &&
 	    gateway_now_us(group->gateway) - group->primary_last_answer_us > PROBE_SILENCE_US)
 		(void)gw_conn_ping(group->primary, true);
 }
@@ -738,11 +758,13 @@
 		struct server *s = g_ptr_array_index(group->servers, i);
 		uint64_t silent_us = now_us - s->last_contact_us;
 
-		if (s->registered && s->unanswered_since_us &&
-		    now_us - s->unanswered_since_us > SERVER_UNRESPONSIVE_US &&
+		uint64_t since_us = unanswered_since_us(s);
+
+		if (s->registered && since_us && now_us - since_us > SERVER_UNRESPONSIVE_US &&
 		    now_us >= s->pause_until_us) {
 			gw_group_record_server_failure(s, FAILURE_SILENT);
-			fail_conns(s, awaits_overdue_answer, "the server does not answer");
+			fail_conns(s, awaits_overdue_answer, gw_conn_abandon,
+				   "the server does not answer");
 		}
 
 		if (s->registered && silent_us > PROBE_SILENCE_US && has_overdue_answer(s))
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -33,6 +33,7 @@
 #include "pw/decide/history.h"
 #include "pw/decide/place.h"
 #include "pw/decide/share.h"
+#include "pw/decide/silence.h"
 
 /*
  * Maximum number of sessions of a task. It leaves file descriptors for servers, the store and other
@@ -302,9 +303,10 @@
 	uint64_t generation; /**< of the primary that its statement or transaction was sent to; 0:
 				to a replica, or nothing was sent */
 	uint64_t idle_since_us;
-	uint64_t sent_us;           /**< when the connect or the last statement was started */
-	uint64_t floor_observed_us; /**< when the position that the read needs was observed; 0:
-				       none is needed */
+	uint64_t sent_us;             /**< when the connect or the last statement was started */
+	uint64_t unanswered_since_us; /**< see pw_silence_record_sent() */
+	uint64_t floor_observed_us;   /**< when the position that the read needs was observed; 0:
+					 none is needed */
 	bool discard_when_idle; /**< its state is uncertain, so it is closed instead of reused */
 	bool closed;            /**< freed by the next tick */
 };
@@ -324,9 +326,8 @@
 	uint64_t backoff_us;         /**< pause after the last failure; 0: no failure since a
 					connection was last opened */
 	uint64_t last_contact_us; /**< when bytes were last received or a TCP connect succeeded */
-	uint64_t unanswered_since_us; /**< when the first message was sent to it since its last
-					 bytes; 0: none was sent since */
-	uint32_t in_flight;           /**< statements in flight */
+	struct pw_silence silence;
+	uint32_t in_flight; /**< statements in flight */
 	struct pw_congestion congestion;
 	uint64_t leaving_since_us; /**< when this task learned that `leaving` is set */
 	bool registered;           /**< it is in the latest list of servers */
@@ -528,8 +529,6 @@
 void gw_group_record_server_busy(struct server *s);
 /** Records that bytes were received from the server. */
 void gw_group_record_received(struct server *s);
-/** Records that a message was sent to the server that it has to answer. */
-void gw_group_record_sent(struct server *s);
 /** Records a TCP connect to the server; whether its process answers is not known. */
 void gw_group_record_connected(struct server *s);
 /**
@@ -568,6 +567,8 @@
  * @param text error text for the caller if the statement is refused
  */
 void gw_conn_fail(struct conn *c, const char *text);
+/** Likewise, because an answer is overdue: the server goes on owing it, see struct pw_silence. */
+void gw_conn_abandon(struct conn *c, const char *text);
 /**
  * Makes the server answer, without using one of its slots, by resetting an idle connection.
  *
