Fleet: VMs that started together read the list of members at random times

Cause: each VM read the list of all members 10 s after its registration, 295 reads of about 100 KB at once, half of them over the link between the regions, which was full for more than the 600 ms of a renewal. The read at the start itself is not changed.

Change: decide/follow gives the time of a periodic read, between half and three halves of its interval; the interval counts from the end of the last read, when the size of the fleet is known (92 s with 295 VMs).

--- a/daemon/control/cluster_member.c
+++ b/daemon/control/cluster_member.c
@@ -5,6 +5,7 @@
 #include "pw/core/clock.h"
 #include "pw/core/error.h"
 #include "pw/core/event.h"
+#include "pw/decide/follow.h"
 
 /* Schedules the next step towards a permit, or the next renewal. */
 static void set_permit_timer(struct cluster *c, uint64_t after_us)
@@ -56,10 +57,22 @@
 	request_members_page(c);
 }
 
+/* Schedules the next read of all members, whose interval depends on how many are known now. */
+static void schedule_members_read(struct cluster *c)
+{
+	uint64_t interval_us = MAX(MEMBERS_READ_INTERVAL_US,
+				   MEMBERS_READ_PULSE_INTERVALS * pulse_member_interval_us(c));
+
+	pw_loop_timer_set(c->task.loop, &c->member_list_timer,
+			  cluster_now_us(c) +
+				  pw_follow_next_periodic_us(interval_us, pw_clock_random_u64()));
+}
+
 static void end_members_read(struct cluster *c)
 {
 	c->members_read_pending = false;
 	g_clear_pointer(&c->last_member_key, g_free);
+	schedule_members_read(c);
 }
 
 /* Starts over with a new lease, under which the member is then registered. */
@@ -159,12 +172,9 @@
 
 static void member_list_timer_expired(struct pw_timer *t, uint64_t now_us)
 {
-	struct cluster *c =
-		(struct cluster *)((char *)t - offsetof(struct cluster, member_list_timer));
-
-	pw_loop_timer_set(c->task.loop, t,
-			  now_us + MAX(MEMBERS_READ_INTERVAL_US, 10 * pulse_member_interval_us(c)));
-	request_members(c);
+	(void)now_us;
+	request_members(
+		(struct cluster *)((char *)t - offsetof(struct cluster, member_list_timer)));
 }
 
 static const struct pw_timer_ops member_list_timer_ops = { .expire = member_list_timer_expired };
@@ -217,8 +227,6 @@
 	/* A VM whose lease was lost knows the members, and they know it. */
 	if (c->members_read_us && cluster_is_large_fleet(c))
 		return;
-	pw_loop_timer_set(c->task.loop, &c->member_list_timer,
-			  cluster_now_us(c) + MEMBERS_READ_INTERVAL_US);
 	request_members(c);
 }
 
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -39,10 +39,11 @@
  */
 #define MEMBER_LEASE_TTL_US (2400 * PW_US_PER_MS)
 /*
- * Interval of reads of the member list; it is longer in a large fleet. In between, new members
- * announce themselves by pulses.
+ * Mean interval of reads of the member list. In a large fleet it is this multiple of the time
+ * between two regular pulses to a member. In between, new members announce themselves by pulses.
  */
-#define MEMBERS_READ_INTERVAL_US (10 * PW_US_PER_S)
+#define MEMBERS_READ_INTERVAL_US     (10 * PW_US_PER_S)
+#define MEMBERS_READ_PULSE_INTERVALS 10
 /* Timeout of a renewal, so that a lost one is repeated before the permit expires. */
 #define RENEWAL_TIMEOUT_US (600 * PW_US_PER_MS)
 /*
--- a/decide/include/pw/decide/follow.h
+++ b/decide/include/pw/decide/follow.h
@@ -48,6 +48,15 @@
  */
 uint64_t pw_follow_spread_us(uint64_t size_bytes, uint32_t vm_count);
 
+/**
+ * Time until the next read of something that each VM reads at an interval. It is random, between
+ * half and three halves of the interval, so that VMs that started together do not go on to read
+ * together.
+ *
+ * @param random random number
+ */
+uint64_t pw_follow_next_periodic_us(uint64_t interval_us, uint64_t random);
+
 /** State that the caller keeps, initially 0. */
 struct pw_follow {
 	uint64_t changed_us;  /**< when the last new version came; 0: none */
--- a/decide/src/follow.c
+++ b/decide/src/follow.c
@@ -52,3 +52,8 @@
 	return MIN(size_bytes * vm_count * 1000000 / PW_FOLLOW_FLEET_BYTES_PER_S,
 		   PW_FOLLOW_SPREAD_MAX_US);
 }
+
+uint64_t pw_follow_next_periodic_us(uint64_t interval_us, uint64_t random)
+{
+	return interval_us / 2 + random % interval_us;
+}
--- a/tests/decide/test_follow.c
+++ b/tests/decide/test_follow.c
@@ -108,6 +108,26 @@
 	  PW_FOLLOW_SPREAD_MAX_US },
 };
 
+static const struct {
+	const char *label;
+	uint64_t random;
+	uint64_t expected_us; /* with an interval of 10 s */
+} periodic_cases[] = {
+	{ "earliest", 0, 5000000 },
+	{ "mean", 5000000, 10000000 },
+	{ "latest", 9999999, 14999999 },
+	{ "a large random number", UINT64_C(10000000) * 7 + 3, 5000003 },
+};
+
+/* Guards against periodic reads of a fleet that stay in step. */
+START_TEST(test_periodic)
+{
+	ck_assert_msg(pw_follow_next_periodic_us(10000000, periodic_cases[_i].random) ==
+			      periodic_cases[_i].expected_us,
+		      "%s", periodic_cases[_i].label);
+}
+END_TEST
+
 /* Guards against all VMs of a large fleet transferring the same value at once. */
 START_TEST(test_spread)
 {
@@ -141,6 +161,7 @@
 	TCase *tc = tcase_create("follow");
 
 	tcase_add_loop_test(tc, test_spread, 0, PW_ARRAY_LEN(spread_cases));
+	tcase_add_loop_test(tc, test_periodic, 0, PW_ARRAY_LEN(periodic_cases));
 	tcase_add_loop_test(tc, test_follow, 0, PW_ARRAY_LEN(cases));
 	return pw_suite_run("follow", tc);
 }
