Changes: a primary is checked by VMs that have lost it and by those that decide

Callers saw: refused and reset connections at primaries that some VM had lost.

Cause: each VM that heard of one vote checked the primary, with a connection of its own every 400 ms: 11,100 connections in 10 s, a quarter of all that the fleet opened, to few primaries with 216 connections for 295 VMs.

Change: pw_change_should_check(). In a fleet above 16 the losers check, and the first three in rank, which are told of votes. In smaller fleets all check, as before.

--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -1108,7 +1108,8 @@
 	gpointer item;
 
 	v->reached_vote_count += cluster_reaches_primary(c, primary, &since_us);
-	if (since_us) {
+	v->lost = since_us != 0;
+	if (v->lost) {
 		v->lost_vote_count++;
 		longest_outage_us = now_us - MIN(since_us, now_us);
 	}
@@ -1327,7 +1328,8 @@
 		    !may_have_reason(c, primary, any_vote_lost))
 			continue;
 		build_change_view(c, primary, &v);
-		if (v.lost_vote_count && !primary->changing)
+		if (pw_change_should_check(&v, cluster_is_large_fleet(c) ? VOTE_RECEIVER_COUNT
+									 : UINT32_MAX))
 			cluster_check_primary(c, primary->group);
 		reason = pw_change_due_reason(&v, cluster_now_us(c));
 		if (reason != PW_CHANGE_NONE && era_may_claim(c, v.rank)) {
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -78,7 +78,10 @@
 #define DEMAND_ANNOUNCE_MIN_INTERVAL_US (500 * PW_US_PER_MS)
 /* Minimum interval of checks of a group's primary that some VM cannot reach. */
 #define PRIMARY_CHECK_MIN_INTERVAL_US (400 * PW_US_PER_MS)
-/* Number of VMs to which a change of a vote is announced: the first two may be lost as well. */
+/*
+ * Number of VMs to which a change of a vote is announced, and which check the primary then: the
+ * first two may be lost as well.
+ */
 #define VOTE_RECEIVER_COUNT 3
 /* A member counts as live for this many of its pulse intervals after its last pulse. */
 #define PULSE_LIVE_INTERVAL_COUNT 5
--- a/decide/include/pw/decide/change.h
+++ b/decide/include/pw/decide/change.h
@@ -73,6 +73,7 @@
 	uint32_t live_count;         /**< number of live VMs, this one included */
 	uint64_t lost_since_us;      /**< earliest loss that lost_vote_count reports; 0: none */
 	uint64_t lost_votes_age_us;  /**< since the oldest report among lost_vote_count arrived */
+	bool lost;                   /**< this VM cannot reach the primary */
 	uint32_t rank;               /**< this VM's rank for the group among live VMs; 0: first */
 	uint32_t candidate_count;    /**< number of replicas that are registered and not leaving */
 };
@@ -129,6 +130,15 @@
 	return now_us < heard_us + PW_CHANGE_VOTE_MAX_AGE_US;
 }
 
+/**
+ * Decides whether this VM checks by itself whether it reaches the primary. Each check may open a
+ * connection, for which a primary that many VMs use has no room, so in a large fleet only VMs that
+ * have lost it check it, and those that would change it.
+ *
+ * @param checker_count number of VMs, by rank, that check what others have lost
+ */
+bool pw_change_should_check(const struct pw_change_view *v, uint32_t checker_count);
+
 /** @return reason for a change that the primary's entry gives, or PW_CHANGE_NONE */
 enum pw_change_reason pw_change_entry_fault(const struct pw_change_view *v);
 
--- a/decide/src/change.c
+++ b/decide/src/change.c
@@ -30,6 +30,11 @@
 	return v->demoted ? PW_CHANGE_DEMOTED : PW_CHANGE_NONE;
 }
 
+bool pw_change_should_check(const struct pw_change_view *v, uint32_t checker_count)
+{
+	return v->lost_vote_count && !v->changing && (v->lost || v->rank < checker_count);
+}
+
 /* Returns the time from which a change is due, and its reason; UINT64_MAX if there is no reason. */
 static uint64_t change_due_us(const struct pw_change_view *v, enum pw_change_reason *reason)
 {
--- a/tests/decide/test_change.c
+++ b/tests/decide/test_change.c
@@ -137,6 +137,39 @@
 	  PW_CHANGE_ABANDONED },
 };
 
+static const struct {
+	const char *label;
+	struct pw_change_view view;
+	uint32_t checker_count;
+	bool expected;
+} check_cases[] = {
+	{ "nobody has lost it", { .rank = 0 }, 3, false },
+	{ "this VM has lost it", { .lost_vote_count = 1, .lost = true, .rank = 200 }, 3, true },
+	{ "another VM has lost it, and this one decides",
+	  { .lost_vote_count = 1, .rank = 2 },
+	  3,
+	  true },
+	{ "another VM has lost it, and others decide",
+	  { .lost_vote_count = 1, .rank = 3 },
+	  3,
+	  false },
+	{ "a small fleet", { .lost_vote_count = 1, .rank = 8 }, UINT32_MAX, true },
+	{ "it is being changed",
+	  { .lost_vote_count = 1, .lost = true, .changing = true },
+	  3,
+	  false },
+};
+
+/* Guards against a primary that is checked by a whole fleet when some VM has lost it. */
+START_TEST(test_check)
+{
+	ck_assert_msg(
+		pw_change_should_check(&check_cases[_i].view, check_cases[_i].checker_count) ==
+			check_cases[_i].expected,
+		"%s", check_cases[_i].label);
+}
+END_TEST
+
 START_TEST(test_due)
 {
 	struct pw_change_view v = due_cases[_i].view;
@@ -634,6 +667,7 @@
 	TCase *tc = tcase_create("change");
 
 	tcase_add_loop_test(tc, test_due, 0, PW_ARRAY_LEN(due_cases));
+	tcase_add_loop_test(tc, test_check, 0, PW_ARRAY_LEN(check_cases));
 	tcase_add_loop_test(tc, test_rank_weight, 0, PW_ARRAY_LEN(rank_cases));
 	tcase_add_loop_test(tc, test_choose, 0, PW_ARRAY_LEN(choose_cases));
 	tcase_add_test(tc, test_no_acknowledged_commit_is_lost);
