--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -738,6 +738,7 @@
 	} else {
 		pw_pulse_dispose(&m->pulse);
 		m->pulse = *p;
+		m->regular_heard_us = m->last_heard_us;
 		pw_pulse_init(p);
 	}
 	m->has_lost_vote = has_lost_primary(&m->pulse);
