--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -1104,6 +1104,7 @@
 			struct pw_change_view *v)
 {
 	uint64_t now_us = cluster_now_us(c), longest_outage_us = 0, since_us;
+	/* Members heard of by regular pulses, and those of them that reach the primary. */
 	uint32_t heard_count = 0, heard_reached_count = 0;
 	GHashTableIter it;
 	gpointer item;
--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -446,11 +446,11 @@
 /* Records why the server did not accept the connection. */
 static void record_open_refusal(struct conn *c, enum pw_reason reason)
 {
+	pw_counter_inc(PW_COUNTER_UPSTREAM_OPENS_REFUSED);
 	/*
 	 * A server with too many connections may still have free slots, so statements on open
 	 * connections continue.
 	 */
-	pw_counter_inc(PW_COUNTER_UPSTREAM_OPENS_REFUSED);
 	if (reason == PW_REASON_CONNECTION_LIMIT)
 		c->server->full_until_us = gateway_now_us(gateway_of(c)) + SERVER_FULL_PAUSE_US;
 	else
--- a/daemon/traffic/gateway_group.c
+++ b/daemon/traffic/gateway_group.c
@@ -757,7 +757,6 @@
 	for (guint i = 0; i < group->servers->len; i++) {
 		struct server *s = g_ptr_array_index(group->servers, i);
 		uint64_t silent_us = now_us - s->last_contact_us;
-
 		uint64_t since_us = unanswered_since_us(s);
 
 		if (s->registered && since_us && now_us - since_us > SERVER_UNRESPONSIVE_US &&
--- a/decide/src/change.c
+++ b/decide/src/change.c
@@ -39,8 +39,9 @@
 {
 	if (!reached_count || heard_count >= live_count)
 		return reached_count;
-	return (uint32_t)ceil((reached_count + REACHED_DEVIATIONS * sqrt(reached_count)) *
-			      live_count / heard_count);
+	return (uint32_t)fmin(ceil((reached_count + REACHED_DEVIATIONS * sqrt(reached_count)) *
+				   live_count / heard_count),
+			      live_count);
 }
 
 bool pw_change_should_check(const struct pw_change_view *v, uint32_t checker_count)
--- a/tests/decide/test_change.c
+++ b/tests/decide/test_change.c
@@ -166,7 +166,7 @@
 } estimate_cases[] = {
 	{ "nobody was heard of", 0, 0, 294, 0 },  { "nobody reaches it", 0, 64, 294, 0 },
 	{ "all were heard of", 5, 8, 8, 5 },      { "a few of a sample", 4, 64, 294, 37 },
-	{ "many of a sample", 36, 64, 294, 221 },
+	{ "many of a sample", 36, 64, 294, 221 }, { "all of a sample", 8, 8, 294, 294 },
 };
 
 /* Guards against a sample of the VMs that is compared with a count of all. */
