--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -1104,8 +1104,6 @@
 			struct pw_change_view *v)
 {
 	uint64_t now_us = cluster_now_us(c), longest_outage_us = 0, since_us;
-	/* Members heard of by regular pulses, and those of them that reach the primary. */
-	uint32_t heard_count = 0, heard_reached_count = 0;
 	GHashTableIter it;
 	gpointer item;
 
@@ -1122,7 +1120,6 @@
 		if (!pulse_is_member_live(c, m) || !m->pulse.groups)
 			continue;
 		v->live_count++;
-		heard_count += pw_change_vote_counts(m->regular_heard_us, now_us);
 		for (guint i = 0; i < m->pulse.groups->len; i++) {
 			const struct pw_pulse_group *g =
 				&g_array_index(m->pulse.groups, struct pw_pulse_group, i);
@@ -1132,9 +1129,6 @@
 			if (g->generation == primary->generation &&
 			    pw_change_vote_counts(g->heard_us, now_us)) {
 				v->reached_vote_count += g->is_reachable;
-				heard_reached_count +=
-					g->is_reachable &&
-					pw_change_vote_counts(m->regular_heard_us, now_us);
 				v->lost_vote_count += g->unreachable_ms != 0;
 				longest_outage_us =
 					MAX(longest_outage_us, g->unreachable_ms * PW_US_PER_MS);
@@ -1145,11 +1139,6 @@
 			break;
 		}
 	}
-	if (cluster_is_large_fleet(c))
-		v->reached_vote_count =
-			MAX(v->reached_vote_count,
-			    pw_change_estimate_reached(heard_reached_count, heard_count,
-						       v->live_count - 1));
 	if (v->lost_vote_count)
 		v->lost_since_us = now_us - MIN(longest_outage_us, now_us);
 }
--- a/daemon/control/cluster_member.c
+++ b/daemon/control/cluster_member.c
@@ -419,8 +419,6 @@
 	}
 	end_members_read(c);
 	remove_unlisted_members(c);
-	if (!c->members_read_us)
-		pulse_start_round(c);
 	/* The others learn of a new VM at once. Later, regular pulses are enough in a large fleet.
 	 */
 	if (!c->members_read_us || !cluster_is_large_fleet(c))
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -131,11 +131,10 @@
 	bool has_address;
 	bool listed; /**< its entry was found since the last read of all members began */
 	bool leaving;
-	bool needs_permit;         /**< it cannot renew its permit at the store */
-	bool has_lost_vote;        /**< it cannot reach some primary, by its pulses */
-	uint64_t incarnation;      /**< identifies the process that sent its last pulse; 0: none */
-	uint64_t last_heard_us;    /**< arrival of its last pulse; 0: none */
-	uint64_t regular_heard_us; /**< arrival of its last regular pulse; 0: none */
+	bool needs_permit;      /**< it cannot renew its permit at the store */
+	bool has_lost_vote;     /**< it cannot reach some primary, by its pulses */
+	uint64_t incarnation;   /**< identifies the process that sent its last pulse; 0: none */
+	uint64_t last_heard_us; /**< arrival of its last pulse; 0: none */
 	uint64_t last_heard_sequence;            /**< sequence number of that pulse */
 	uint64_t next_sequence;                  /**< sequence number of the next pulse to it */
 	uint64_t sent_us[PULSE_SENT_TIME_COUNT]; /**< send times, by sequence number modulo size */
@@ -333,11 +332,6 @@
 void pulse_stop(struct cluster *c);
 /** Sends a pulse to every member now; in a large fleet a notice without groups and accounts. */
 void pulse_broadcast(struct cluster *c);
-/**
- * Chooses the member that gets the next regular pulse of a large fleet. It differs between VMs:
- * otherwise VMs that started together send to the same members at any time.
- */
-void pulse_start_round(struct cluster *c);
 /**
  * Sends the record of primaries to the members to which this VM has delegated a permit and, in a
  * small fleet, to all that cannot read it at the store, so that a change need not wait for the end
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -386,13 +386,6 @@
 	}
 }
 
-void pulse_start_round(struct cluster *c)
-{
-	uint32_t count = g_hash_table_size(c->members);
-
-	c->next_pulse_member = count ? c->own_name_hash % count : 0;
-}
-
 /* Sends a pulse to the next PULSE_FANOUT members, and to those that are asked for a permit. */
 static void send_round_robin(struct cluster *c)
 {
@@ -738,7 +731,6 @@
 	} else {
 		pw_pulse_dispose(&m->pulse);
 		m->pulse = *p;
-		m->regular_heard_us = m->last_heard_us;
 		pw_pulse_init(p);
 	}
 	m->has_lost_vote = has_lost_primary(&m->pulse);
--- a/decide/include/pw/decide/change.h
+++ b/decide/include/pw/decide/change.h
@@ -130,19 +130,6 @@
 	return now_us < heard_us + PW_CHANGE_VOTE_MAX_AGE_US;
 }
 
-/**
- * Estimates how many VMs reach a primary, from those heard of lately, where each VM hears of a few
- * others at a time. VMs announce the loss of a primary, and that it is reached only in their turn,
- * so counts of what was heard cannot be compared. The estimate is above the expected number by two
- * standard deviations: a loss has to be certain.
- *
- * @param reached_count those that reach it
- * @param heard_count   VMs heard of lately, whatever they say
- * @param live_count    all other live VMs
- */
-uint32_t pw_change_estimate_reached(uint32_t reached_count, uint32_t heard_count,
-				    uint32_t live_count);
-
 /**
  * Decides whether this VM checks by itself whether it reaches the primary. Each check may open a
  * connection, for which a primary that many VMs use has no room, so in a large fleet only VMs that
--- a/decide/src/change.c
+++ b/decide/src/change.c
@@ -1,11 +1,7 @@
 #include "pw/decide/change.h"
 
-#include <math.h>
 #include <stddef.h>
 
-/* By how many standard deviations the estimate of a sample is above its mean. */
-#define REACHED_DEVIATIONS 2.0
-
 const char *pw_change_reason_name(enum pw_change_reason r)
 {
 	static const char *const names[] = {
@@ -34,16 +30,6 @@
 	return v->demoted ? PW_CHANGE_DEMOTED : PW_CHANGE_NONE;
 }
 
-uint32_t pw_change_estimate_reached(uint32_t reached_count, uint32_t heard_count,
-				    uint32_t live_count)
-{
-	if (!reached_count || heard_count >= live_count)
-		return reached_count;
-	return (uint32_t)fmin(ceil((reached_count + REACHED_DEVIATIONS * sqrt(reached_count)) *
-				   live_count / heard_count),
-			      live_count);
-}
-
 bool pw_change_should_check(const struct pw_change_view *v, uint32_t checker_count)
 {
 	return v->lost_vote_count && !v->changing && (v->lost || v->rank < checker_count);
