Observability: answers that are one too many, of another statement, uncertain, cut or lost

The lines and counters could not tell a second answer from a lost or cut one. decide/answer remembers what a connection has answered and says whether an answer can be the one that is due; the gateway logs and counts what it says (events 4040 and 4041, five counters), and still takes every answer as before. The success of the proxy's own statements is told from a signature: the dialect reports none where the protocol has a placeholder.

--- a/codec/include/pw/codec/dialect.h
+++ b/codec/include/pw/codec/dialect.h
@@ -130,7 +130,8 @@
 /** A message of a server. Owns its text. */
 struct pw_reply {
 	enum pw_reply_kind kind;
-	char *text;                  /**< row, signature or error message */
+	char *text;                  /**< row, signature or error message; NULL: a success without
+					signature */
 	enum pw_reason reason;       /**< PW_REPLY_ERROR only */
 	enum pw_session_state state; /**< PW_REPLY_READY only */
 	struct pw_position position; /**< log position; valid if `has_position` */
--- a/core/include/pw/core/counter.h
+++ b/core/include/pw/core/counter.h
@@ -62,6 +62,16 @@
 	  "upstream connections closed: not accepted in time")                                     \
 	X(UPSTREAM_OPENS_REFUSED, "upstream_opens_refused_total",                                  \
 	  "upstream connections that the server refused or reset")                                 \
+	X(UPSTREAM_ANSWERS_EXTRA, "upstream_answers_extra_total",                                  \
+	  "upstream answers that came while none was due")                                         \
+	X(UPSTREAM_ANSWERS_FOREIGN, "upstream_answers_foreign_total",                              \
+	  "upstream answers that cannot belong to the statement in flight")                        \
+	X(UPSTREAM_ANSWERS_UNCERTAIN, "upstream_answers_uncertain_total",                          \
+	  "upstream answers that may be copies of earlier ones")                                   \
+	X(UPSTREAM_ANSWERS_CUT, "upstream_answers_cut_total",                                      \
+	  "upstream connections that ended within an answer")                                      \
+	X(UPSTREAM_ANSWERS_LOST, "upstream_answers_lost_total",                                    \
+	  "upstream connections that ended while an answer was due and had not begun")             \
 	X(TRANSACTIONS_IDLE, "transactions_idle_total",                                            \
 	  "transactions rolled back: idle for too long")                                           \
 	X(FAILOVERS_STARTED, "failovers_started_total", "promotions started by this VM")           \
--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -2,8 +2,11 @@
 
 #include <string.h>
 
+#include <inttypes.h>
+
 #include "pw/core/counter.h"
 #include "pw/core/error.h"
+#include "pw/core/event.h"
 
 /* TCP keepalive takes 2 + 2 * 1 seconds to detect that the other end of a connection is gone. */
 #define KEEPALIVE_IDLE_S             2
@@ -78,6 +81,74 @@
 		adjust_in_flight(c, was_in_flight ? -1 : 1);
 }
 
+/* Returns the kind of answer that the connection waits for. */
+static enum pw_answer_due answer_due(const struct conn *c)
+{
+	if (c->proxy_answers_pending)
+		return c->state == CONN_IDLE ? PW_ANSWER_DUE_CLEANUP : PW_ANSWER_DUE_CONTROL;
+	switch (c->state) {
+	case CONN_OPENING:
+		return PW_ANSWER_DUE_OPENING;
+	case CONN_BEGINNING:
+		return PW_ANSWER_DUE_BEGIN;
+	case CONN_RUNNING:
+		return c->work->writes || c->work->is_commit ? PW_ANSWER_DUE_WRITE
+							     : PW_ANSWER_DUE_READ;
+	case CONN_ROLLING_BACK:
+		return PW_ANSWER_DUE_CLEANUP;
+	default:
+		return PW_ANSWER_DUE_NONE;
+	}
+}
+
+static const char *statement_id(const struct conn *c)
+{
+	return c->work ? c->work->statement->id : "";
+}
+
+static uint64_t since_sent_ms(const struct conn *c)
+{
+	return (gateway_now_us(gateway_of(c)) - c->sent_us) / PW_US_PER_MS;
+}
+
+static void log_suspect_answer(const struct conn *c, enum pw_answer_due due,
+			       enum pw_answer_verdict verdict)
+{
+	static const char *const ends[] = { "none", "success", "error" };
+	const struct pw_answer *a = &c->answer;
+
+	pw_event_log(PW_EVENT_ANSWER_SUSPECT,
+		     "database=%s server=%s verdict=%s due=%s id=%s end=%s signature=%s rows=%u"
+		     " state=%d position=%" PRIu64 ".%" PRIu64 " given=%u since_ms=%" PRIu64,
+		     c->server->group->name, c->server->id, pw_answer_verdict_name(verdict),
+		     pw_answer_due_name(due), statement_id(c), ends[a->end],
+		     a->signature ? a->signature : "", a->row_count, a->state, a->position.term,
+		     a->position.lsn, pw_answer_history_count(c->history), since_sent_ms(c));
+}
+
+/* Logs and counts an answer that was due when the connection ended. */
+static void record_missing_answer(const struct conn *c)
+{
+	enum pw_answer_due due = answer_due(c);
+
+	if (due == PW_ANSWER_DUE_NONE || due == PW_ANSWER_DUE_OPENING)
+		return;
+	pw_counter_inc(c->answer_begun ? PW_COUNTER_UPSTREAM_ANSWERS_CUT
+				       : PW_COUNTER_UPSTREAM_ANSWERS_LOST);
+	pw_event_log(PW_EVENT_ANSWER_CUT,
+		     "database=%s server=%s due=%s id=%s begun=%d rows=%u since_ms=%" PRIu64,
+		     c->server->group->name, c->server->id, pw_answer_due_name(due),
+		     statement_id(c), c->answer_begun, c->answer.row_count, since_sent_ms(c));
+}
+
+static void reset_answer(struct conn *c)
+{
+	g_clear_pointer(&c->answer_signature, g_free);
+	g_clear_pointer(&c->answer_error, g_free);
+	c->answer = (struct pw_answer){ 0 };
+	c->answer_begun = false;
+}
+
 /* Closes the socket and removes the connection from its server. */
 static void close_conn(struct conn *c)
 {
@@ -93,6 +164,8 @@
 	g_ptr_array_remove_fast(c->server->conns, c);
 	g_clear_pointer(&c->variables, g_hash_table_unref);
 	g_clear_pointer(&c->prepared_names, g_hash_table_unref);
+	reset_answer(c);
+	g_clear_pointer(&c->history, pw_answer_history_free);
 	gateway_free_later(g, c);
 }
 
@@ -108,6 +181,7 @@
 		pw_counter_inc(PW_COUNTER_UPSTREAM_DISCARDED);
 	if (c->state == CONN_CONNECTING)
 		gw_group_record_server_failure(c->server, FAILURE_CONNECT);
+	record_missing_answer(c);
 	c->work = NULL;
 	c->session = NULL;
 	close_conn(c);
@@ -481,8 +555,62 @@
 	w->error = g_steal_pointer(&r->text);
 }
 
+/* Adds a message to the answer that is being received. */
+static void add_to_answer(struct conn *c, const struct pw_reply *r)
+{
+	struct pw_answer *a = &c->answer;
+
+	if (answer_due(c) == PW_ANSWER_DUE_NONE && !c->answer_begun)
+		pw_counter_inc(PW_COUNTER_UPSTREAM_ANSWERS_EXTRA);
+	c->answer_begun = true;
+	a->is_malformed |= a->end != PW_ANSWER_END_NONE && r->kind != PW_REPLY_READY;
+	switch (r->kind) {
+	case PW_REPLY_ROW:
+		pw_answer_add_row(a, g_str_hash(r->text));
+		break;
+	case PW_REPLY_COMPLETE:
+		a->end = PW_ANSWER_END_SUCCESS;
+		g_free(c->answer_signature);
+		a->signature = c->answer_signature = g_strdup(r->text);
+		break;
+	case PW_REPLY_ERROR:
+		a->end = PW_ANSWER_END_ERROR;
+		g_free(c->answer_error);
+		a->error = c->answer_error =
+			g_strconcat(pw_reason_name(r->reason), " ", r->text, NULL);
+		break;
+	case PW_REPLY_READY:
+		a->state = (enum pw_answer_state)r->state;
+		a->has_position = r->has_position;
+		a->position = r->position;
+		break;
+	}
+}
+
+/* Decides whether the answer that has ended is the one that is due, and remembers it. */
+static enum pw_answer_verdict check_answer(struct conn *c)
+{
+	enum pw_answer_due due = answer_due(c);
+	enum pw_answer_verdict verdict = pw_answer_check(c->history, due, &c->answer);
+
+	if (verdict != PW_ANSWER_OWN)
+		log_suspect_answer(c, due, verdict);
+	if (verdict == PW_ANSWER_FOREIGN && due != PW_ANSWER_DUE_NONE)
+		pw_counter_inc(PW_COUNTER_UPSTREAM_ANSWERS_FOREIGN);
+	else if (verdict == PW_ANSWER_UNCERTAIN)
+		pw_counter_inc(PW_COUNTER_UPSTREAM_ANSWERS_UNCERTAIN);
+	pw_answer_record(c->history, due, &c->answer);
+	if (due == PW_ANSWER_DUE_CONTROL && c->proxy_answers_pending == 1)
+		pw_answer_end_batch(c->history);
+	reset_answer(c);
+	return verdict;
+}
+
 static void handle_reply(struct conn *c, struct pw_reply *r)
 {
+	add_to_answer(c, r);
+	if (r->kind == PW_REPLY_READY)
+		(void)check_answer(c);
 	switch (r->kind) {
 	case PW_REPLY_ROW:
 		handle_row(c, r);
@@ -652,7 +780,9 @@
 	c->server = s;
 	c->account = a;
 	c->timer.ops = &timer_ops;
+	c->history = pw_answer_history_new();
 	if (pw_stream_connect(&c->stream, &stream_ops, g->task.loop, s->address)) {
+		pw_answer_history_free(c->history);
 		g_free(c);
 		return NULL;
 	}
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -27,6 +27,7 @@
 #include "pw/core/clock.h"
 #include "pw/core/counter.h"
 #include "pw/core/stream.h"
+#include "pw/decide/answer.h"
 #include "pw/decide/change.h"
 #include "pw/decide/congestion.h"
 #include "pw/decide/drain.h"
@@ -268,6 +269,7 @@
 	bool begins_transaction;  /**< first statement of a transaction: the server has to begin
 				     the transaction before it */
 	bool is_commit;           /**< commits the transaction */
+	bool writes;              /**< a write, within a transaction or outside one */
 	bool is_autocommit_write; /**< write outside a transaction; must not run twice */
 	bool needs_primary;       /**< must run at the primary */
 	bool sent;                /**< the current attempt was sent */
@@ -300,6 +302,11 @@
 	uint32_t last_prepared_number;  /**< in the newest name of a prepared statement */
 	uint32_t proxy_answers_pending; /**< outstanding answers to the proxy's own resets, SETs and
 					   PREPAREs */
+	struct pw_answer_history *history; /**< what the connection has answered */
+	struct pw_answer answer;           /**< messages of the answer that is being received */
+	char *answer_signature;            /**< owns the text in `answer` */
+	char *answer_error;                /**< owns the text in `answer` */
+	bool answer_begun;                 /**< `answer` has a message */
 	uint64_t generation; /**< of the primary that its statement or transaction was sent to; 0:
 				to a replica, or nothing was sent */
 	uint64_t idle_since_us;
--- a/daemon/traffic/gateway_work.c
+++ b/daemon/traffic/gateway_work.c
@@ -36,9 +36,9 @@
 			g_hash_table_lookup(s->prepared_statements, statement->name);
 	w->begins_transaction = s->transaction == TRANSACTION_PENDING;
 	w->is_commit = is_commit(statement);
-	w->is_autocommit_write =
-		is_autocommit && (statement->verb == PW_VERB_WRITE ||
-				  (w->prepared_statement && w->prepared_statement->writes));
+	w->writes = statement->verb == PW_VERB_WRITE ||
+		    (w->prepared_statement && w->prepared_statement->writes);
+	w->is_autocommit_write = is_autocommit && w->writes;
 	w->needs_primary = w->operation.consistency == PW_CONSISTENCY_PRIMARY ||
 			   w->is_autocommit_write || (!is_autocommit && !s->read_only);
 	w->arrived_us = pw_loop_update_now_us(s->gateway->task.loop);
--- /dev/null
+++ b/decide/include/pw/decide/answer.h
@@ -0,0 +1,116 @@
+/**
+ * @file answer.h
+ * Decides whether an answer of a server belongs to the statement in flight on its connection.
+ * Answers carry no id, and a server may send one again at any later time. A connection remembers
+ * what it has answered: by induction over its answers, one that differs from all earlier ones is
+ * the statement's own, as long as no other one was ever taken for an own one.
+ *
+ * The success of a forwarded statement has a signature, which no server gives twice. All other
+ * answers have none, so that a copy of an earlier one and an own one may be the same bytes.
+ */
+#ifndef PW_DECIDE_ANSWER_H
+#define PW_DECIDE_ANSWER_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "pw/decide/position.h"
+
+/**
+ * Answers that a connection remembers. One that has given so many is closed, since a copy of a
+ * forgotten answer would be taken for an own one.
+ */
+#define PW_ANSWERS_MAX 512
+
+/** What the connection waits for. */
+enum pw_answer_due {
+	PW_ANSWER_DUE_NONE,    /**< nothing: any message is one too many */
+	PW_ANSWER_DUE_OPENING, /**< the acceptance of the connection, which has no success of its own */
+	PW_ANSWER_DUE_READ,    /**< a read: rows and a signature, or an error */
+	PW_ANSWER_DUE_WRITE,   /**< a write or commit: a signature, or an error */
+	PW_ANSWER_DUE_BEGIN,   /**< the begin of a transaction: a success without signature */
+	PW_ANSWER_DUE_CONTROL, /**< a SET, PREPARE or reset, on whose success statements depend */
+	PW_ANSWER_DUE_CLEANUP, /**< a rollback or a ping, on whose success nothing depends */
+	PW_ANSWER_DUE_COUNT,
+};
+
+/** How an answer has ended, before the state of the session that concludes it. */
+enum pw_answer_end {
+	PW_ANSWER_END_NONE,    /**< by neither success nor error */
+	PW_ANSWER_END_SUCCESS,
+	PW_ANSWER_END_ERROR,
+};
+
+/** Transaction state that concludes an answer. */
+enum pw_answer_state {
+	PW_ANSWER_STATE_IDLE,
+	PW_ANSWER_STATE_IN_TRANSACTION,
+	PW_ANSWER_STATE_FAILED,
+};
+
+/** A complete answer. The texts are borrowed. */
+struct pw_answer {
+	enum pw_answer_end end;
+	const char *signature; /**< of a success; NULL: it has none */
+	const char *error;     /**< code and text of an error; NULL for other ends */
+	enum pw_answer_state state;
+	bool has_position;
+	struct pw_position position;
+	uint32_t row_count;
+	uint32_t first_row_hash; /**< of the first row, if there is one */
+	uint32_t rows_hash;      /**< of all rows in their order */
+	bool is_malformed;       /**< its messages came in an order that no answer has */
+};
+
+/** Adds a row to the answer. */
+void pw_answer_add_row(struct pw_answer *answer, uint32_t row_hash);
+
+enum pw_answer_verdict {
+	PW_ANSWER_OWN,       /**< it can only be the answer that is due */
+	PW_ANSWER_FOREIGN,   /**< it cannot be the answer that is due */
+	PW_ANSWER_UNCERTAIN, /**< it is either the answer that is due or a copy of an earlier one */
+	PW_ANSWER_VERDICT_COUNT,
+};
+
+/** @return name of the verdict, or of what is due, for log lines */
+const char *pw_answer_verdict_name(enum pw_answer_verdict v);
+const char *pw_answer_due_name(enum pw_answer_due due);
+
+/** What one connection has answered. */
+struct pw_answer_history;
+
+struct pw_answer_history *pw_answer_history_new(void);
+void pw_answer_history_free(struct pw_answer_history *h);
+
+/** Decides whether the answer is the one that is due. */
+enum pw_answer_verdict pw_answer_check(const struct pw_answer_history *h, enum pw_answer_due due,
+				       const struct pw_answer *answer);
+
+/** Remembers an answer, also one that was not taken. */
+void pw_answer_record(struct pw_answer_history *h, enum pw_answer_due due,
+		      const struct pw_answer *answer);
+
+/**
+ * Ends a batch of control statements that were sent together. Their answers may equal each other,
+ * so they count as earlier ones only from then on.
+ */
+void pw_answer_end_batch(struct pw_answer_history *h);
+
+/**
+ * Whether an own answer without signature would be certain: none of that kind was given at the
+ * newest position of the server's log, so that an own one differs by its position at least.
+ *
+ * @param due      PW_ANSWER_DUE_WRITE for errors, PW_ANSWER_DUE_BEGIN or PW_ANSWER_DUE_CONTROL
+ * @param position newest position that the server is known to have reached
+ */
+bool pw_answer_is_distinct_at(const struct pw_answer_history *h, enum pw_answer_due due,
+			      const struct pw_position *position);
+
+/** @return number of answers that the connection remembers */
+uint32_t pw_answer_history_count(const struct pw_answer_history *h);
+
+/** @return whether the connection has given so many answers that it has to be closed */
+bool pw_answer_history_is_full(const struct pw_answer_history *h);
+
+#endif
--- /dev/null
+++ b/decide/src/answer.c
@@ -0,0 +1,204 @@
+#include "pw/decide/answer.h"
+
+#include <inttypes.h>
+
+struct pw_answer_history {
+	GHashTable *identities; /**< set of texts, see format_identity() */
+	GPtrArray *batch;       /**< identities that pw_answer_end_batch() adds */
+	GHashTable *rows;       /**< hash of a first row -> hash of all rows of that answer */
+	/** Newest position of an answer without signature, by what was due. */
+	struct pw_position unsigned_position[PW_ANSWER_DUE_COUNT];
+	bool has_unsigned[PW_ANSWER_DUE_COUNT];
+};
+
+static const char *const verdict_names[PW_ANSWER_VERDICT_COUNT] = {
+	[PW_ANSWER_OWN] = "own",
+	[PW_ANSWER_FOREIGN] = "foreign",
+	[PW_ANSWER_UNCERTAIN] = "uncertain",
+};
+
+static const char *const due_names[PW_ANSWER_DUE_COUNT] = {
+	[PW_ANSWER_DUE_NONE] = "none",   [PW_ANSWER_DUE_OPENING] = "opening",
+	[PW_ANSWER_DUE_READ] = "read",   [PW_ANSWER_DUE_WRITE] = "write",
+	[PW_ANSWER_DUE_BEGIN] = "begin", [PW_ANSWER_DUE_CONTROL] = "control",
+	[PW_ANSWER_DUE_CLEANUP] = "cleanup",
+};
+
+const char *pw_answer_verdict_name(enum pw_answer_verdict v)
+{
+	return verdict_names[v];
+}
+
+const char *pw_answer_due_name(enum pw_answer_due due)
+{
+	return due_names[due];
+}
+
+void pw_answer_add_row(struct pw_answer *answer, uint32_t row_hash)
+{
+	if (!answer->row_count++)
+		answer->first_row_hash = row_hash;
+	answer->rows_hash = answer->rows_hash * 31 + row_hash;
+}
+
+struct pw_answer_history *pw_answer_history_new(void)
+{
+	struct pw_answer_history *h = g_new0(struct pw_answer_history, 1);
+
+	h->identities = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	h->batch = g_ptr_array_new_with_free_func(g_free);
+	h->rows = g_hash_table_new(NULL, NULL);
+	return h;
+}
+
+void pw_answer_history_free(struct pw_answer_history *h)
+{
+	if (!h)
+		return;
+	g_hash_table_unref(h->identities);
+	g_ptr_array_unref(h->batch);
+	g_hash_table_unref(h->rows);
+	g_free(h);
+}
+
+/*
+ * Returns the text in which all copies of an answer agree; NULL if the answer is no complete one.
+ * The signature identifies a signed answer; other answers are compared as a whole.
+ */
+static char *format_identity(const struct pw_answer *a)
+{
+	if (a->end == PW_ANSWER_END_NONE)
+		return NULL;
+	if (a->end == PW_ANSWER_END_SUCCESS && a->signature)
+		return g_strconcat("s ", a->signature, NULL);
+	return g_strdup_printf("%s %d %d %" PRIu64 ".%" PRIu64 " %s",
+			       a->end == PW_ANSWER_END_ERROR ? "e" : "u", a->state, a->has_position,
+			       a->position.term, a->position.lsn, a->error ? a->error : "");
+}
+
+static bool was_given(const struct pw_answer_history *h, const struct pw_answer *a)
+{
+	char *identity = format_identity(a);
+	bool known = identity && g_hash_table_contains(h->identities, identity);
+
+	g_free(identity);
+	return known;
+}
+
+/*
+ * Whether rows of a copy that was cut off may precede the rows of this answer: it begins with the
+ * first row of an earlier answer and goes on differently.
+ */
+static bool may_have_foreign_rows(const struct pw_answer_history *h, enum pw_answer_due due,
+				  const struct pw_answer *a)
+{
+	gpointer rows_hash;
+
+	if (!a->row_count || !g_hash_table_lookup_extended(h->rows,
+							   GUINT_TO_POINTER(a->first_row_hash),
+							   NULL, &rows_hash))
+		return false;
+	return due == PW_ANSWER_DUE_WRITE ||
+	       (a->row_count > 1 && GPOINTER_TO_UINT(rows_hash) != a->rows_hash);
+}
+
+/* Decides about the success of a statement that was forwarded for a caller. */
+static enum pw_answer_verdict check_signed(const struct pw_answer_history *h,
+					   enum pw_answer_due due, const struct pw_answer *a)
+{
+	if (!a->signature || was_given(h, a))
+		return PW_ANSWER_FOREIGN;
+	return may_have_foreign_rows(h, due, a) ? PW_ANSWER_UNCERTAIN : PW_ANSWER_OWN;
+}
+
+/* Decides about the success of a statement of the proxy itself. */
+static enum pw_answer_verdict check_unsigned(const struct pw_answer_history *h,
+					     enum pw_answer_due due, const struct pw_answer *a)
+{
+	if (a->signature || a->row_count || a->state == PW_ANSWER_STATE_FAILED)
+		return PW_ANSWER_FOREIGN;
+	if (due == PW_ANSWER_DUE_CLEANUP)
+		return PW_ANSWER_OWN;
+	if (due == PW_ANSWER_DUE_BEGIN && a->state != PW_ANSWER_STATE_IN_TRANSACTION)
+		return PW_ANSWER_FOREIGN;
+	return was_given(h, a) ? PW_ANSWER_UNCERTAIN : PW_ANSWER_OWN;
+}
+
+enum pw_answer_verdict pw_answer_check(const struct pw_answer_history *h, enum pw_answer_due due,
+				       const struct pw_answer *a)
+{
+	if (due == PW_ANSWER_DUE_NONE)
+		return PW_ANSWER_FOREIGN;
+	if (a->is_malformed)
+		return PW_ANSWER_UNCERTAIN;
+	if (due == PW_ANSWER_DUE_OPENING)
+		return a->end == PW_ANSWER_END_SUCCESS || a->row_count ? PW_ANSWER_FOREIGN
+								       : PW_ANSWER_OWN;
+	switch (a->end) {
+	case PW_ANSWER_END_ERROR:
+		return was_given(h, a) ? PW_ANSWER_UNCERTAIN : PW_ANSWER_OWN;
+	case PW_ANSWER_END_SUCCESS:
+		return due == PW_ANSWER_DUE_READ || due == PW_ANSWER_DUE_WRITE
+			       ? check_signed(h, due, a)
+			       : check_unsigned(h, due, a);
+	default:
+		return a->row_count ? PW_ANSWER_UNCERTAIN : PW_ANSWER_FOREIGN;
+	}
+}
+
+/* What an answer without signature is filed under; an error may answer any statement. */
+static enum pw_answer_due class_of(const struct pw_answer *a)
+{
+	if (a->end == PW_ANSWER_END_ERROR)
+		return PW_ANSWER_DUE_WRITE;
+	return a->state == PW_ANSWER_STATE_IN_TRANSACTION ? PW_ANSWER_DUE_BEGIN
+							  : PW_ANSWER_DUE_CONTROL;
+}
+
+void pw_answer_record(struct pw_answer_history *h, enum pw_answer_due due,
+		      const struct pw_answer *a)
+{
+	char *identity = format_identity(a);
+
+	if (a->row_count)
+		g_hash_table_replace(h->rows, GUINT_TO_POINTER(a->first_row_hash),
+				     GUINT_TO_POINTER(a->rows_hash));
+	if (!identity)
+		return;
+	if (!a->signature) {
+		enum pw_answer_due class = class_of(a);
+
+		h->unsigned_position[class] =
+			pw_position_max(&h->unsigned_position[class], &a->position);
+		h->has_unsigned[class] = true;
+	}
+	if (due == PW_ANSWER_DUE_CONTROL)
+		g_ptr_array_add(h->batch, identity);
+	else
+		g_hash_table_add(h->identities, identity);
+}
+
+void pw_answer_end_batch(struct pw_answer_history *h)
+{
+	for (guint i = 0; i < h->batch->len; i++)
+		g_hash_table_add(h->identities, g_strdup(g_ptr_array_index(h->batch, i)));
+	g_ptr_array_set_size(h->batch, 0);
+}
+
+bool pw_answer_is_distinct_at(const struct pw_answer_history *h, enum pw_answer_due due,
+			      const struct pw_position *position)
+{
+	return !h->has_unsigned[due] ||
+	       pw_position_compare(&h->unsigned_position[due], position) < 0;
+}
+
+uint32_t pw_answer_history_count(const struct pw_answer_history *h)
+{
+	return g_hash_table_size(h->identities);
+}
+
+bool pw_answer_history_is_full(const struct pw_answer_history *h)
+{
+	return g_hash_table_size(h->identities) >= PW_ANSWERS_MAX ||
+	       g_hash_table_size(h->rows) >= PW_ANSWERS_MAX;
+}
--- a/tests/platform/test_line.c
+++ b/tests/platform/test_line.c
@@ -164,6 +164,8 @@
 } server_messages[] = {
 	{ "DATAROW qhz kwm\r\n", PW_OK, PW_REPLY_ROW, "qhz kwm", 0, 0, 0, 0 },
 	{ "COMPLETE 7.1f3.c\r\n", PW_OK, PW_REPLY_COMPLETE, "7.1f3.c", 0, 0, 0, 0 },
+	{ "COMPLETE -\r\n", PW_OK, PW_REPLY_COMPLETE, NULL, 0, 0, 0, 0 },
+	{ "COMPLETE \r\n", PW_OK, PW_REPLY_COMPLETE, NULL, 0, 0, 0, 0 },
 	{ "ERROR READONLY i-7f3a91c2\r\n", PW_OK, PW_REPLY_ERROR, "i-7f3a91c2",
 	  PW_REASON_NOT_PRIMARY, 0, 0, 0 },
 	{ "ERROR BUSY\r\n", PW_OK, PW_REPLY_ERROR, "", PW_REASON_BUSY, 0, 0, 0 },
