--- a/decide/include/pw/decide/answer.h
+++ b/decide/include/pw/decide/answer.h
@@ -26,7 +26,8 @@
 /** What the connection waits for. */
 enum pw_answer_due {
 	PW_ANSWER_DUE_NONE,    /**< nothing: any message is one too many */
-	PW_ANSWER_DUE_OPENING, /**< the acceptance of the connection, which has no success of its own */
+	PW_ANSWER_DUE_OPENING, /**< the acceptance of the connection, which has no success of its
+				  own */
 	PW_ANSWER_DUE_READ,    /**< a read: rows and a signature, or an error */
 	PW_ANSWER_DUE_WRITE,   /**< a write or commit: a signature, or an error */
 	PW_ANSWER_DUE_BEGIN,   /**< the begin of a transaction: a success without signature */
@@ -37,7 +38,7 @@
 
 /** How an answer has ended, before the state of the session that concludes it. */
 enum pw_answer_end {
-	PW_ANSWER_END_NONE,    /**< by neither success nor error */
+	PW_ANSWER_END_NONE, /**< by neither success nor error */
 	PW_ANSWER_END_SUCCESS,
 	PW_ANSWER_END_ERROR,
 };
--- a/decide/src/answer.c
+++ b/decide/src/answer.c
@@ -18,9 +18,9 @@
 };
 
 static const char *const due_names[PW_ANSWER_DUE_COUNT] = {
-	[PW_ANSWER_DUE_NONE] = "none",   [PW_ANSWER_DUE_OPENING] = "opening",
-	[PW_ANSWER_DUE_READ] = "read",   [PW_ANSWER_DUE_WRITE] = "write",
-	[PW_ANSWER_DUE_BEGIN] = "begin", [PW_ANSWER_DUE_CONTROL] = "control",
+	[PW_ANSWER_DUE_NONE] = "none",       [PW_ANSWER_DUE_OPENING] = "opening",
+	[PW_ANSWER_DUE_READ] = "read",       [PW_ANSWER_DUE_WRITE] = "write",
+	[PW_ANSWER_DUE_BEGIN] = "begin",     [PW_ANSWER_DUE_CONTROL] = "control",
 	[PW_ANSWER_DUE_CLEANUP] = "cleanup",
 };
 
@@ -94,9 +94,9 @@
 {
 	gpointer rows_hash;
 
-	if (!a->row_count || !g_hash_table_lookup_extended(h->rows,
-							   GUINT_TO_POINTER(a->first_row_hash),
-							   NULL, &rows_hash))
+	if (!a->row_count ||
+	    !g_hash_table_lookup_extended(h->rows, GUINT_TO_POINTER(a->first_row_hash), NULL,
+					  &rows_hash))
 		return false;
 	return due == PW_ANSWER_DUE_WRITE ||
 	       (a->row_count > 1 && GPOINTER_TO_UINT(rows_hash) != a->rows_hash);
