--- a/standins/platform/database.h
+++ b/standins/platform/database.h
@@ -52,11 +52,27 @@
  * The argument of these faults is a time in milliseconds:
  *
  * - "lag" sets the replication lag;
- * - "work" sets the run time of a statement.
- * - "promotion-delay" sets the time in ms from a promotion request until it takes effect.
+ * - "work" sets the run time of a statement;
+ * - "promotion-delay" sets the time from a promotion request until it takes effect.
  *
- * @return false if the name or the server is unknown, if "crash" names a stopped server or if
- *         "start" names a running one
+ * The arguments of these faults are lists of NAME:VALUE, separated by commas. N counts the answers
+ * or statements of all servers; 0 ends the fault.
+ *
+ * - "stutter", with every:N, and optionally delay_ms:D, of:KIND and part:PART, sends every N-th
+ *   answer a second time, D ms after the first copy and unless the connection has closed. KIND
+ * limits this to some answers: all (the default), signed (to reads, writes and commits that
+ * succeeded), error, own (to statements with the id "-", other than STATUS and BEGIN), begin,
+ * status or startup. PART limits it to a part of the answer: whole (the default), rows, head (all
+ * but READY) or ready;
+ * - "cut", with every:N, ends every N-th answer to a read, write or commit after a pseudo-random
+ *   number of its bytes, and closes the connection; the statement has run;
+ * - "split", with bytes:B, sends answers in packets of 1 to B bytes;
+ * - "busy", with every:N, refuses every N-th read, write, commit and BEGIN with BUSY.
+ *
+ * The argument of "record" is "clear", which empties the record.
+ *
+ * @return false if the name or the server is unknown, if the argument is malformed, if "crash"
+ * names a stopped server or if "start" names a running one
  */
 bool databases_inject_fault(struct databases *d, const char *name, const char *argument);
 
@@ -74,6 +90,9 @@
 /** @return whether a server has received a statement with this id */
 bool databases_has_started(const struct databases *d, const char *id);
 
+/** @return JSON array with an object for each statement received from a client, see main.c */
+json_t *databases_record_json(const struct databases *d);
+
 /** @return JSON with the state of all servers and the promotion requests received so far */
 json_t *databases_state_json(const struct databases *d);
 
--- a/standins/platform/main.c
+++ b/standins/platform/main.c
@@ -6,8 +6,12 @@
  *
  * The first port serves HTTP; each group has three servers. `GET /state` returns the servers' state
  * and the promotion requests. `GET /started?id=ID` returns 200 if a server has received a statement
- * with that id, else 404. `POST /fault?name=NAME&value=VALUE` injects or ends a fault. NAME is
- * - a name that databases_inject_fault() accepts;
+ * with that id, else 404. `GET /record` returns an array with an object for each statement that a
+ * server has received from a client, in the order of receipt. `POST /fault?name=NAME&value=VALUE`
+ * injects or ends a fault. NAME is
+ * - a name that databases_inject_fault() accepts, among them "stutter", "cut", "split" and "busy",
+ *   which change answers of the servers, and "record", with the value "clear", which empties the
+ *   record;
  * - "store", with the value "up", "down" (calls get 503) or "silent" (calls get no response);
  * - "compact", which discards the store's history; the value is ignored;
  * - "copy", which takes a copy of the store, and "restore", which goes back to it; the value is
@@ -231,6 +235,8 @@
 		rc = handle_fault(r);
 	else if (strcmp(path, "/state") == 0)
 		rc = respond_json(r, MHD_HTTP_OK, databases_state_json(r->platform->databases));
+	else if (strcmp(path, "/record") == 0)
+		rc = respond_json(r, MHD_HTTP_OK, databases_record_json(r->platform->databases));
 	else if (strcmp(path, "/started") == 0 && query_argument(r, "id"))
 		rc = respond(r,
 			     databases_has_started(r->platform->databases, query_argument(r, "id"))
