--- a/tests/platform/test_answers_fleet.c
+++ b/tests/platform/test_answers_fleet.c
@@ -182,9 +182,9 @@
 
 #define PICK(rand, list) ((list)[g_rand_int_range(rand, 0, G_N_ELEMENTS(list))])
 
-static void inject_drawn_faults(uint32_t seed)
+static void inject_drawn_faults(uint32_t draw)
 {
-	GRand *rand = g_rand_new_with_seed(seed);
+	GRand *rand = g_rand_new_with_seed(draw);
 	char *stutter = g_strdup_printf("every:%s,delay_ms:%s,of:%s,part:%s",
 					PICK(rand, stutter_counts), PICK(rand, stutter_delays_ms),
 					PICK(rand, stutter_kinds), PICK(rand, stutter_parts));
@@ -199,7 +199,7 @@
 		inject_fault(f->name, f->value);
 		g_string_append_printf(text, " %s=%s", f->name, f->value);
 	}
-	fprintf(stderr, "seed %u draws stutter=%s\n", seed, text->str);
+	fprintf(stderr, "draw %u: stutter=%s\n", draw, text->str);
 	g_string_free(text, TRUE);
 	g_free(stutter);
 	g_rand_free(rand);
@@ -369,7 +369,7 @@
 	start_answers_fleet();
 	inject_faults(load->faults, G_N_ELEMENTS(load->faults));
 	if (load->draws_faults)
-		inject_drawn_faults(seed);
+		inject_drawn_faults(2 * seed + load->any_bytes);
 	start_callers(callers, load, seed);
 	g_usleep(duration_ms * 1000);
 	inject_faults(no_faults, G_N_ELEMENTS(no_faults));
