Platform stand-in: its suite checks that it still answers at the end of a test

Cause: a delayed copy that outlived its connection was used after it was freed, in a trial, and the suite passed with AddressSanitizer: its report takes longer than the test.

--- a/tests/platform/test_standin_fleet.c
+++ b/tests/platform/test_standin_fleet.c
@@ -32,6 +32,24 @@
 #define ROW(data)                  "DATAROW " data "\r\n"
 #define STATUS_ROW                 ROW("primary 1 1.0 1 0 0 1")
 
+static json_t *fetch_record(void)
+{
+	char *text = http_request(platform->port, "/record", NULL);
+	json_t *root;
+
+	ck_assert_msg(text != NULL, "the stand-in does not answer");
+	root = json_loads(text, 0, NULL);
+	g_free(text);
+	return root;
+}
+
+/* Stops the stand-in, which must not have failed meanwhile. */
+static void stop_standin(void)
+{
+	json_decref(fetch_record());
+	stop_fleet();
+}
+
 /* Connection to a server of the stand-in. */
 struct raw {
 	int fd;
@@ -118,7 +136,8 @@
 	actual_text = escape(r->received->data, r->received->len);
 	expected_text = escape(expected.data, expected.size);
 	ck_assert_msg(r->received->len == expected.size &&
-			      memcmp(r->received->data, expected.data, expected.size) == 0,
+			      (!expected.size ||
+			       memcmp(r->received->data, expected.data, expected.size) == 0),
 		      "%s: \"%s\", not \"%s\"", label, actual_text, expected_text);
 	g_free(actual_text);
 	g_free(expected_text);
@@ -283,7 +302,7 @@
 {
 	start_platform();
 	check_exchange(&framing_cases[_i]);
-	stop_fleet();
+	stop_standin();
 }
 END_TEST
 
@@ -310,7 +329,7 @@
 		g_free(label);
 		g_free(expected);
 	}
-	stop_fleet();
+	stop_standin();
 }
 END_TEST
 
@@ -353,7 +372,7 @@
 	}
 	raw_close(&r);
 	g_free(data);
-	stop_fleet();
+	stop_standin();
 }
 END_TEST
 
@@ -522,7 +541,7 @@
 	ck_assert_msg(r.reads >= fault_cases[_i].min_reads, "%s: %u packets", x->label, r.reads);
 	check_end(&r, x->label, x->closes);
 	raw_close(&r);
-	stop_fleet();
+	stop_standin();
 }
 END_TEST
 
@@ -562,7 +581,7 @@
 		ck_assert_msg(!body, "%s is accepted", path);
 		g_free(path);
 	}
-	stop_fleet();
+	stop_standin();
 }
 END_TEST
 
@@ -571,9 +590,9 @@
 /* Returns the signature that the record has of the statement with this id. The caller frees it. */
 static char *recorded_signature(const char *id, bool *runs)
 {
-	char *text = http_request(platform->port, "/record", NULL), *signature = NULL;
-	json_t *root = json_loads(text, 0, NULL);
+	json_t *root = fetch_record();
 	const json_t *entry;
+	char *signature = NULL;
 	size_t i;
 
 	json_array_foreach (root, i, entry) {
@@ -584,7 +603,6 @@
 		*runs = json_is_true(json_object_get(entry, "runs"));
 	}
 	json_decref(root);
-	g_free(text);
 	return signature;
 }
 
@@ -629,7 +647,7 @@
 	ck_assert_uint_gt(inside_line, CUT_COUNT / 2);
 	ck_assert_uint_gt(with_signature, 0);
 	ck_assert_uint_lt(with_signature, CUT_COUNT);
-	stop_fleet();
+	stop_standin();
 }
 END_TEST
 
@@ -652,7 +670,7 @@
 			  strlen(STARTED SIGNED("1", "I", "1")) + strlen(SIGNED("2", "I", "2")));
 	raw_close(&r);
 	check_exchange(&after);
-	stop_fleet();
+	stop_standin();
 }
 END_TEST
 
@@ -675,7 +693,7 @@
 		g_free(expected);
 	}
 	check_exchange(&later);
-	stop_fleet();
+	stop_standin();
 }
 END_TEST
 
@@ -793,15 +811,6 @@
 	}
 }
 
-static json_t *fetch_record(void)
-{
-	char *text = http_request(platform->port, "/record", NULL);
-	json_t *root = json_loads(text, 0, NULL);
-
-	g_free(text);
-	return root;
-}
-
 /* Reads until the server has sent `count` READY lines. */
 static void read_answers(struct raw *r, unsigned count, const char *label)
 {
@@ -844,7 +853,7 @@
 	json_decref(expected);
 	raw_close(&r);
 	g_free(text);
-	stop_fleet();
+	stop_standin();
 }
 END_TEST
 
