--- a/standins/platform/faults.c
+++ b/standins/platform/faults.c
@@ -44,8 +44,8 @@
 	const char *name;
 	enum answer_kind kind;
 } kinds[] = {
-	{ "all", ANSWER_ALL }, { "signed", ANSWER_SIGNED }, { "error", ANSWER_ERROR },
-	{ "own", ANSWER_OWN }, { "begin", ANSWER_BEGIN },   { "status", ANSWER_STATUS },
+	{ "all", ANSWER_ALL },         { "signed", ANSWER_SIGNED }, { "error", ANSWER_ERROR },
+	{ "own", ANSWER_OWN },         { "begin", ANSWER_BEGIN },   { "status", ANSWER_STATUS },
 	{ "startup", ANSWER_STARTUP },
 };
 
--- a/standins/platform/main.c
+++ b/standins/platform/main.c
@@ -128,46 +128,97 @@
 	return MHD_YES;
 }
 
+static bool set_store_mode(struct platform *p, const char *value, const char *body)
+{
+	(void)body;
+	p->store_mode = strcmp(value, "down") == 0     ? STORE_DOWN
+			: strcmp(value, "silent") == 0 ? STORE_SILENT
+						       : STORE_UP;
+	return true;
+}
+
+static bool compact_store(struct platform *p, const char *value, const char *body)
+{
+	(void)value;
+	(void)body;
+	kv_compact(p->kv);
+	return true;
+}
+
+static bool copy_store(struct platform *p, const char *value, const char *body)
+{
+	(void)value;
+	(void)body;
+	kv_take_copy(p->kv);
+	return true;
+}
+
+static bool restore_store(struct platform *p, const char *value, const char *body)
+{
+	(void)value;
+	(void)body;
+	return kv_restore_copy(p->kv, pw_clock_now_us());
+}
+
+static bool hide_era(struct platform *p, const char *value, const char *body)
+{
+	(void)body;
+	p->hides_era = strcmp(value, "hidden") == 0;
+	return true;
+}
+
+static bool publish_catalog(struct platform *p, const char *value, const char *body)
+{
+	(void)value;
+	kv_put(p->kv, "op/config", body, 0);
+	return true;
+}
+
+static bool put_entry(struct platform *p, const char *value, const char *body)
+{
+	kv_put(p->kv, value, body, 0);
+	return true;
+}
+
 /* Answers calls with this path by a fixed body, or normally again if the body is empty. */
-static void set_fixed_reply(struct platform *p, const char *path, const char *body)
+static bool set_fixed_reply(struct platform *p, const char *path, const char *body)
 {
 	if (*body)
 		g_hash_table_replace(p->fixed_replies, g_strdup(path), g_strdup(body));
 	else
 		g_hash_table_remove(p->fixed_replies, path);
+	return true;
+}
+
+/* Faults of the store; the others are faults of the servers. */
+static const struct {
+	const char *name;
+	bool (*inject)(struct platform *p, const char *value, const char *body);
+} store_faults[] = {
+	{ "store", set_store_mode },  { "compact", compact_store }, { "copy", copy_store },
+	{ "restore", restore_store }, { "era", hide_era },          { "config", publish_catalog },
+	{ "entry", put_entry },       { "reply", set_fixed_reply },
+};
+
+static bool inject_fault(struct platform *p, const char *name, const char *value, const char *body)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(store_faults); i++) {
+		if (strcmp(store_faults[i].name, name) == 0)
+			return store_faults[i].inject(p, value, body);
+	}
+	return databases_inject_fault(p->databases, name, value);
 }
 
 static enum MHD_Result handle_fault(struct request *r)
 {
-	struct platform *p = r->platform;
 	const char *name = query_argument(r, "name"), *value = query_argument(r, "value");
 	char *body;
-	bool ok = true;
+	bool ok;
 
 	if (!name || !value)
 		return respond(r, MHD_HTTP_BAD_REQUEST, "{}");
 	body = g_strndup((const char *)r->body->data, r->body->len);
-	if (strcmp(name, "store") == 0) {
-		p->store_mode = strcmp(value, "down") == 0     ? STORE_DOWN
-				: strcmp(value, "silent") == 0 ? STORE_SILENT
-							       : STORE_UP;
-	} else if (strcmp(name, "compact") == 0) {
-		kv_compact(p->kv);
-	} else if (strcmp(name, "copy") == 0) {
-		kv_take_copy(p->kv);
-	} else if (strcmp(name, "era") == 0) {
-		p->hides_era = strcmp(value, "hidden") == 0;
-	} else if (strcmp(name, "restore") == 0) {
-		ok = kv_restore_copy(p->kv, pw_clock_now_us());
-	} else if (strcmp(name, "config") == 0) {
-		kv_put(p->kv, "op/config", body, 0);
-	} else if (strcmp(name, "entry") == 0) {
-		kv_put(p->kv, value, body, 0);
-	} else if (strcmp(name, "reply") == 0) {
-		set_fixed_reply(p, value, body);
-	} else {
-		ok = databases_inject_fault(p->databases, name, value);
-	}
+	ok = inject_fault(r->platform, name, value, body);
 	g_free(body);
 	return respond(r, ok ? MHD_HTTP_OK : MHD_HTTP_BAD_REQUEST, "{}");
 }
--- a/standins/platform/outbox.c
+++ b/standins/platform/outbox.c
@@ -51,9 +51,8 @@
 	if (!d->copy)
 		return;
 	if (!d->copy_delay_us) {
-		g_queue_push_head(
-			&o->deliveries,
-			delivery_new((struct delivery){ .bytes = g_steal_pointer(&d->copy) }));
+		g_queue_push_head(&o->deliveries, delivery_new((struct delivery){
+							  .bytes = g_steal_pointer(&d->copy) }));
 		return;
 	}
 	c = g_new0(struct delayed_copy, 1);
@@ -99,9 +98,8 @@
 			}
 		}
 		if (is_split) {
-			uint64_t pause_us = faults_random(o->faults, PAUSE_ONE_OF) == 0
-						    ? PACKET_PAUSE_US
-						    : 0;
+			uint64_t pause_us =
+				faults_random(o->faults, PAUSE_ONE_OF) == 0 ? PACKET_PAUSE_US : 0;
 
 			pw_loop_timer_set(o->loop, &o->packet_timer, pw_clock_now_us() + pause_us);
 			return;
@@ -132,8 +130,9 @@
 	while ((c = g_queue_peek_head(&o->copies)) && c->due_us <= now_us) {
 		g_queue_pop_head(&o->copies);
 		if (!o->closing)
-			g_queue_push_tail(&o->deliveries, delivery_new((struct delivery){
-								  .bytes = g_bytes_ref(c->bytes) }));
+			g_queue_push_tail(
+				&o->deliveries,
+				delivery_new((struct delivery){ .bytes = g_bytes_ref(c->bytes) }));
 		delayed_copy_free(c);
 	}
 	if (c)
--- a/standins/platform/record.h
+++ b/standins/platform/record.h
@@ -1,7 +1,8 @@
 /**
  * @file record.h
- * Record of the statements that the servers of the stand-in received from clients: a JSON array with
- * one object each. The functions ignore an entry that is NULL, that of an unrecorded statement.
+ * Record of the statements that the servers of the stand-in received from clients: a JSON array
+ * with one object each. The functions ignore an entry that is NULL, that of an unrecorded
+ * statement.
  */
 #ifndef PW_STANDINS_PLATFORM_RECORD_H
 #define PW_STANDINS_PLATFORM_RECORD_H
--- a/standins/platform/session.c
+++ b/standins/platform/session.c
@@ -376,10 +376,10 @@
 static void run_status(struct conn *c, struct statement *s)
 {
 	const struct server *v = c->server;
-	char *row = g_strdup_printf("%s %" PRIu64 " %" PRIu64 ".%u %" PRIu64 " 0 0 %u",
-				    v->primary ? "primary" : "replica", v->term,
-				    log_last_term(v->log), v->log->len, v->term,
-				    g_hash_table_size(v->conns));
+	char *row =
+		g_strdup_printf("%s %" PRIu64 " %" PRIu64 ".%u %" PRIu64 " 0 0 %u",
+				v->primary ? "primary" : "replica", v->term, log_last_term(v->log),
+				v->log->len, v->term, g_hash_table_size(v->conns));
 
 	put_row(c, s, wire_text_of_string(row));
 	g_free(row);
@@ -396,7 +396,8 @@
 static const struct action {
 	void (*run)(struct conn *c, struct statement *s);
 	bool ends_transaction;  /**< runs in a failed transaction */
-	bool ignores_lost_lead; /**< runs in a plain transaction after the server has lost the lead */
+	bool ignores_lost_lead; /**< runs in a plain transaction after the server has lost the lead
+				 */
 } actions[VERB_COUNT] = {
 	[VERB_READ] = { .run = run_read },
 	[VERB_WRITE] = { .run = run_write },
--- a/standins/platform/statement.c
+++ b/standins/platform/statement.c
@@ -64,7 +64,7 @@
 
 	if (!cut_required_field(&args, &s->name) || !cut_required_field(&args, &verb))
 		return false;
-	s->prepared_kind = wire_equals(verb, "READ")	? STATEMENT_READ
+	s->prepared_kind = wire_equals(verb, "READ")    ? STATEMENT_READ
 			   : wire_equals(verb, "WRITE") ? STATEMENT_WRITE
 							: STATEMENT_OTHER;
 	s->shape = wire_copy(args);
--- a/standins/platform/wire.h
+++ b/standins/platform/wire.h
@@ -1,8 +1,8 @@
 /**
  * @file wire.h
- * Reader of the platform's line protocol for the servers of the stand-in. It shares no code with the
- * proxy, so that a fault of one reader does not hide the same fault in the other. Texts have sizes
- * because the last field of a line holds any bytes but CR LF.
+ * Reader of the platform's line protocol for the servers of the stand-in. It shares no code with
+ * the proxy, so that a fault of one reader does not hide the same fault in the other. Texts have
+ * sizes because the last field of a line holds any bytes but CR LF.
  */
 #ifndef PW_STANDINS_PLATFORM_WIRE_H
 #define PW_STANDINS_PLATFORM_WIRE_H
