--- a/standins/platform/outbox.c
+++ b/standins/platform/outbox.c
@@ -70,9 +70,11 @@
 	const char *data = g_bytes_get_data(d->bytes, &size);
 	gsize packet_size = size - o->sent_bytes;
 
-	if (o->faults->split_bytes && packet_size)
-		packet_size =
-			MIN(packet_size, 1 + faults_random(o->faults, o->faults->split_bytes));
+	if (o->faults->split_bytes && packet_size) {
+		gsize limit = 1 + faults_random(o->faults, o->faults->split_bytes);
+
+		packet_size = MIN(packet_size, limit);
+	}
 	pw_stream_send(o->stream, data + o->sent_bytes, (uint32_t)packet_size);
 	o->sent_bytes += packet_size;
 	return o->sent_bytes == size;
