--- a/tests/platform/test_standin_fleet.c
+++ b/tests/platform/test_standin_fleet.c
@@ -178,7 +178,7 @@
 #define ONE_STATEMENT(text, answer) BYTES(START "QUERY a " text "\r\n"), BYTES(STARTED answer)
 #define MALFORMED(text)             ONE_STATEMENT(text, ERROR("MALFORMED", "I", "0"))
 
-static const struct exchange framing_cases[] = {
+static const struct exchange message_cases[] = {
 	{ "LF in data", WRITE_AND_READ("x\ny"), false, 0 },
 	{ "LF at both ends of data", WRITE_AND_READ("\nx\n"), false, 0 },
 	{ "CR in data", WRITE_AND_READ("x\ry"), false, 0 },
@@ -273,6 +273,21 @@
 	  BYTES(STARTED DONE("T", "0") SIGNED("1", "T", "0") DONE("I", "0") ROW("none")
 			SIGNED("2", "I", "0")),
 	  false, 0 },
+	{ "a plain transaction after the lead is lost",
+	  BYTES(START "QUERY - BEGIN\r\nQUERY - STEPDOWN 2\r\nQUERY a READ k\r\n"),
+	  BYTES(STARTED DONE("T", "0") ROW("replica 1 1.0 1 0 0 1") DONE("T", "0")
+			ERROR("READONLY", "E", "0")),
+	  false, 0 },
+	{ "COMMIT without writes after the lead is lost",
+	  BYTES(START "QUERY - BEGIN\r\nQUERY - STEPDOWN 2\r\nQUERY a COMMIT\r\n"),
+	  BYTES(STARTED DONE("T", "0") ROW("replica 1 1.0 1 0 0 1") DONE("T", "0")
+			SIGNED("1", "I", "0")),
+	  false, 0 },
+	{ "a write after the lead is lost",
+	  BYTES(START "QUERY - STEPDOWN 2\r\nQUERY a WRITE k v\r\nQUERY b READ k\r\n"),
+	  BYTES(STARTED ROW("replica 1 1.0 1 0 0 1") DONE("I", "0") ERROR("READONLY", "I", "0")
+			ROW("none") SIGNED("1", "I", "0")),
+	  false, 0 },
 	{ "a write and a BEGIN at a replica",
 	  BYTES(START "QUERY a WRITE k v\r\nQUERY b BEGIN\r\nQUERY c BEGIN READ\r\n"),
 	  BYTES(STARTED "ERROR READONLY i-core-2\r\nREADY I 1.0\r\n"
@@ -297,11 +312,14 @@
 	  BYTES("ERROR MISROUTED i-core-1\r\n"), true, 0 },
 };
 
-/* Guards against a stand-in that accepts other line ends, or changes the last field of a line. */
-START_TEST(test_framing)
+/*
+ * Guards against a stand-in that accepts other line ends or statements than the platform, or
+ * changes the last field of a line.
+ */
+START_TEST(test_messages)
 {
 	start_platform();
-	check_exchange(&framing_cases[_i]);
+	check_exchange(&message_cases[_i]);
 	stop_standin();
 }
 END_TEST
@@ -862,7 +880,7 @@
 	TCase *tc = tcase_create("platform stand-in");
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	tcase_add_loop_test(tc, test_framing, 0, PW_ARRAY_LEN(framing_cases));
+	tcase_add_loop_test(tc, test_messages, 0, PW_ARRAY_LEN(message_cases));
 	tcase_add_test(tc, test_message_split_at_each_byte);
 	tcase_add_loop_test(tc, test_line_size, 0, PW_ARRAY_LEN(size_cases));
 	tcase_add_loop_test(tc, test_fault, 0, PW_ARRAY_LEN(fault_cases));
