Line protocol: a line ends at CR LF only, and texts pass byte for byte

Callers saw WRITE k abc, LF, fcta acknowledged as WRITE k abc, one message run as two statements, and connections closed for a row with an LF or a zero byte. Cause: a bare LF ended a line, and texts were C strings that were rebuilt from parts, in which a missing and an empty last field were the same. Arguments, values, templates and rows are GBytes; NULL is a missing field, so that verb, name and argument determine the text. Texts that are not exactly one of the protocol's (COMMIT with a blank, SET without a value, WRITE without data) are MALFORMED, and so are ids and names with a zero byte; the session continues. A statement that may exceed the size limit at a server, with the longest prefix and prepared name, is refused with TOOLARGE before it runs. Error texts are cut at CR LF and at the limit; all other encoders assert that a field does not end the field or line. test_zero_byte, which expected that data with a zero byte is refused, is replaced by two tables: data passes in full, ids, names and signatures are refused. fuzz_line compares with a reader of its own, for COMMIT and rows, too.

--- a/codec/include/pw/codec/dialect.h
+++ b/codec/include/pw/codec/dialect.h
@@ -16,6 +16,9 @@
 /** Maximum size of a message of a caller or a server. */
 #define PW_DIALECT_MESSAGE_MAX_BYTES (UINT32_C(1) << 20)
 
+/** Maximum size of the name that the proxy gives a prepared statement: a letter and 10 digits. */
+#define PW_DIALECT_PREPARED_NAME_MAX_BYTES 11
+
 /** Why a statement failed or was not run. */
 enum pw_reason {
 	PW_REASON_NONE,
@@ -62,12 +65,15 @@
 	PW_VERB_DEALLOCATE, /**< drops a prepared statement */
 };
 
-/** A statement as the caller sent it. Owns its strings. */
+/**
+ * A statement as the caller sent it. Owns its texts. Verb, name and argument determine the text
+ * that the caller sent, byte for byte.
+ */
 struct pw_caller_statement {
 	enum pw_verb verb;
-	char *id;       /**< the caller's id of the statement, which is passed on to the server */
-	char *name;     /**< of a session variable or prepared statement; NULL for other verbs */
-	char *argument; /**< rest of the message, unchanged; may be empty or NULL */
+	char *id;         /**< the caller's id of the statement, which is passed on to the server */
+	char *name;       /**< of a session variable or prepared statement; NULL for other verbs */
+	GBytes *argument; /**< rest of the message, any bytes; NULL for verbs that have none */
 	bool prepares_write; /**< PW_VERB_PREPARE: the prepared statement writes */
 };
 
@@ -78,9 +84,15 @@
 	PW_CALLER_MESSAGE_STATEMENT, /**< `statement` is set; the receiver may take it */
 	PW_CALLER_MESSAGE_TERMINATE, /**< end of the session */
 	/**
-	 * A statement that cannot be parsed; only `statement->id` is set. The session can continue.
+	 * A statement that cannot be parsed; only `statement->id` is set, to an empty string if it
+	 * is malformed itself. The session can continue.
 	 */
 	PW_CALLER_MESSAGE_MALFORMED,
+	/**
+	 * A statement that may exceed the size limit at a server, where it has a prefix and the
+	 * name that the proxy gives it; `statement->id` is set. The session can continue.
+	 */
+	PW_CALLER_MESSAGE_TOO_LARGE,
 };
 
 /** A message of a caller. */
@@ -106,10 +118,11 @@
 	int (*decode_next)(struct pw_caller_message *out, const uint8_t *data, uint32_t size_bytes,
 			   uint32_t *used_bytes);
 	/* The following functions append a message to `out`. */
-	void (*put_row)(GByteArray *out, const char *row);
+	/** @param row as in struct pw_reply */
+	void (*put_row)(GByteArray *out, const GBytes *row);
 	/** @param signature from the server; NULL if the proxy itself answers the statement */
 	void (*put_complete)(GByteArray *out, const char *signature);
-	/** @param text human-readable message; may be NULL */
+	/** @param text human-readable message, truncated to what a message can hold; may be NULL */
 	void (*put_error)(GByteArray *out, enum pw_reason reason, const char *text);
 	/** @param position log position to report to the caller; NULL for none */
 	void (*put_ready)(GByteArray *out, enum pw_session_state state,
@@ -127,11 +140,12 @@
 	PW_REPLY_READY,
 };
 
-/** A message of a server. Owns its text. */
+/** A message of a server. Owns its texts. */
 struct pw_reply {
 	enum pw_reply_kind kind;
-	char *text;                  /**< row, signature or error message; NULL: a success without
-					signature */
+	GBytes *row;                 /**< PW_REPLY_ROW: any bytes; NULL: a row without a field */
+	char *text;                  /**< signature or error message; NULL: a success without
+					signature or an error without message */
 	enum pw_reason reason;       /**< PW_REPLY_ERROR only */
 	enum pw_session_state state; /**< PW_REPLY_READY only */
 	struct pw_position position; /**< log position; valid if `has_position` */
@@ -149,6 +163,10 @@
 
 struct pw_server_dialect;
 
+/*
+ * The texts that the functions take are checked before: ids and names are neither empty nor contain
+ * anything that ends a field, and the last text of a message does not contain its end.
+ */
 struct pw_server_dialect_ops {
 	/** Decodes the first message of the input, as in struct pw_caller_dialect_ops. */
 	int (*decode_next)(struct pw_reply *out, const uint8_t *data, uint32_t size_bytes,
@@ -171,9 +189,9 @@
 	void (*put_rollback)(GByteArray *out);
 	/** Resets the session: drops its variables and prepared statements. */
 	void (*put_reset)(GByteArray *out);
-	void (*put_set)(GByteArray *out, const char *name, const char *value);
+	void (*put_set)(GByteArray *out, const char *name, const GBytes *value);
 	void (*put_prepare)(GByteArray *out, const char *name, bool writes,
-			    const char *statement_template);
+			    const GBytes *statement_template);
 	/** Requests the status of the server. */
 	void (*put_status_request)(GByteArray *out);
 	/** Demotes the server to a replica if it is the primary of a lower term. */
@@ -183,7 +201,7 @@
 	 *
 	 * @return 0, or PW_EINVALID with `out` unchanged
 	 */
-	int (*parse_status_row)(struct pw_server_status_row *out, const char *row);
+	int (*parse_status_row)(struct pw_server_status_row *out, const GBytes *row);
 };
 
 struct pw_server_dialect {
--- a/codec/src/dialect.c
+++ b/codec/src/dialect.c
@@ -30,7 +30,7 @@
 		return;
 	g_free(s->id);
 	g_free(s->name);
-	g_free(s->argument);
+	g_clear_pointer(&s->argument, g_bytes_unref);
 	g_free(s);
 }
 
@@ -43,5 +43,6 @@
 
 void pw_reply_dispose(struct pw_reply *r)
 {
+	g_clear_pointer(&r->row, g_bytes_unref);
 	g_clear_pointer(&r->text, g_free);
 }
--- a/daemon/control/cluster_status.c
+++ b/daemon/control/cluster_status.c
@@ -97,8 +97,8 @@
 		}
 		pw_stream_consume(s, used_bytes);
 		if (reply.kind == PW_REPLY_ROW)
-			q->has_row = server_dialect(q)->ops->parse_status_row(&q->row,
-									      reply.text) == PW_OK;
+			q->has_row = server_dialect(q)->ops->parse_status_row(&q->row, reply.row) ==
+				     PW_OK;
 		else if (reply.kind == PW_REPLY_READY)
 			handle_ready(q);
 		pw_reply_dispose(&reply);
--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -214,11 +214,6 @@
 	gw_work_dispatch_waiting(group);
 }
 
-static bool is_same_text(const char *a, const char *b)
-{
-	return a && b && strcmp(a, b) == 0;
-}
-
 /* Whether the connection has a variable that the session has not set. */
 static bool has_extra_variables(const struct conn *c, const struct session *session)
 {
@@ -251,24 +246,37 @@
 static void put_variables(struct conn *c, const struct session *session, GByteArray *b)
 {
 	GHashTableIter it;
-	gpointer name, value;
+	gpointer name, value, present;
 
 	if (has_extra_variables(c, session))
 		put_reset(c, b);
 	if (!session->variables)
 		return;
 	if (!c->variables)
-		c->variables = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+		c->variables = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						     (GDestroyNotify)g_bytes_unref);
 	g_hash_table_iter_init(&it, session->variables);
 	while (g_hash_table_iter_next(&it, &name, &value)) {
-		if (is_same_text(g_hash_table_lookup(c->variables, name), value))
+		present = g_hash_table_lookup(c->variables, name);
+		if (present && g_bytes_equal(present, value))
 			continue;
 		dialect(c)->put_set(b, name, value);
 		c->proxy_answers_pending++;
-		g_hash_table_replace(c->variables, g_strdup(name), g_strdup(value));
+		g_hash_table_replace(c->variables, g_strdup(name), g_bytes_ref(value));
 	}
 }
 
+static GBytes *prepared_key(const struct prepared_statement *p)
+{
+	GByteArray *key = g_byte_array_new();
+	gsize size_bytes;
+	const void *text = g_bytes_get_data(p->text, &size_bytes);
+
+	g_byte_array_append(key, (const guint8 *)(p->writes ? "w" : "r"), 1);
+	g_byte_array_append(key, text, (guint)size_bytes);
+	return g_byte_array_free_to_bytes(key);
+}
+
 /*
  * Prepares the statement if the connection does not have it yet. Returns its name at the server:
  * the names that callers choose collide, so the proxy names each distinct text itself.
@@ -276,14 +284,15 @@
 static const char *ensure_prepared(struct conn *c, const struct prepared_statement *p,
 				   GByteArray *b)
 {
-	char *key = g_strconcat(p->writes ? "w" : "r", p->text, NULL);
+	GBytes *key = prepared_key(p);
 	char *name;
 
 	if (!c->prepared_names)
-		c->prepared_names = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+		c->prepared_names = g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
+							  (GDestroyNotify)g_bytes_unref, g_free);
 	name = g_hash_table_lookup(c->prepared_names, key);
 	if (name) {
-		g_free(key);
+		g_bytes_unref(key);
 		return name;
 	}
 	name = g_strdup_printf("p%u", ++c->last_prepared_number);
@@ -506,7 +515,7 @@
 		return;
 	if (!w->answer)
 		w->answer = g_byte_array_new();
-	gateway_of(c)->caller_dialect->ops->put_row(w->answer, r->text);
+	gateway_of(c)->caller_dialect->ops->put_row(w->answer, r->row);
 	/*
 	 * The answer to a commit, or to a write outside a transaction, is not sent in parts, since
 	 * record_commit() may still turn it into an error.
@@ -566,7 +575,7 @@
 	a->is_malformed |= a->end != PW_ANSWER_END_NONE && r->kind != PW_REPLY_READY;
 	switch (r->kind) {
 	case PW_REPLY_ROW:
-		pw_answer_add_row(a, g_str_hash(r->text));
+		pw_answer_add_row(a, r->row ? g_bytes_hash(r->row) : 0);
 		break;
 	case PW_REPLY_COMPLETE:
 		a->end = PW_ANSWER_END_SUCCESS;
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -195,7 +195,7 @@
 
 /* A statement that a caller has prepared under a name of its own. */
 struct prepared_statement {
-	char *text;
+	GBytes *text;
 	bool writes;
 };
 
@@ -297,8 +297,8 @@
 	struct work *work;       /**< statement that runs or waits for the connection; NULL: none */
 	struct session *session; /**< whose transaction holds the connection; NULL: none */
 	GHashTable *variables;   /**< name -> value set at the server; NULL: none */
-	GHashTable *prepared_names; /**< text with the prefix "r" (reads) or "w" (writes) -> name of
-				    the prepared statement at the server; NULL: none */
+	GHashTable *prepared_names; /**< GBytes: text with the prefix "r" (reads) or "w" (writes) ->
+				    name of the prepared statement at the server; NULL: none */
 	uint32_t last_prepared_number;  /**< in the newest name of a prepared statement */
 	uint32_t proxy_answers_pending; /**< outstanding answers to the proxy's own resets, SETs and
 					   PREPAREs */
--- a/daemon/traffic/gateway_session.c
+++ b/daemon/traffic/gateway_session.c
@@ -301,7 +301,7 @@
 {
 	struct prepared_statement *p = data;
 
-	g_free(p->text);
+	g_bytes_unref(p->text);
 	g_free(p);
 }
 
@@ -321,9 +321,10 @@
 	if (refuse_if_too_many_names(s, s->variables))
 		return;
 	if (!s->variables)
-		s->variables = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+		s->variables = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						     (GDestroyNotify)g_bytes_unref);
 	g_hash_table_replace(s->variables, g_strdup(statement->name),
-			     g_strdup(statement->argument));
+			     g_bytes_ref(statement->argument));
 	send_complete(s);
 }
 
@@ -337,7 +338,7 @@
 		s->prepared_statements = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 							       free_prepared_statement);
 	p = g_new0(struct prepared_statement, 1);
-	p->text = g_strdup(statement->argument);
+	p->text = g_bytes_ref(statement->argument);
 	p->writes = statement->prepares_write;
 	g_hash_table_replace(s->prepared_statements, g_strdup(statement->name), p);
 	send_complete(s);
@@ -510,6 +511,10 @@
 		pw_counter_inc(PW_COUNTER_REFUSED_PROTOCOL);
 		s->statement_id = statement->id;
 		send_error(s, PW_REASON_MALFORMED, "the statement cannot be parsed");
+	} else if (message->kind == PW_CALLER_MESSAGE_TOO_LARGE) {
+		pw_counter_inc(PW_COUNTER_REFUSED_LIMIT);
+		s->statement_id = statement->id;
+		send_error(s, PW_REASON_TOO_LARGE, "the statement is too large for a server");
 	} else {
 		message->statement = NULL;
 		s->statement_id = statement->id;
