Line protocol: the encoders' assertions are tested

No test showed that an encoder stops a field that its caller has not checked. Change: a table of messages with a name, id, value, row or signature that would end the field or the line; each is encoded in a child process, which has to end by the assertion.

--- a/tests/platform/test_line.c
+++ b/tests/platform/test_line.c
@@ -4,7 +4,11 @@
  */
 #include "suite.h"
 
+#include <signal.h>
 #include <string.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include "pw/core/error.h"
 #include "pw/platform/platform.h"
@@ -558,6 +562,89 @@
 }
 END_TEST
 
+static void put_name_with_space(GByteArray *b)
+{
+	pw_platform_server_dialect.ops->put_open(b, "huvo11a", "two words", "i-1");
+}
+
+static void put_name_with_line_end(GByteArray *b)
+{
+	pw_platform_server_dialect.ops->put_open(b, "huvo11a\r\nQUERY", "tenant", "i-1");
+}
+
+static void put_empty_name(GByteArray *b)
+{
+	pw_platform_server_dialect.ops->put_open(b, "huvo11a", "", "i-1");
+}
+
+static void put_server_id_with_line_end(GByteArray *b)
+{
+	pw_platform_server_dialect.ops->put_open(b, "huvo11a", "tenant", "i-1\r\n");
+}
+
+static void put_row_with_line_end(GByteArray *b)
+{
+	pw_platform_caller_dialect.ops->put_row(b, bytes_of("a\r\nREADY I -"));
+}
+
+static void put_signature_with_line_end(GByteArray *b)
+{
+	pw_platform_caller_dialect.ops->put_complete(b, "7.1f3\r\n");
+}
+
+static void put_value_with_line_end(GByteArray *b)
+{
+	pw_platform_server_dialect.ops->put_set(b, "zone", bytes_of("\r\n"));
+}
+
+static void put_variable_with_space(GByteArray *b)
+{
+	pw_platform_server_dialect.ops->put_set(b, "zo ne", bytes_of("v"));
+}
+
+static void put_template_with_line_end(GByteArray *b)
+{
+	pw_platform_server_dialect.ops->put_prepare(b, "p1", false, bytes_of("q\r\nq"));
+}
+
+static void put_id_with_space(GByteArray *b)
+{
+	const struct pw_caller_statement s = {
+		.verb = PW_VERB_COMMIT,
+		.id = (char *)(uintptr_t) "5c 0e",
+	};
+
+	pw_platform_server_dialect.ops->put_statement(b, &s, NULL, NULL);
+}
+
+static void (*const forged_messages[])(GByteArray *b) = {
+	put_name_with_space,         put_name_with_line_end,  put_empty_name,
+	put_server_id_with_line_end, put_row_with_line_end,   put_signature_with_line_end,
+	put_value_with_line_end,     put_variable_with_space, put_template_with_line_end,
+	put_id_with_space,
+};
+
+/* Guards against an encoder that ends a message or field early if its caller has not checked it. */
+START_TEST(test_forged_message)
+{
+	const struct rlimit no_core = { 0 };
+	pid_t child = fork();
+	int status = 0;
+
+	if (!child) {
+		(void)setrlimit(RLIMIT_CORE, &no_core);
+		(void)signal(SIGABRT, SIG_DFL);
+		close(STDOUT_FILENO);
+		close(STDERR_FILENO);
+		forged_messages[_i](g_byte_array_new());
+		_exit(EXIT_SUCCESS);
+	}
+	ck_assert_int_eq(waitpid(child, &status, 0), child);
+	ck_assert_msg(WIFSIGNALED(status) && WTERMSIG(status) == SIGABRT,
+		      "case %d was encoded: status %d", _i, status);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("line");
@@ -574,5 +661,6 @@
 	tcase_add_loop_test(tc, test_status_row, 0, PW_ARRAY_LEN(status_rows));
 	tcase_add_test(tc, test_server_requests);
 	tcase_add_test(tc, test_caller_responses);
+	tcase_add_loop_test(tc, test_forged_message, 0, PW_ARRAY_LEN(forged_messages));
 	return pw_suite_run("line", tc);
 }
