Tests of the fleet: statements at the size limit, and texts that are almost a statement

Callers need the session to go on after a statement that is refused for its size or text; only the codec was tested. In a transaction that was rolled back, a statement that is too large is answered like any other one. Change: sessions of test_platform_fleet, and messages of exactly 1 MiB, of one byte more at the server, and above the limit of a line, which ends the session.

--- a/codec/include/pw/codec/dialect.h
+++ b/codec/include/pw/codec/dialect.h
@@ -90,7 +90,7 @@
 	PW_CALLER_MESSAGE_MALFORMED,
 	/**
 	 * A statement that may exceed the size limit at a server, where it has a prefix and the
-	 * name that the proxy gives it; `statement->id` is set. The session can continue.
+	 * name that the proxy gives it; `statement` is set. The session can continue.
 	 */
 	PW_CALLER_MESSAGE_TOO_LARGE,
 };
--- a/daemon/traffic/gateway_session.c
+++ b/daemon/traffic/gateway_session.c
@@ -467,6 +467,16 @@
 	gw_work_start(w);
 }
 
+static void refuse_too_large(struct session *s, enum pw_verb verb)
+{
+	pw_counter_inc(PW_COUNTER_REFUSED_LIMIT);
+	if (s->transaction == TRANSACTION_ABORTED_REPORTED ||
+	    s->transaction == TRANSACTION_ABORTED_UNREPORTED)
+		send_rolled_back(s, verb);
+	else
+		send_error(s, PW_REASON_TOO_LARGE, "the statement is too large for a server");
+}
+
 static void handle_statement(struct session *s, struct pw_caller_statement *statement)
 {
 	switch (statement->verb) {
@@ -512,9 +522,8 @@
 		s->statement_id = statement->id;
 		send_error(s, PW_REASON_MALFORMED, "the statement cannot be parsed");
 	} else if (message->kind == PW_CALLER_MESSAGE_TOO_LARGE) {
-		pw_counter_inc(PW_COUNTER_REFUSED_LIMIT);
 		s->statement_id = statement->id;
-		send_error(s, PW_REASON_TOO_LARGE, "the statement is too large for a server");
+		refuse_too_large(s, statement->verb);
 	} else {
 		message->statement = NULL;
 		s->statement_id = statement->id;
--- a/tests/platform/test_platform_fleet.c
+++ b/tests/platform/test_platform_fleet.c
@@ -6,6 +6,7 @@
 
 #include "harness_relay.h"
 #include "platform_fleet.h"
+#include "pw/codec/dialect.h"
 
 #define STEPS_MAX 10
 
@@ -76,6 +77,15 @@
 	{ "the server receives the account, not the key",
 	  "desk",
 	  { { "READ @account", "amber ok I" } } },
+	{ "texts with a blank or a field too many or too few",
+	  "desk",
+	  { { "BEGIN ", "MALFORMED I" },
+	    { "SET zone", "MALFORMED I" },
+	    { "BEGIN", "done T" },
+	    { "WRITE a8", "MALFORMED T" },
+	    { "COMMIT ", "MALFORMED T" },
+	    { "COMMIT", "ok I" },
+	    { "READ none-such", "none ok I" } } },
 	{ "malformed statements",
 	  "desk",
 	  { { "DROP everything", "MALFORMED I" },
@@ -108,6 +118,51 @@
 }
 END_TEST
 
+/* Messages that are filled up with data. */
+static const struct {
+	const char *start;
+	uint32_t size_bytes;
+	const char *expected;
+} large_statement_cases[] = {
+	{ "QUERY 5c WRITE large ", PW_DIALECT_MESSAGE_MAX_BYTES, "ok I" },
+	{ "QUERY 5c WRITE large ", PW_DIALECT_MESSAGE_MAX_BYTES + 1, "TOOLARGE I" },
+	{ "QUERY 5c READ ", PW_DIALECT_MESSAGE_MAX_BYTES, "TOOLARGE I" },
+	{ "QUERY 5c SET zone ", PW_DIALECT_MESSAGE_MAX_BYTES + 1, "TOOLARGE I" },
+	{ "QUERY 5c PREPARE s READ ", PW_DIALECT_MESSAGE_MAX_BYTES, "TOOLARGE I" },
+	{ "QUERY 5c EXECUTE s 1a4 ", PW_DIALECT_MESSAGE_MAX_BYTES, "TOOLARGE I" },
+	{ "QUERY 5c WRITE large ", PW_DIALECT_MESSAGE_MAX_BYTES + 3, "TOOLARGE CLOSED" },
+};
+
+/*
+ * Guards against a statement that reaches a server as a message above the size limit, and against
+ * a session that ends although the statement alone was too large.
+ */
+START_TEST(test_large_statements)
+{
+	start_fleet();
+	for (size_t i = 0; i < PW_ARRAY_LEN(large_statement_cases); i++) {
+		struct client *c = open_session((uint32_t)i % VM_COUNT, "desk");
+		uint32_t size_bytes = large_statement_cases[i].size_bytes;
+		char *line = g_strnfill(size_bytes, 'x'), *actual;
+
+		memcpy(line, large_statement_cases[i].start,
+		       strlen(large_statement_cases[i].start));
+		memcpy(line + size_bytes - 2, "\r\n", 2);
+		(void)send(c->fd, line, size_bytes, MSG_NOSIGNAL);
+		actual = read_answer(c, ANSWER_TIMEOUT_MS);
+		ck_assert_msg(strcmp(actual, large_statement_cases[i].expected) == 0,
+			      "%s, %u bytes: %s, not %s", large_statement_cases[i].start,
+			      size_bytes, actual, large_statement_cases[i].expected);
+		if (!g_str_has_suffix(actual, "CLOSED"))
+			expect_answer(c, "READ none-such", "none ok I");
+		g_free(actual);
+		g_free(line);
+		client_free(c);
+	}
+	stop_fleet();
+}
+END_TEST
+
 static const struct {
 	const char *label;
 	const char *before; /* statement before the refused SET; NULL: none */
@@ -777,6 +832,7 @@
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	tcase_add_test(tc, test_sessions);
+	tcase_add_test(tc, test_large_statements);
 	tcase_add_loop_test(tc, test_refused_set, 0, PW_ARRAY_LEN(refused_set_cases));
 	tcase_add_test(tc, test_invalid_starts);
 	tcase_add_loop_test(tc, test_failover, 0, PW_ARRAY_LEN(primary_faults));
