--- a/tests/platform/test_answers_fleet.c
+++ b/tests/platform/test_answers_fleet.c
@@ -66,12 +66,8 @@
 
 static const struct answers_load loads[] = {
 	{ .label = "no fault, words" },
-	{ .label = "no fault, any bytes",
-	  .is_known_red = true,
-	  .any_bytes = true,
-	  .large_data = true },
+	{ .label = "no fault, any bytes", .any_bytes = true, .large_data = true },
 	{ .label = "run time and slots",
-	  .is_known_red = true,
 	  .any_bytes = true,
 	  .large_data = true,
 	  .faults = { { "work", "3" }, { "slots", "4" }, { "queue", "8" } } },
@@ -119,7 +115,6 @@
 	  .faults = { { "stutter", "every:1,delay_ms:1,of:startup,part:whole" } } },
 	{ .label = "cut answers", .faults = { { "cut", "every:9" } } },
 	{ .label = "split answers, any bytes",
-	  .is_known_red = true,
 	  .any_bytes = true,
 	  .faults = { { "split", "bytes:5" } } },
 	{ .label = "BUSY", .faults = { { "busy", "every:3" } } },
