Gateway: an answer is taken only if no earlier statement of its connection can have had it

The connection remembers its answers. The success of a read, write or commit has a signature that was not given before; a begin ends in a transaction; an error, or a begin, that is equal to an earlier one is uncertain, and so is an error behind a control answer that may have been a copy. What is foreign is dropped and the own answer is waited for, except a read that has rows; what is uncertain ends the connection: reads are repeated, a write or commit is in doubt. Bytes while nothing is due end an idle connection. Writes and begins prefer connections on which a refusal could be told.

--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -156,7 +156,8 @@
 /* Whether the connection has to be closed instead of being used again. */
 static bool must_discard(const struct conn *c)
 {
-	return c->discard_when_idle || c->server->leaving || !c->server->registered;
+	return c->discard_when_idle || c->server->leaving || !c->server->registered ||
+	       pw_answer_history_is_full(c->history);
 }
 
 /* Closes the socket and removes the connection from its server. */
@@ -624,6 +625,21 @@
 	}
 }
 
+/*
+ * Drops an answer that belongs to another statement, and goes on waiting for the one that is due.
+ * If it has rows, which of them belong to the read in flight cannot be told; the read is repeated.
+ */
+static void drop_foreign_answer(struct conn *c, enum pw_answer_due due, uint32_t row_count)
+{
+	if (due == PW_ANSWER_DUE_READ && row_count) {
+		gw_conn_fail(c, "the server sent the answer to another statement");
+		return;
+	}
+	c->discard_when_idle = true;
+	if (c->work && c->work->answer)
+		g_byte_array_set_size(c->work->answer, 0);
+}
+
 /* Gives the end of the answer that was due to its statement. */
 static void move_answer_to_work(struct conn *c)
 {
@@ -638,15 +654,31 @@
 	w->error = g_steal_pointer(&c->answer_error);
 }
 
-/* Handles the end of an answer. */
+/* Handles the end of an answer, according to whether it is the one that was due. */
 static void handle_ready(struct conn *c, const struct pw_reply *r)
 {
+	enum pw_answer_due due = answer_due(c);
+	enum pw_answer_verdict verdict = check_answer(c);
 	enum pw_reason reason = c->answer_reason;
+	uint32_t row_count = c->answer.row_count;
 
-	(void)check_answer(c);
-	move_answer_to_work(c);
+	if (verdict == PW_ANSWER_OWN)
+		move_answer_to_work(c);
 	reset_answer(c);
-	handle_own_answer(c, r, reason);
+	switch (verdict) {
+	case PW_ANSWER_OWN:
+		handle_own_answer(c, r, reason);
+		break;
+	case PW_ANSWER_FOREIGN:
+		drop_foreign_answer(c, due, row_count);
+		break;
+	default:
+		/* Most uncertain refusals are own ones that repeat, under load. */
+		if (c->work && reason != PW_REASON_NONE)
+			gw_work_record_refusal(c, reason);
+		gw_conn_fail(c, "the answer may be a copy of an earlier one");
+		break;
+	}
 }
 
 static void handle_row(struct conn *c, const struct pw_reply *r)
@@ -717,7 +749,10 @@
 	if (answer_due(c) == PW_ANSWER_DUE_NONE && !c->answer_begun)
 		pw_counter_inc(PW_COUNTER_UPSTREAM_ANSWERS_EXTRA);
 	add_to_answer(c, r);
-	if (c->state == CONN_OPENING && r->kind == PW_REPLY_ERROR) {
+	if (c->state == CONN_IDLE && answer_due(c) == PW_ANSWER_DUE_NONE) {
+		(void)check_answer(c);
+		gw_conn_fail(c, "the server sent an answer that was not due");
+	} else if (c->state == CONN_OPENING && r->kind == PW_REPLY_ERROR) {
 		record_open_refusal(c, r->reason);
 		gw_conn_fail(c, "the server refused the connection");
 	} else if (r->kind == PW_REPLY_ROW) {
@@ -738,6 +773,12 @@
 		int rc = dialect(c)->decode_next(&r, stream->input->data, stream->input->len,
 						 &used_bytes);
 
+		if (rc == PW_EAGAIN && c->state == CONN_IDLE &&
+		    answer_due(c) == PW_ANSWER_DUE_NONE) {
+			pw_counter_inc(PW_COUNTER_UPSTREAM_ANSWERS_EXTRA);
+			gw_conn_fail(c, "the server sent bytes while no answer was due");
+			return;
+		}
 		if (rc == PW_EAGAIN) {
 			stream->read_limit_bytes =
 				stream->input->len + PW_STREAM_READ_LIMIT_DEFAULT_BYTES;
@@ -813,10 +854,29 @@
 	return MAX(conn_share(s) * CONN_OVERCOMMIT_FACTOR, CONN_OVERCOMMIT_FACTOR);
 }
 
+/*
+ * Whether a refusal of the statement, or the success of what is sent before it, could be told from
+ * the earlier answers of the connection. The server answers at its newest position at least.
+ */
+static bool has_distinct_answers(const struct conn *c, const struct work *w)
+{
+	const struct pw_position *newest = &c->server->position;
+
+	if ((w->begins_transaction || w->is_autocommit_write) &&
+	    !pw_answer_is_distinct_at(c->history, PW_ANSWER_DUE_WRITE, newest))
+		return false;
+	if (w->begins_transaction &&
+	    !pw_answer_is_distinct_at(c->history, PW_ANSWER_DUE_BEGIN, newest))
+		return false;
+	return !w->is_autocommit_write || !needs_preparation(c, w) ||
+	       pw_answer_is_distinct_at(c->history, PW_ANSWER_DUE_CONTROL, newest);
+}
+
 /* Whether the statement may be sent on the connection now. */
 static bool is_usable(const struct conn *c, const struct work *w)
 {
-	return c->state == CONN_IDLE && c->account == w->account && !c->proxy_answers_pending;
+	return c->state == CONN_IDLE && c->account == w->account && !c->proxy_answers_pending &&
+	       has_distinct_answers(c, w);
 }
 
 /*
