Stand-in database: fault that answers twice

The stand-in of the SQL binding always answered once, so that no test could show this. The fault repeat_answers sends every Nth answer again, at once or after a delay, in whole or only its end, its ReadyForQuery or its rows. The stand-in also knows pw_echo('token'), which returns its argument, for any user; it is not delayed, as it comes with the answer before it.

Evidence: the case 'fault repeat_answers' of test_standin_database, in which a plain connection reads the row of an earlier statement.

--- a/standins/database/conn.c
+++ b/standins/database/conn.c
@@ -56,6 +56,7 @@
 	c->closed = true;
 	pw_db_exec_release_slot(c);
 	pw_loop_timer_clear(s->task.loop, &c->timer);
+	pw_loop_timer_clear(s->task.loop, &c->repeat_timer);
 	pw_loop_unwatch(s->task.loop, &c->source);
 	close(c->source.fd);
 	g_ptr_array_remove(s->conns, c);
@@ -68,6 +69,7 @@
 	pw_db_portal_clear(&c->statement);
 	g_byte_array_unref(c->in);
 	g_byte_array_unref(c->out);
+	g_byte_array_unref(c->repeated);
 	g_ptr_array_unref(c->changes);
 	g_hash_table_unref(c->prepared_statements);
 	g_hash_table_unref(c->portals);
@@ -88,8 +90,10 @@
 {
 	ssize_t n;
 
-	if (c->discard_output)
+	if (c->discard_output) {
 		g_byte_array_set_size(c->out, 0);
+		c->answer_offset = 0;
+	}
 	if (c->closed || is_output_held(c))
 		return;
 	while (c->out->len) {
@@ -100,15 +104,84 @@
 			/* The peer has closed the connection; a running statement still ends. */
 			c->discard_output = c->eof = true;
 			g_byte_array_set_size(c->out, 0);
+			c->answer_offset = 0;
 			return;
 		}
 		g_byte_array_remove_range(c->out, 0, (guint)n);
+		c->answer_offset -= MIN(c->answer_offset, (guint)n);
 		pw_db_stream_fill(c);
 	}
 	if (c->close_when_sent)
 		pw_db_conn_close(c);
 }
 
+/* Returns whether a second answer contains a message of the first one. */
+static bool is_repeated(enum pw_db_repeat_part part, char type)
+{
+	switch (part) {
+	case PW_DB_REPEAT_READY:
+		return type == 'Z';
+	case PW_DB_REPEAT_END:
+		return strchr("CEIZ", type) != NULL;
+	case PW_DB_REPEAT_ROWS:
+		return type == 'D';
+	default:
+		return true;
+	}
+}
+
+static void send_repeated(struct pw_db_conn *c)
+{
+	g_byte_array_append(c->out, c->repeated->data, c->repeated->len);
+	g_byte_array_set_size(c->repeated, 0);
+	c->answer_offset = c->out->len;
+}
+
+/* Answers once more, at once or later, if the fault "repeat_answers" chooses this answer. */
+static void repeat_answer(struct pw_db_conn *c)
+{
+	struct pw_db_server *s = c->server;
+	struct pw_pg_frame f;
+	guint offset = c->answer_offset;
+
+	if (!s->repeat_every || pw_db_conn_is_test(c) || ++s->repeat_counter % s->repeat_every)
+		return;
+	for (; pw_pg_frame_next(&f, c->out->data + offset, c->out->len - offset,
+				MESSAGE_MAX_BYTES) == PW_OK;
+	     offset += f.size_bytes) {
+		if (is_repeated(s->repeat_part, f.type))
+			g_byte_array_append(c->repeated, c->out->data + offset, f.size_bytes);
+	}
+	if (s->repeat_delay_ms)
+		pw_loop_timer_set(s->task.loop, &c->repeat_timer,
+				  pw_loop_now_us(s->task.loop) +
+					  (uint64_t)s->repeat_delay_ms * PW_US_PER_MS);
+	else
+		send_repeated(c);
+}
+
+void pw_db_conn_put_ready(struct pw_db_conn *c)
+{
+	pw_pg_put_ready_for_query(c->out, c->transaction_status);
+	repeat_answer(c);
+	c->answer_offset = c->out->len;
+}
+
+static void repeat_timer_expired(struct pw_timer *t, uint64_t now_us)
+{
+	struct pw_db_conn *c = PW_DB_CONTAINER_OF(t, struct pw_db_conn, repeat_timer);
+
+	if (c->in_batch || c->phase == PW_DB_PHASE_ANSWER_DELAYED) {
+		/* An answer that has begun is not interrupted. */
+		pw_loop_timer_set(c->server->task.loop, t, now_us + PW_US_PER_MS);
+		return;
+	}
+	send_repeated(c);
+	pw_db_conn_resume(c);
+}
+
+static const struct pw_timer_ops repeat_timer_ops = { .expire = repeat_timer_expired };
+
 /* Adds a FATAL error to the output and closes the connection once it is sent. */
 static void send_fatal(struct pw_db_conn *c, const char *sqlstate, const char *message)
 {
@@ -246,7 +319,7 @@
 		pw_db_exec_start(c, &p, false);
 		return;
 	}
-	pw_pg_put_ready_for_query(c->out, c->transaction_status);
+	pw_db_conn_put_ready(c);
 }
 
 static void handle_parse(struct pw_db_conn *c, const struct pw_pg_frame *f)
@@ -381,7 +454,7 @@
 {
 	c->skip_until_sync = false;
 	if (pw_db_exec_sync(c) == PW_OK || !c->closed)
-		pw_pg_put_ready_for_query(c->out, c->transaction_status);
+		pw_db_conn_put_ready(c);
 	g_hash_table_remove_all(c->portals);
 }
 
@@ -515,10 +588,12 @@
 
 	c->source = (struct pw_source){ .ops = &conn_ops, .fd = fd };
 	c->timer.ops = &timer_ops;
+	c->repeat_timer.ops = &repeat_timer_ops;
 	c->server = s;
 	c->transaction_status = 'I';
 	c->in = g_byte_array_new();
 	c->out = g_byte_array_new();
+	c->repeated = g_byte_array_new();
 	c->changes = pw_db_changes_new();
 	c->prepared_statements = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 						       (GDestroyNotify)pw_sql_unref);
--- a/standins/database/exec.c
+++ b/standins/database/exec.c
@@ -23,6 +23,7 @@
 	[PW_SQL_STATUS] = { 7,
 			    { "role", "term", "log_term", "lsn", "term_start_lsn",
 			      "primary_silence_ms", "data_age_ms" } },
+	[PW_SQL_ECHO] = { 1, { "pw_echo" } },
 	[PW_SQL_FAULT] = { 2, { "name", "value" } },
 	[PW_SQL_STREAM] = { 0, { NULL } },
 };
@@ -397,6 +398,9 @@
 	case PW_SQL_SLEEP:
 		put_value(c, "");
 		break;
+	case PW_SQL_ECHO:
+		put_value(c, arg_text(c, 0));
+		break;
 	default:
 		if (run_control(c))
 			return PW_EINVALID;
@@ -414,6 +418,8 @@
 {
 	struct pw_db_server *s = c->server;
 	bool is_empty = c->statement.sql->kind == PW_SQL_EMPTY;
+	/* The echo comes with the answer before it, which was delayed. */
+	bool is_echo = c->statement.sql->kind == PW_SQL_ECHO;
 
 	pw_db_portal_clear(&c->statement);
 	c->phase = PW_DB_PHASE_IDLE;
@@ -426,8 +432,8 @@
 	if (c->uses_extended_protocol)
 		c->skip_until_sync = rc != PW_OK;
 	else
-		pw_pg_put_ready_for_query(c->out, c->transaction_status);
-	if (s->answer_delay_ms > 0 && !pw_db_conn_is_test(c)) {
+		pw_db_conn_put_ready(c);
+	if (s->answer_delay_ms > 0 && !is_echo && !pw_db_conn_is_test(c)) {
 		c->phase = PW_DB_PHASE_ANSWER_DELAYED;
 		pw_loop_timer_set(s->task.loop, &c->timer,
 				  pw_loop_now_us(s->task.loop) +
@@ -474,7 +480,7 @@
 	c->statement_term = s->term;
 	c->uses_extended_protocol = extended;
 	update_busy_peak(s, c);
-	if (c->statement.sql->kind >= PW_SQL_STATUS ||
+	if (c->statement.sql->kind >= PW_SQL_ECHO ||
 	    (s->slots_in_use < s->options->slots && run_time_us(c) == 0)) {
 		run_and_finish(c);
 		return;
--- a/standins/database/server.c
+++ b/standins/database/server.c
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <signal.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/signalfd.h>
@@ -170,6 +171,29 @@
 	pw_db_replica_resume(s);
 }
 
+static int set_repeat(struct pw_db_server *s, const char *value)
+{
+	static const char *const parts[] = {
+		[PW_DB_REPEAT_WHOLE] = "whole",
+		[PW_DB_REPEAT_END] = "end",
+		[PW_DB_REPEAT_READY] = "ready",
+		[PW_DB_REPEAT_ROWS] = "rows",
+	};
+	uint32_t every = 0, delay_ms = 0;
+	char part[8] = "whole";
+
+	if (sscanf(value, "%" SCNu32 ",%" SCNu32 ",%7[a-z]", &every, &delay_ms, part) < 1)
+		return pw_error_set(PW_EINVALID, "the value is not N,DELAY_MS,PART");
+	for (size_t i = 0; i < G_N_ELEMENTS(parts); i++) {
+		if (strcmp(part, parts[i]) == 0)
+			s->repeat_part = (enum pw_db_repeat_part)i;
+	}
+	s->repeat_every = every;
+	s->repeat_delay_ms = delay_ms;
+	s->repeat_counter = 0;
+	return PW_OK;
+}
+
 int pw_db_server_inject_fault(struct pw_db_server *s, const char *name, const char *value)
 {
 	int32_t n = (int32_t)strtol(value, NULL, 10);
@@ -195,6 +219,8 @@
 		else
 			g_hash_table_add(s->partitioned_applications, g_strdup(value));
 		resume_all_conns(s);
+	} else if (strcmp(name, "repeat_answers") == 0) {
+		return set_repeat(s, value);
 	} else if (strcmp(name, "crash") == 0) {
 		_exit(EXIT_FAILURE);
 	} else {
--- a/standins/database/server.h
+++ b/standins/database/server.h
@@ -62,6 +62,14 @@
 	uint64_t applied_generated_us;
 };
 
+/** Part of an answer that the fault "repeat_answers" sends twice. */
+enum pw_db_repeat_part {
+	PW_DB_REPEAT_WHOLE,
+	PW_DB_REPEAT_END, /**< its completion or error, and ReadyForQuery */
+	PW_DB_REPEAT_READY,
+	PW_DB_REPEAT_ROWS,
+};
+
 struct pw_db_server {
 	struct pw_task task;
 	const struct pw_db_options *options;
@@ -92,6 +100,10 @@
 	int32_t answer_delay_ms;
 	/** Number of further commits after which the connection is closed instead of an answer. */
 	int32_t answers_to_drop;
+	uint32_t repeat_every; /**< answers of which one is sent twice; 0: none */
+	uint32_t repeat_delay_ms;
+	uint32_t repeat_counter;
+	enum pw_db_repeat_part repeat_part;
 	bool refuse_connections;
 	GHashTable *partitioned_applications; /**< set of application names; "*": all */
 };
@@ -123,6 +135,9 @@
 	struct pw_db_server *server;
 	GByteArray *in;
 	GByteArray *out;
+	GByteArray *repeated; /**< second answer, due when `repeat_timer` expires */
+	struct pw_timer repeat_timer;
+	guint answer_offset; /**< where the current answer starts in `out` */
 	enum pw_db_conn_state state;
 	enum pw_db_statement_phase phase;
 	char *user;
@@ -192,6 +207,8 @@
  *   value is "0";
  * - "cut" stops input and output of the connections of the application that `value` names; "*"
  *   names all applications, and "none" ends all cuts;
+ * - "repeat_answers" sends every Nth answer twice: `value` is "N,DELAY_MS,PART", where PART is
+ *   "whole", "end" (completion and ReadyForQuery), "ready" or "rows"; "0" ends this;
  * - "crash" exits; the value is ignored.
  *
  * @return 0, or PW_EINVALID if there is no fault of this name
@@ -216,6 +233,8 @@
  * is injected or ends.
  */
 void pw_db_conn_resume(struct pw_db_conn *c);
+/** Ends an answer with ReadyForQuery. */
+void pw_db_conn_put_ready(struct pw_db_conn *c);
 /** @return whether a test opened the connection, so that faults don't apply to it */
 bool pw_db_conn_is_test(const struct pw_db_conn *c);
 /** @return number of open connections of proxies, control connections included */
--- a/standins/database/sql.c
+++ b/standins/database/sql.c
@@ -44,6 +44,7 @@
 	{ "set % to ?0", PW_SQL_SET },
 	{ "set ...", PW_SQL_SET },
 	{ "select * from pw_status ( )", PW_SQL_STATUS },
+	{ "select * from pw_echo ( ?0 )", PW_SQL_ECHO },
 	{ "select * from pw_fence ( ?0 , ?1 )", PW_SQL_FENCE },
 	{ "select * from pw_promote ( ?0 , ?1 )", PW_SQL_PROMOTE },
 	{ "select * from pw_follow ( ?0 , ?1 )", PW_SQL_FOLLOW },
--- a/standins/database/sql.h
+++ b/standins/database/sql.h
@@ -24,7 +24,8 @@
 	PW_SQL_SLEEP,
 	PW_SQL_SHOW,
 	PW_SQL_SET,
-	PW_SQL_STATUS, /**< this and all kinds below are control functions, which need no slot */
+	PW_SQL_ECHO, /**< this and all kinds below are control functions, which need no slot */
+	PW_SQL_STATUS,
 	PW_SQL_FENCE,
 	PW_SQL_PROMOTE,
 	PW_SQL_FOLLOW,
--- a/tests/process/test_standin_database.c
+++ b/tests/process/test_standin_database.c
@@ -301,6 +301,18 @@
 		  STEP("c1", FAULT("cut", "none"), "cut|none"),
 		  STEP("p1", COUNT, "2", .retry = true),
 	  } },
+	{ .label = "fault repeat_answers", .server_count = 1, .args = { NULL }, .steps = {
+		  STEP("c0", FAULT("repeat_answers", "2,50,whole"), "repeat_answers|2,50,whole"),
+		  STEP("p0", "SELECT 1", "1"),
+		  STEP("p0", "SELECT 2", "2"),
+		  STEP("p0", "SELECT pg_sleep(0.2)", "2"),
+		  STEP("q0", "SELECT 3", "3"),
+		  STEP("c0", FAULT("repeat_answers", "1,50,ready"), "repeat_answers|1,50,ready"),
+		  STEP("r0", "SELECT 4", "4"),
+		  STEP("r0", "SELECT pg_sleep(0.2)", "CLOSED"), /* no result before ReadyForQuery */
+		  STEP("c0", FAULT("repeat_answers", "0"), "repeat_answers|0"),
+		  STEP("n0", "SELECT 5", "5"),
+	  } },
 	{ .label = "fault crash", .server_count = 1, .args = { NULL }, .steps = {
 		  STEP("p0", "SELECT 1", "1"),
 		  STEP("c0", FAULT("crash", "1"), "CLOSED"),
