Upstream connections: take only answers that an echo confirms

Callers saw, with a server that answers twice: rows of other sessions as a success, BEGIN and COMMIT acknowledged by the end of an earlier answer, and streams out of step after a ReadyForQuery or rows that came twice.

Cause: group_conn.c gave each message to the statement in flight and dropped what came while a connection was idle or pinned. Answers carry no id, and a copy of an earlier one moves all answers behind it.

Fix: each request, check and rollback is followed by an echo of a token that is used once. decide/exchange.c takes the answers only if the echo's row follows them directly in the same transaction state; one answer or one end more moves another answer to its place. The connection is then closed and the request counts as unanswered: a read is repeated, a write or commit gets 08007, a transaction 40001, which the server rolls back with its connection. The same holds for a message that comes while nothing is due. The answer is held back until it is confirmed, up to 64 KiB; of larger ones the rows before the end of the first statement are passed on earlier. The check of an idle connection is an echo instead of a Sync, whose answer could be a copy as well.

--- a/daemon/traffic/group_conn.c
+++ b/daemon/traffic/group_conn.c
@@ -243,9 +243,25 @@
 	pw_pg_put_query(b, u->ops->status_statement(u));
 }
 
+/* Appends the echo statement, whose answer confirms the answers before it. */
+static void put_echo(struct conn *c, GByteArray *b, uint32_t answer_count,
+		     bool rows_need_description)
+{
+	const struct pw_upstream *u = c->server->database->upstream;
+	char *text;
+
+	pw_pg_new_token(c->token);
+	pw_exchange_begin(&c->exchange, answer_count, rows_need_description);
+	text = u->ops->echo_statement(u, c->token);
+	pw_pg_put_query(b, text);
+	g_free(text);
+}
+
 static void send_request(struct conn *c)
 {
 	const struct pw_request *r = c->work->request;
+	bool is_query = r->bytes->len && r->bytes->data[0] == 'Q';
+	GByteArray *b = g_byte_array_new();
 
 	c->state = CONN_READING_ANSWER;
 	c->hidden_answers_left = r->hidden_answer_count;
@@ -254,12 +270,10 @@
 	set_timeout(c, r->timeout_us);
 	pw_stream_send(&c->stream, r->bytes->data, r->bytes->len);
 	/* Reads the term and position after a write in the same round trip. */
-	if (r->acknowledges_write) {
-		GByteArray *b = g_byte_array_new();
-
+	if (r->acknowledges_write)
 		put_status_query(c, b);
-		send_bytes(c, b);
-	}
+	put_echo(c, b, r->acknowledges_write ? 2 : 1, is_query);
+	send_bytes(c, b);
 }
 
 void conn_run_work(struct conn *c, struct work *w)
@@ -275,7 +289,7 @@
 
 		c->state = CONN_CHECKING;
 		set_timeout(c, CONN_CHECK_TIMEOUT_US);
-		pw_pg_put_empty_message(b, 'S'); /* Sync, answered with ReadyForQuery */
+		put_echo(c, b, 0, true);
 		send_bytes(c, b);
 	} else {
 		send_request(c);
@@ -290,6 +304,7 @@
 	c->state = CONN_ROLLING_BACK;
 	set_timeout(c, CONN_ROLLBACK_TIMEOUT_US);
 	pw_pg_put_query(b, "ROLLBACK");
+	put_echo(c, b, 1, true);
 	send_bytes(c, b);
 }
 
@@ -502,37 +517,41 @@
 		if (!w->sqlstate[0])
 			g_strlcpy(w->sqlstate, sqlstate ? sqlstate : "XX000", sizeof(w->sqlstate));
 	}
-	/* An answer is held back from an error or a write's first CommandComplete onward. */
-	if (w->held_answer || f->type == 'E' || (f->type == 'C' && w->request->acknowledges_write))
-		hold_answer(w, data, f->size_bytes);
-	else
-		g_byte_array_append(forward_buffer, data, f->size_bytes);
+	hold_answer(w, data, f->size_bytes);
+	w->statement_ended |= strchr("CEIs", f->type) != NULL;
+	if (!w->statement_ended && w->held_answer->len > ANSWER_CONFIRMED_FIRST_BYTES) {
+		g_byte_array_append(forward_buffer, w->held_answer->data, w->held_answer->len);
+		g_byte_array_set_size(w->held_answer, 0);
+	}
 }
 
+/* Handles the end of an answer, which is not confirmed yet. */
 static void handle_ready_for_query(struct conn *c, const struct pw_pg_frame *f)
 {
 	struct pw_pg_reader reader;
 
 	pw_pg_reader_init(&reader, f);
 	c->transaction_status = (char)pw_pg_get_u8(&reader);
+	if (c->state == CONN_READING_ANSWER && c->work->request->acknowledges_write)
+		c->state = CONN_READING_STATUS;
+}
+
+/* Handles the end of the echo's answer: the answers before it are the ones that were due. */
+static void handle_confirmed(struct conn *c)
+{
 	switch (c->state) {
-	case CONN_LOGGING_IN:
-		complete_login(c);
-		break;
 	case CONN_CHECKING:
 		send_request(c);
 		break;
 	case CONN_READING_ANSWER:
-		if (c->work->request->acknowledges_write)
-			c->state = CONN_READING_STATUS;
-		else
-			finish_answer(c);
-		break;
 	case CONN_READING_STATUS:
 		finish_answer(c);
 		break;
 	case CONN_ROLLING_BACK:
-		end_conn_use(c, 0, false);
+		if (c->transaction_status == 'I')
+			end_conn_use(c, 0, false);
+		else
+			conn_fail(c, "the upstream did not roll back");
 		break;
 	default:
 		break;
@@ -550,27 +569,62 @@
 	g_byte_array_set_size(forward_buffer, 0);
 }
 
-static void handle_message(struct conn *c, const uint8_t *data, const struct pw_pg_frame *f,
-			   GByteArray *forward_buffer)
+static void handle_foreign_message(struct conn *c)
 {
-	if (f->type == 'Z') {
-		forward_answer(c, forward_buffer);
+	pw_counter_inc(c->exchange.active ? PW_COUNTER_UPSTREAM_ANSWERS_FOREIGN
+					  : PW_COUNTER_UPSTREAM_ANSWERS_EXTRA);
+	conn_fail(c, "the upstream sent an answer that was not due");
+}
+
+/* Handles a message of an answer that is not confirmed yet. */
+static void handle_unconfirmed_message(struct conn *c, const uint8_t *data,
+				       const struct pw_pg_frame *f, GByteArray *forward_buffer)
+{
+	if (f->type == 'Z')
 		handle_ready_for_query(c, f);
-		return;
-	}
-	/* ParameterStatus and NotificationResponse are dropped. */
-	if (f->type == 'S' || f->type == 'A')
-		return;
-	if (c->state == CONN_LOGGING_IN)
-		handle_login(c, f);
 	else if (c->state == CONN_READING_STATUS && f->type == 'D')
 		read_status_row(c, f);
 	else if (c->state == CONN_READING_ANSWER)
 		handle_answer_message(c, data, f, forward_buffer);
-	if (!c->closed && c->work && c->work->held_answer &&
-	    c->work->held_answer->len > HELD_ANSWER_MAX_BYTES)
-		discard_conn(c, PW_ATTEMPT_UNANSWERED,
-			     "the answer of the write is too large to be held");
+	if (c->work && c->work->held_answer && c->work->held_answer->len > HELD_ANSWER_MAX_BYTES) {
+		/* A repeat would be too large as well. */
+		c->work->answer_started = true;
+		discard_conn(c, PW_ATTEMPT_UNANSWERED, "the answer is too large to be held");
+	}
+}
+
+static void handle_message(struct conn *c, const uint8_t *data, const struct pw_pg_frame *f,
+			   GByteArray *forward_buffer)
+{
+	struct pw_exchange_message m;
+
+	if (c->state == CONN_LOGGING_IN) {
+		if (f->type == 'Z')
+			complete_login(c);
+		else
+			handle_login(c, f);
+		return;
+	}
+	if (pw_pg_is_asynchronous(f)) {
+		if (f->type == 'N' && c->state == CONN_READING_ANSWER)
+			handle_unconfirmed_message(c, data, f, forward_buffer);
+		return;
+	}
+	pw_pg_get_exchange_message(&m, f, c->token);
+	switch (pw_exchange_check(&c->exchange, &m)) {
+	case PW_EXCHANGE_ANSWER:
+		handle_unconfirmed_message(c, data, f, forward_buffer);
+		break;
+	case PW_EXCHANGE_ECHO:
+		break;
+	case PW_EXCHANGE_CONFIRMED:
+		forward_answer(c, forward_buffer);
+		handle_confirmed(c);
+		break;
+	case PW_EXCHANGE_FOREIGN:
+		handle_foreign_message(c);
+		break;
+	}
 }
 
 /* Handles the first message of the input. Returns false if there is none or `c` was closed. */
--- a/daemon/traffic/group_private.h
+++ b/daemon/traffic/group_private.h
@@ -16,7 +16,7 @@
 #include "../directory.h"
 #include "group.h"
 #include "ledger.h"
-#include "pw/codec/pg.h"
+#include "pw/codec/pg_exchange.h"
 #include "pw/core/stream.h"
 #include "pw/decide/confirm.h"
 #include "pw/decide/floor.h"
@@ -54,6 +54,11 @@
  * connection is discarded if the part gets larger.
  */
 #define HELD_ANSWER_MAX_BYTES 1048576
+/*
+ * An answer up to this size is held back until it is confirmed. Of a larger one, the part before
+ * the end of its first statement is passed on earlier.
+ */
+#define ANSWER_CONFIRMED_FIRST_BYTES 65536
 /* Interval of the checks of waiting requests, units and idle connections. */
 #define GROUP_TICK_INTERVAL_US UINT64_C(10000)
 /* Backoff before the first retry of a request; doubles with each further one, up to the maximum. */
@@ -135,7 +140,7 @@
 	struct server *server; /**< NULL while WORK_WAITING */
 	struct conn *conn;     /**< NULL unless WORK_RUNNING */
 	enum work_state state;
-	/** Answer from an error, or the CommandComplete of a write, onward; NULL: nothing held. */
+	/** Answer, or its part from the end of its first statement onward; NULL: nothing held. */
 	GByteArray *held_answer;
 	struct pw_position initial_floor;  /**< floor that the request arrived with */
 	struct pw_position write_position; /**< read after the answer, on the same connection */
@@ -145,6 +150,7 @@
 	uint32_t parsed_count;     /**< ParseComplete messages, without hidden ones */
 	char sqlstate[6];          /**< of the first ErrorResponse; empty: none */
 	char transaction_status;   /**< as in ReadyForQuery, after the answer */
+	bool statement_ended;      /**< the answer of the first statement has ended */
 	bool answer_started;       /**< bytes of the answer were sent to the front task */
 	bool abandoned;            /**< the session has ended; the answer is dropped */
 	bool replica_wait_over;    /**< the read may go to the primary */
@@ -176,6 +182,8 @@
 	uint32_t cancel_secret;       /**< for cancel requests */
 	uint32_t hidden_answers_left; /**< answers to replayed messages, to be dropped */
 	enum conn_state state;
+	struct pw_exchange exchange;    /**< answers that are due */
+	char token[PW_PG_TOKEN_SIZE];   /**< of the echo statement in flight */
 	struct pw_server_status status; /**< read after a write */
 	char transaction_status;        /**< of the last ReadyForQuery */
 	bool has_status;                /**< `status` was read after the current write */
--- a/daemon/traffic/group_work.c
+++ b/daemon/traffic/group_work.c
@@ -473,6 +473,7 @@
 	w->conn = NULL;
 	g_clear_pointer(&w->held_answer, g_byte_array_unref);
 	w->sqlstate[0] = 0;
+	w->statement_ended = false;
 	w->parsed_count = 0;
 	if (w->abandoned) {
 		work_free(w);
--- a/upstream/include/pw/upstream/upstream.h
+++ b/upstream/include/pw/upstream/upstream.h
@@ -18,6 +18,11 @@
 	uint16_t status_column_count; /**< number of columns of a status row */
 	/** @return SQL of the status statement, a static string */
 	const char *(*status_statement)(const struct pw_upstream *u);
+	/**
+	 * @return SQL of a statement that any user may run and that returns the token as its only
+	 *         row and column; the caller frees it with g_free()
+	 */
+	char *(*echo_statement)(const struct pw_upstream *u, const char *token);
 	/*
 	 * These functions return the SQL of a control statement; the caller frees it with g_free().
 	 * `promoter` identifies the VM that runs the failover, and its incarnation.
@@ -44,7 +49,8 @@
 	const struct pw_upstream_ops *ops;
 };
 
-/** Groups controlled by the SQL functions pw_status(), pw_fence(), pw_promote() and pw_follow(). */
+/** Groups controlled by the SQL functions pw_status(), pw_echo(), pw_fence(),
+ * pw_promote() and pw_follow(). */
 extern const struct pw_upstream pw_upstream_sql_functions;
 
 #endif
--- a/upstream/src/functions.c
+++ b/upstream/src/functions.c
@@ -57,6 +57,12 @@
 	return g_string_free(s, FALSE);
 }
 
+static char *functions_echo(const struct pw_upstream *u, const char *token)
+{
+	(void)u;
+	return g_strdup_printf("SELECT * FROM pw_echo('%s')", token);
+}
+
 static char *functions_fence(const struct pw_upstream *u, uint64_t term, const char *promoter)
 {
 	(void)u;
@@ -121,6 +127,7 @@
 	.name = "functions",
 	.status_column_count = COLUMN_COUNT,
 	.status_statement = functions_status,
+	.echo_statement = functions_echo,
 	.fence_statement = functions_fence,
 	.promote_statement = functions_promote,
 	.follow_statement = functions_follow,
