Monitor: take only status rows and results that an echo confirms

Callers would see stale reads and needless changes of primary: a status row that a server sends a second time counted as the answer to a later probe, with the send time of that probe, so that an old role, term or position looked current; the second end of a status answer could end a fence or promote before it ran.

Cause: monitor_server.c took the next row and ReadyForQuery on the connection for the answer to the statement in flight.

Fix: each control statement is followed by an echo, as on the connections of requests.

--- a/codec/src/pg_exchange.c
+++ b/codec/src/pg_exchange.c
@@ -30,8 +30,8 @@
 static bool row_has_token(const struct pw_pg_frame *f, const char *token)
 {
 	char *value = NULL;
-	bool equal = pw_pg_read_data_row(&value, f, 1) == PW_OK && value &&
-		     strcmp(value, token) == 0;
+	bool equal =
+		pw_pg_read_data_row(&value, f, 1) == PW_OK && value && strcmp(value, token) == 0;
 
 	g_free(value);
 	return equal;
@@ -74,8 +74,8 @@
 		break;
 	case 'E':
 		out->kind = PW_EXCHANGE_ERROR;
-		out->is_refusal = g_strcmp0(pw_pg_get_error_field(f, 'C'),
-					    SQLSTATE_FAILED_TRANSACTION) == 0;
+		out->is_refusal =
+			g_strcmp0(pw_pg_get_error_field(f, 'C'), SQLSTATE_FAILED_TRANSACTION) == 0;
 		break;
 	case 'Z':
 		out->kind = PW_EXCHANGE_END;
--- a/daemon/control/monitor_private.h
+++ b/daemon/control/monitor_private.h
@@ -12,7 +12,7 @@
 #include "../directory.h"
 #include "monitor.h"
 #include "pw/codec/document.h"
-#include "pw/codec/pg.h"
+#include "pw/codec/pg_exchange.h"
 #include "pw/core/clock.h"
 #include "pw/core/stream.h"
 #include "pw/decide/failover.h"
@@ -79,6 +79,8 @@
 	struct monitored_server *server;
 	enum control_state state;
 	struct control_statement *in_flight; /**< NULL: none */
+	struct pw_exchange exchange;         /**< answers that are due */
+	char token[PW_PG_TOKEN_SIZE];        /**< of the echo statement in flight */
 	uint64_t wait_started_us; /**< start of the connect, or send time of the last query */
 	bool closed;              /**< freed by the next tick */
 };
--- a/daemon/control/monitor_server.c
+++ b/daemon/control/monitor_server.c
@@ -45,14 +45,22 @@
 	s->fresh_connection = NULL;
 }
 
+/* Sends a query and the echo statement, whose answer confirms the query's. */
 static void send_query(struct control_connection *c, const char *text)
 {
+	const struct pw_upstream *u = c->server->group->upstream;
 	GByteArray *b = g_byte_array_new();
+	char *echo;
 
+	pw_pg_new_token(c->token);
+	pw_exchange_begin(&c->exchange, 1, true);
+	echo = u->ops->echo_statement(u, c->token);
 	c->wait_started_us = monitor_now_us(c->server->group);
 	pw_pg_put_query(b, text);
+	pw_pg_put_query(b, echo);
 	pw_stream_send(&c->stream, b->data, b->len);
 	g_byte_array_unref(b);
+	g_free(echo);
 }
 
 static void send_status_query(struct control_connection *c)
@@ -142,22 +150,39 @@
 	send_next_statement(s->main_connection);
 }
 
-/*
- * Closes a connection that was refused or reset or that violated the protocol, and records the
- * failure of the server.
- */
-static void handle_connection_failure(struct control_connection *c)
+static void close_failed_connection(struct control_connection *c)
 {
 	struct monitored_server *s = c->server;
-	uint64_t now_us = monitor_now_us(s->group);
 
 	if (c == s->main_connection) {
 		close_main_connection(s);
-		s->connect_due_us = now_us + RECONNECT_DELAY_US;
+		s->connect_due_us = monitor_now_us(s->group) + RECONNECT_DELAY_US;
 	} else {
 		close_fresh_connection(s);
 	}
-	monitor_handle_health(s, pw_health_record_failure(&s->health, now_us));
+}
+
+/*
+ * Closes a connection that was refused or reset or that violated the protocol, and records the
+ * failure of the server.
+ */
+static void handle_connection_failure(struct control_connection *c)
+{
+	struct monitored_server *s = c->server;
+
+	close_failed_connection(c);
+	monitor_handle_health(s, pw_health_record_failure(&s->health, monitor_now_us(s->group)));
+}
+
+/* Closes a connection with a message that is not due. It shows that the server runs. */
+static void handle_foreign_message(struct control_connection *c)
+{
+	struct monitored_server *s = c->server;
+
+	pw_counter_inc(c->exchange.active ? PW_COUNTER_UPSTREAM_ANSWERS_FOREIGN
+					  : PW_COUNTER_UPSTREAM_ANSWERS_EXTRA);
+	close_failed_connection(c);
+	monitor_handle_health(s, pw_health_record_answer(&s->health, monitor_now_us(s->group)));
 }
 
 /* Replaces the main connection, which has gone silent: the server answers on the second one. */
@@ -215,8 +240,6 @@
 /* Parses status rows. Rows of control statements are ignored: only their success matters. */
 static int handle_row(struct control_connection *c, const struct pw_pg_frame *f)
 {
-	if (!c->in_flight)
-		return pw_error_set(PW_EINVALID, "DataRow without a statement");
 	if (c->in_flight->kind != STATEMENT_STATUS && !c->in_flight->reading_status)
 		return PW_OK;
 	return parse_status_row(c, f);
@@ -242,41 +265,49 @@
 	return PW_OK;
 }
 
-static int handle_ready_for_query(struct control_connection *c)
+static int handle_login_message(struct control_connection *c, const struct pw_pg_frame *f)
 {
-	if (c->state == CONTROL_LOGIN) {
+	switch (f->type) {
+	case 'R':
+		return handle_authentication(c, f);
+	case 'Z':
 		c->state = CONTROL_READY;
 		send_next_statement(c);
 		return PW_OK;
+	case 'E':
+		return pw_error_set(PW_EDENIED, "login refused");
+	default:
+		/* ParameterStatus, BackendKeyData and NoticeResponse are ignored. */
+		return PW_OK;
 	}
-	if (!c->in_flight)
-		return pw_error_set(PW_EINVALID, "ReadyForQuery without a statement");
-	finish_statement(c);
-	return PW_OK;
 }
 
 static int handle_message(struct control_connection *c, const struct pw_pg_frame *f)
 {
-	switch (f->type) {
-	case 'R':
-		return handle_authentication(c, f);
-	case 'Z':
-		return handle_ready_for_query(c);
-	case 'D':
-		return handle_row(c, f);
-	case 'E':
-		if (!c->in_flight)
-			return pw_error_set(PW_EDENIED, "login refused");
-		if (!c->in_flight->reading_status)
-			c->in_flight->refused = true;
-		return PW_OK;
-	default:
-		/*
-		 * Ignored: ParameterStatus, BackendKeyData, RowDescription, CommandComplete and
-		 * NoticeResponse.
-		 */
+	struct pw_exchange_message m;
+
+	if (c->state != CONTROL_READY)
+		return handle_login_message(c, f);
+	if (pw_pg_is_asynchronous(f))
 		return PW_OK;
+	pw_pg_get_exchange_message(&m, f, c->token);
+	switch (pw_exchange_check(&c->exchange, &m)) {
+	case PW_EXCHANGE_ANSWER:
+		if (f->type == 'D')
+			return handle_row(c, f);
+		if (f->type == 'E' && !c->in_flight->reading_status)
+			c->in_flight->refused = true;
+		break;
+	case PW_EXCHANGE_ECHO:
+		break;
+	case PW_EXCHANGE_CONFIRMED:
+		finish_statement(c);
+		break;
+	case PW_EXCHANGE_FOREIGN:
+		handle_foreign_message(c);
+		break;
 	}
+	return PW_OK;
 }
 
 static void connection_received(struct pw_stream *s)
--- a/decide/include/pw/decide/exchange.h
+++ b/decide/include/pw/decide/exchange.h
@@ -42,7 +42,8 @@
 enum pw_exchange_verdict {
 	PW_EXCHANGE_ANSWER,    /**< part of an answer, which may still prove to be another's */
 	PW_EXCHANGE_ECHO,      /**< part of the echo's answer */
-	PW_EXCHANGE_CONFIRMED, /**< end of the echo's answer: all answers before it are the own ones */
+	PW_EXCHANGE_CONFIRMED, /**< end of the echo's answer: all answers before it are the own ones
+				*/
 	PW_EXCHANGE_FOREIGN,   /**< not due: the connection cannot be used any more */
 };
 
--- a/decide/src/exchange.c
+++ b/decide/src/exchange.c
@@ -57,9 +57,8 @@
 	bool refused = x->state == PW_EXCHANGE_STATE_FAILED;
 
 	if (refused)
-		return x->echo_step == 0
-			       ? m->kind == PW_EXCHANGE_ERROR && m->is_refusal
-			       : m->kind == PW_EXCHANGE_END && m->state == x->state;
+		return x->echo_step == 0 ? m->kind == PW_EXCHANGE_ERROR && m->is_refusal
+					 : m->kind == PW_EXCHANGE_END && m->state == x->state;
 	if (m->kind != kinds[x->echo_step])
 		return false;
 	return m->kind == PW_EXCHANGE_ROW   ? m->has_token
--- a/tests/daemon/test_monitor.c
+++ b/tests/daemon/test_monitor.c
@@ -33,12 +33,16 @@
 	FAULT_STOP,                   /* connections are closed, new ones refused */
 	FAULT_SILENT,                 /* no statement is answered */
 	FAULT_OLD_CONNECTIONS_SILENT, /* the open connections go silent, new ones work */
+	FAULT_ANSWERS_TWICE,          /* every second status query is answered twice at once */
+	FAULT_SECOND_ANSWERS_LATE,    /* a status row comes again before the next one */
 };
 
 struct connection {
 	int fd;
 	bool started, silent;
 	GByteArray *in;
+	GByteArray *last_status; /* bytes of the last answer to a status query; NULL: none */
+	uint32_t status_count;
 };
 
 struct fake_server {
@@ -62,6 +66,7 @@
 {
 	close(c->fd);
 	g_byte_array_unref(c->in);
+	g_clear_pointer(&c->last_status, g_byte_array_unref);
 	*c = (struct connection){ .fd = -1 };
 }
 
@@ -120,6 +125,8 @@
 static void answer_query(struct fake_server *s, GByteArray *out, const char *text)
 {
 	static const char *const yes = "t";
+	char token[64];
+	const char *const token_row[1] = { token };
 	static const struct pw_pg_error refused = {
 		.severity = "ERROR",
 		.sqlstate = "55000",
@@ -128,6 +135,8 @@
 
 	if (!strcmp(text, "SELECT * FROM pw_status()"))
 		put_status(s, out);
+	else if (sscanf(text, "SELECT * FROM pw_echo('%63[^']')", token) == 1)
+		put_result(out, token_row, 1);
 	else if (execute_control_statement(s, text))
 		put_result(out, &yes, 1);
 	else
@@ -135,6 +144,26 @@
 	pw_pg_put_ready_for_query(out, 'I');
 }
 
+/* Answers a query; a fault may answer the connection's last status query again. */
+static void answer_query_on(struct fake_server *s, struct connection *c, GByteArray *out,
+			    const char *text)
+{
+	bool is_status = !strcmp(text, "SELECT * FROM pw_status()");
+	guint start;
+
+	if (is_status && c->last_status && s->fault == FAULT_SECOND_ANSWERS_LATE)
+		g_byte_array_append(out, c->last_status->data, c->last_status->len);
+	start = out->len;
+	answer_query(s, out, text);
+	if (!is_status)
+		return;
+	g_clear_pointer(&c->last_status, g_byte_array_unref);
+	c->last_status = g_byte_array_new();
+	g_byte_array_append(c->last_status, out->data + start, out->len - start);
+	if (++c->status_count % 2 == 0 && s->fault == FAULT_ANSWERS_TWICE)
+		g_byte_array_append(out, c->last_status->data, c->last_status->len);
+}
+
 /* Answers what has arrived; returns false when the connection has ended. */
 static bool serve_connection(struct fake_server *s, struct connection *c)
 {
@@ -167,7 +196,7 @@
 			pw_pg_put_authentication(out, PW_PG_AUTH_OK);
 			pw_pg_put_ready_for_query(out, 'I');
 		} else if (f.type == 'Q') {
-			answer_query(s, out, (const char *)f.body);
+			answer_query_on(s, c, out, (const char *)f.body);
 		}
 	}
 	if (used_bytes)
@@ -294,6 +323,10 @@
 	uint32_t lease_request_count;
 	uint32_t vote_count; /* votes of this VM that the primary is lost */
 	uint32_t snapshot_request_count;
+	uint64_t lsn_raised_us; /* when server 1 reached `raised_lsn`; 0: not yet */
+	uint64_t raised_lsn;
+	uint32_t stale_count;  /* older rows of server 1 that came as answers to later probes */
+	uint32_t raised_count; /* rows of server 1 with `raised_lsn` */
 	bool store_down;
 };
 
@@ -328,6 +361,10 @@
 
 	if (i == SERVER_COUNT || !msg->has_status)
 		return;
+	if (i == 1 && x->lsn_raised_us && msg->probe_sent_us > x->lsn_raised_us) {
+		x->stale_count += msg->status.lsn < x->raised_lsn;
+		x->raised_count += msg->status.lsn == x->raised_lsn;
+	}
 	x->last_status[i] = msg->status;
 	x->last_probe[i] = *msg;
 	if (msg->status.role == PW_SERVER_PRIMARY && msg->status.term > x->term) {
@@ -672,6 +709,8 @@
 	{ "stopped, store down", FAULT_STOP, true, true },
 	{ "old connections silent", FAULT_OLD_CONNECTIONS_SILENT, false, false },
 	{ "no fault", FAULT_NONE, false, false },
+	{ "answers twice", FAULT_ANSWERS_TWICE, false, false },
+	{ "second answers late", FAULT_SECOND_ANSWERS_LATE, false, false },
 };
 
 /*
@@ -780,6 +819,31 @@
 }
 END_TEST
 
+/* Fails if a status row that comes a second time is taken for the answer to a later query. */
+START_TEST(test_second_status_row)
+{
+	struct fixture x;
+	bool all_probed;
+
+	setup(&x);
+	all_probed = wait_for(&x, are_all_servers_probed, 5000);
+	apply_fault(&x.servers[1], FAULT_SECOND_ANSWERS_LATE);
+	for (uint64_t lsn = 200; lsn < 203; lsn++) {
+		pthread_mutex_lock(&x.servers[1].lock);
+		x.servers[1].lsn = lsn;
+		pthread_mutex_unlock(&x.servers[1].lock);
+		x.raised_lsn = lsn;
+		x.lsn_raised_us = pw_clock_now_us();
+		wait_for(&x, never, 900);
+	}
+	teardown(&x);
+	printf("%u rows of before the query, %u of after it\n", x.stale_count, x.raised_count);
+	ck_assert(all_probed);
+	ck_assert_uint_eq(x.stale_count, 0);
+	ck_assert_uint_ge(x.raised_count, 3);
+}
+END_TEST
+
 static bool has_sent_vote(struct fixture *x)
 {
 	return x->vote_count > 0;
@@ -866,6 +930,7 @@
 	TCase *tc = tcase_create("monitor");
 
 	pw_event_log_init(G_LOG_LEVEL_ERROR);
+	tcase_add_test(tc, test_second_status_row);
 	tcase_add_loop_test(tc, test_faults_of_the_primary, 0, PW_ARRAY_LEN(fault_cases));
 	tcase_add_test(tc, test_needs_votes_of_peers);
 	tcase_add_test(tc, test_accepts_promotion_by_peer);
--- a/tests/process/test_second_answers.c
+++ b/tests/process/test_second_answers.c
@@ -29,8 +29,8 @@
 struct session {
 	GThread *thread;
 	struct pw_harness_login login;
-	GPtrArray *keys;   /**< of the rows that were to be written */
-	GArray *outcomes;  /**< enum outcome of each key */
+	GPtrArray *keys;  /**< of the rows that were to be written */
+	GArray *outcomes; /**< enum outcome of each key */
 	gint64 end_us;
 	uint32_t index;
 	uint32_t case_index;
@@ -55,9 +55,9 @@
 		g_snprintf(s->first_error, sizeof(s->first_error), "%s: %s, expected %s", sql,
 			   result, expected);
 	if (outcome)
-		*outcome = matches                                ? OUTCOME_ACKNOWLEDGED
+		*outcome = matches                              ? OUTCOME_ACKNOWLEDGED
 			   : strcmp(result, "ERROR 08007") == 0 ? OUTCOME_UNKNOWN
-								  : OUTCOME_NOT_RUN;
+								: OUTCOME_NOT_RUN;
 	g_free(result);
 	return matches;
 }
@@ -68,8 +68,7 @@
 	char *select = g_strdup_printf("SELECT v FROM twice WHERE k = '%s'", key);
 
 	if (run_step(s, conn, "BEGIN", NULL, "BEGIN") &&
-	    run_step(s, conn, "INSERT 0 1", NULL, insert) &&
-	    run_step(s, conn, key, NULL, select))
+	    run_step(s, conn, "INSERT 0 1", NULL, insert) && run_step(s, conn, key, NULL, select))
 		run_step(s, conn, "COMMIT", outcome, "COMMIT");
 	else if (PQtransactionStatus(conn) != PQTRANS_IDLE)
 		run_step(s, conn, "ROLLBACK", NULL, "ROLLBACK");
@@ -125,8 +124,7 @@
 		const char *key = s->keys->pdata[i];
 		enum outcome outcome = g_array_index(s->outcomes, enum outcome, i);
 		char *sql = g_strdup_printf("SELECT v FROM twice WHERE k = '%s'", key);
-		char *rows =
-			pw_fleet_control_query(fleet, DATABASE, (uint32_t)primary, sql);
+		char *rows = pw_fleet_control_query(fleet, DATABASE, (uint32_t)primary, sql);
 
 		if (outcome != OUTCOME_UNKNOWN)
 			ck_assert_msg(strcmp(rows, outcome == OUTCOME_ACKNOWLEDGED ? key : "") == 0,
