Log: a text cannot forge a field, end its quotes or end its line

A reader of the log would see false fields, such as event=1003 name=stopped, in the line of another event: callers, servers, peers and the store choose names, keys and error texts that are logged.

Cause: only control characters were replaced, in the finished line. A blank in an unquoted text or a quote in a quoted one ended the field, and the line breaks that Unicode defines beyond LF were kept.

Fix: pw_event_log() formats its fields itself and so knows which bytes come from a text. In these, control characters, line breaks and whatever ends or escapes the field are replaced. test_conversions guards the numbers.

--- a/core/include/pw/core/event.h
+++ b/core/include/pw/core/event.h
@@ -107,8 +107,11 @@
  * Logs an event. It never waits for the reader of the log. Lines above the event's limit per second
  * are suppressed; the event's next line gives their number in the field `left_out`.
  *
- * @param format printf format of the fields as `name=value` pairs; control characters in the
- *               result are replaced, so that input from callers cannot forge a log line
+ * @param format printf format of the fields as `name=value` pairs; supported
+ *               are the conversions s, d, i, u, x and f. In texts, control characters and line
+ * breaks are replaced, and whatever ends or escapes the field: blanks and quotes of a text without
+ * quotes, quotes and backslashes of one that directly follows a quote. So no input forges a field
+ * or a line
  */
 void pw_event_log(enum pw_event e, const char *format, ...) __attribute__((format(printf, 2, 3)));
 
--- a/core/src/event.c
+++ b/core/src/event.c
@@ -1,9 +1,11 @@
 #include "pw/core/event.h"
 
 #include <ck_pr.h>
+#include <inttypes.h>
 #include <poll.h>
 #include <pthread.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -169,28 +171,173 @@
 	g_log_set_writer_func(write_log_line, NULL, NULL);
 }
 
+/* A message that is being formatted; what does not fit is cut. */
+struct message {
+	char text[LINE_MAX_BYTES];
+	size_t size_bytes; /**< without the terminating zero */
+};
+
+static void append_char(struct message *m, char c)
+{
+	if (m->size_bytes + 1 < sizeof(m->text))
+		m->text[m->size_bytes++] = c;
+	m->text[m->size_bytes] = 0;
+}
+
+/* Returns the size of a line break other than LF at the start of the text, in UTF-8; 0: none. */
+static size_t unicode_break_size(const char *p, size_t size_bytes)
+{
+	if (size_bytes >= 2 && memcmp(p, "\xc2\x85", 2) == 0)
+		return 2;
+	if (size_bytes >= 3 &&
+	    (memcmp(p, "\xe2\x80\xa8", 3) == 0 || memcmp(p, "\xe2\x80\xa9", 3) == 0))
+		return 3;
+	return 0;
+}
+
+/*
+ * Appends a text that may come from outside. What would end its line, its field or its quotes, or
+ * escape them, is replaced.
+ */
+static void append_text(struct message *m, const char *text, size_t size_bytes, bool quoted)
+{
+	const char *replaced = quoted ? "\\" : "\" \\";
+	size_t break_left = 0;
+
+	for (size_t i = 0; i < size_bytes; i++) {
+		unsigned char c = (unsigned char)text[i];
+
+		if (!break_left)
+			break_left = unicode_break_size(text + i, size_bytes - i);
+		if (break_left) {
+			break_left--;
+			append_char(m, '?');
+		} else if (c < 0x20 || c == 0x7f || strchr(replaced, (char)c)) {
+			append_char(m, '?');
+		} else {
+			append_char(m, c == '"' ? '\'' : (char)c);
+		}
+	}
+}
+
+/* A conversion of a format: precision, length modifier and kind. */
+struct conversion {
+	int precision; /**< -1: none */
+	char length;   /**< 'l', 'L' for "ll", 'z', or 0 */
+	char kind;
+};
+
+static const char *parse_conversion(struct conversion *out, const char *p)
+{
+	*out = (struct conversion){ .precision = -1 };
+	if (*p == '.') {
+		char *end;
+
+		out->precision = (int)strtol(p + 1, &end, 10);
+		p = end;
+	}
+	for (; *p == 'l' || *p == 'z'; p++)
+		out->length = *p == 'l' && out->length ? 'L' : *p;
+	out->kind = *p;
+	return *p ? p + 1 : p;
+}
+
+/* Returns false if the conversion is not supported. */
+static bool append_conversion(struct message *m, const struct conversion *c, bool quoted,
+			      va_list *ap)
+{
+	char number[64] = "";
+	uint64_t u;
+
+	switch (c->kind) {
+	case 's': {
+		const char *text = va_arg(*ap, const char *);
+
+		if (!text)
+			text = "(null)";
+		append_text(m, text,
+			    c->precision >= 0 ? strnlen(text, (size_t)c->precision) : strlen(text),
+			    quoted);
+		return true;
+	}
+	case 'f':
+		snprintf(number, sizeof(number), "%.*f", c->precision >= 0 ? c->precision : 6,
+			 va_arg(*ap, double));
+		break;
+	case 'd':
+	case 'i': {
+		int64_t d = c->length ? va_arg(*ap, int64_t) : va_arg(*ap, int);
+
+		snprintf(number, sizeof(number), "%" PRId64, d);
+		break;
+	}
+	case 'u':
+	case 'x':
+		u = c->length ? va_arg(*ap, uint64_t) : va_arg(*ap, unsigned int);
+		if (c->kind == 'u')
+			snprintf(number, sizeof(number), "%" PRIu64, u);
+		else
+			snprintf(number, sizeof(number), "%" PRIx64, u);
+		break;
+	case '%':
+		strcpy(number, "%");
+		break;
+	default:
+		return false;
+	}
+	for (const char *p = number; *p; p++)
+		append_char(m, *p);
+	return true;
+}
+
+/*
+ * Formats the fields like printf, but replaces in each text what could forge a field or a line.
+ * Supports the conversions s, d, i, u, x and f with a precision and the lengths l, ll and z;
+ * another one ends the message, since the sizes of the arguments behind it are not known.
+ */
+static void format_fields(struct message *m, const char *format, va_list *ap)
+{
+	struct conversion c;
+
+	while (*format) {
+		if (*format != '%') {
+			append_char(m, *format++);
+			continue;
+		}
+		format = parse_conversion(&c, format + 1);
+		if (!append_conversion(m, &c, m->size_bytes && m->text[m->size_bytes - 1] == '"',
+				       ap))
+			return;
+	}
+}
+
 void pw_event_log(enum pw_event e, const char *format, ...)
 {
 	const struct pw_event_info *info = &event_infos[e];
-	char message[LINE_MAX_BYTES];
+	struct message message;
 	char number[16];
 	uint32_t suppressed;
-	int len;
 	GLogField fields[] = {
 		{ .key = "GLIB_DOMAIN", .value = LOG_DOMAIN, .length = -1 },
 		{ .key = "PW_EVENT", .value = number, .length = -1 },
 		{ .key = "PW_NAME", .value = info->name, .length = -1 },
-		{ .key = "MESSAGE", .value = message, .length = -1 },
+		{ .key = "MESSAGE", .value = message.text, .length = -1 },
 	};
 	va_list ap;
 
 	if (info->level > log_level || !admit_line(e, &suppressed))
 		return;
 	snprintf(number, sizeof(number), "%u", info->number);
+	message.size_bytes = 0;
+	message.text[0] = 0;
 	va_start(ap, format);
-	len = vsnprintf(message, sizeof(message), format, ap);
+	format_fields(&message, format, &ap);
 	va_end(ap);
-	if (suppressed && len > 0 && (size_t)len < sizeof(message))
-		snprintf(message + len, sizeof(message) - (size_t)len, " left_out=%u", suppressed);
+	if (suppressed) {
+		size_t size_bytes = message.size_bytes;
+
+		snprintf(message.text + size_bytes, sizeof(message.text) - size_bytes,
+			 " left_out=%u", suppressed);
+	}
 	g_log_structured_array(info->level, fields, G_N_ELEMENTS(fields));
 }
--- a/tests/core/test_event.c
+++ b/tests/core/test_event.c
@@ -1,6 +1,7 @@
 /* Tests of the log: its rate is limited, and no thread waits for its reader. */
 #include "suite.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -101,6 +102,81 @@
 }
 END_TEST
 
+/* Texts of callers, servers or the store, and how a line shows them. */
+static const struct {
+	const char *text;
+	bool quoted;
+	const char *expected;
+} text_cases[] = {
+	{ "plain", false, "field=plain next=7\n" },
+	{ "a event=1003 name=stopped", false, "field=a?event=1003?name=stopped next=7\n" },
+	{ "a\r\ntime=x event=1003", false, "field=a??time=x?event=1003 next=7\n" },
+	{ "\"open", false, "field=?open next=7\n" },
+	{ "two words", true, "field=\"two words\" next=7\n" },
+	{ "a\" event=1003 name=\"stopped", true, "field=\"a' event=1003 name='stopped\" next=7\n" },
+	{ "a\ntime=x event=1003", true, "field=\"a?time=x event=1003\" next=7\n" },
+	{ "ends in \\", true, "field=\"ends in ?\" next=7\n" },
+	{ "a\xc2\x85"
+	  "b\xe2\x80\xa8"
+	  "c",
+	  true, "field=\"a??b???c\" next=7\n" },
+	{ "\xc3\xa4", true, "field=\"\xc3\xa4\" next=7\n" },
+};
+
+static int text_case;
+
+static void log_text(void)
+{
+	const char *text = text_cases[text_case].text;
+
+	if (text_cases[text_case].quoted)
+		pw_event_log(PW_EVENT_REQUEST_REFUSED, "field=\"%s\" next=%d", text, 7);
+	else
+		pw_event_log(PW_EVENT_REQUEST_REFUSED, "field=%s next=%d", text, 7);
+}
+
+/* Guards against a logged text that adds a line or a field, or closes its own quotes. */
+START_TEST(test_logged_text)
+{
+	char *output, *fields;
+
+	text_case = _i;
+	/* The limit per second may be used up by the other cases. */
+	g_usleep(1100000);
+	output = capture_stdout(log_text);
+	fields = strstr(output, "field=");
+	ck_assert_ptr_nonnull(fields);
+	if (strstr(fields, " left_out="))
+		strcpy(strstr(fields, " left_out="), "\n");
+	ck_assert_str_eq(fields, text_cases[_i].expected);
+	g_free(output);
+}
+END_TEST
+
+static void log_conversions(void)
+{
+	pw_event_log(PW_EVENT_REQUEST_REFUSED,
+		     "a=%u b=%d c=%" PRIu64 " d=%" PRId64
+		     " e=%zu f=%.1f g=%.3s h=%x i=100%% j=%" G_GINT64_FORMAT " k=%i",
+		     UINT32_MAX, -1, UINT64_MAX, INT64_MIN, (size_t)3, 2.25, "abcdef", 255,
+		     G_MININT64, -2);
+}
+
+/* Guards against a conversion that is printed wrongly, or that shifts the arguments behind it. */
+START_TEST(test_conversions)
+{
+	char *output;
+
+	g_usleep(1100000);
+	output = capture_stdout(log_conversions);
+	ck_assert_msg(strstr(output,
+			     "a=4294967295 b=-1 c=18446744073709551615 d=-9223372036854775808 "
+			     "e=3 f=2.2 g=abc h=ff i=100% j=-9223372036854775808 k=-2") != NULL,
+		      "%s", output);
+	g_free(output);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("event");
@@ -109,5 +185,7 @@
 	tcase_add_test(tc, test_rate_limit);
 	tcase_add_test(tc, test_suppressed_count);
 	tcase_add_test(tc, test_blocked_reader);
+	tcase_add_loop_test(tc, test_logged_text, 0, PW_ARRAY_LEN(text_cases));
+	tcase_add_test(tc, test_conversions);
 	return pw_suite_run("event", tc);
 }
