Cluster: a status counts only if its answer is complete and was due

Callers would see a change of primary that never ends, or that promotes by a status that was no answer: a second READY for the connection ended each query without a row, so that no server was known; a row counted without its COMPLETE, with an ERROR behind it, with a second row, or before the query was sent.

Cause: cluster_status.c took any row and ended at the second READY.

Fix: the answer is one row, then COMPLETE. Anything else ends the query without a status, and the change queries again; a READY before the row is the acceptance come again. Each query has a connection of its own, so that no row of an earlier query can come on it.

--- a/daemon/control/cluster_status.c
+++ b/daemon/control/cluster_status.c
@@ -19,6 +19,7 @@
 	struct pw_server_status_row row;
 	bool accepted; /**< the server has accepted the connection */
 	bool has_row;
+	bool completed; /**< the row was followed by a success */
 	bool ended;
 };
 
@@ -36,7 +37,7 @@
 	pw_loop_timer_clear(q->cluster->task.loop, &q->timer);
 	pw_stream_dispose(&q->stream);
 	if (q->owner)
-		q->ops->done(q->owner, q, q->has_row ? &q->row : NULL);
+		q->ops->done(q->owner, q, q->completed ? &q->row : NULL);
 	/* Callers further up the stack may still use the query, so the next tick frees it. */
 	g_ptr_array_add(q->cluster->ended_queries, q);
 	g_free(q->server_id);
@@ -62,16 +63,11 @@
 	send_message(q, b);
 }
 
-static void handle_ready(struct status_query *q)
+static void send_request(struct status_query *q)
 {
-	GByteArray *b;
+	GByteArray *b = g_byte_array_new();
 
-	if (q->accepted) {
-		end_query(q);
-		return;
-	}
 	q->accepted = true;
-	b = g_byte_array_new();
 	if (q->step_down_term)
 		server_dialect(q)->ops->put_step_down(b, q->step_down_term);
 	else
@@ -79,6 +75,41 @@
 	send_message(q, b);
 }
 
+/* Ends a query whose answer is an error, or has a message that is not due: it has no status. */
+static void fail_query(struct status_query *q)
+{
+	q->completed = false;
+	end_query(q);
+}
+
+/* The answer is one row, a success and the state of the session. */
+static void handle_reply(struct status_query *q, const struct pw_reply *reply)
+{
+	switch (reply->kind) {
+	case PW_REPLY_ROW:
+		if (!q->accepted || q->has_row ||
+		    server_dialect(q)->ops->parse_status_row(&q->row, reply->text))
+			fail_query(q);
+		q->has_row = true;
+		break;
+	case PW_REPLY_COMPLETE:
+		if (!q->has_row || q->completed)
+			fail_query(q);
+		q->completed = true;
+		break;
+	case PW_REPLY_ERROR:
+		fail_query(q);
+		break;
+	case PW_REPLY_READY:
+		if (!q->accepted)
+			send_request(q);
+		else if (q->has_row)
+			end_query(q);
+		/* Otherwise the acceptance has come twice. */
+		break;
+	}
+}
+
 static void query_received(struct pw_stream *s)
 {
 	struct status_query *q = (struct status_query *)s;
@@ -96,11 +127,7 @@
 			return;
 		}
 		pw_stream_consume(s, used_bytes);
-		if (reply.kind == PW_REPLY_ROW)
-			q->has_row = server_dialect(q)->ops->parse_status_row(&q->row,
-									      reply.text) == PW_OK;
-		else if (reply.kind == PW_REPLY_READY)
-			handle_ready(q);
+		handle_reply(q, &reply);
 		pw_reply_dispose(&reply);
 	}
 }
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -59,6 +59,8 @@
 	bool is_primary;
 	uint64_t term;
 	uint64_t step_down_term; /* of the last command to step down; 0: none */
+	const char *acceptance;  /* answer to STARTUP; NULL: READY */
+	const char *status;      /* rest of the status answer after its row; NULL: as usual */
 };
 
 /* Another VM. */
@@ -242,12 +244,14 @@
 		s->is_primary = s->is_primary && s->term >= term;
 	}
 	if (g_str_has_prefix(line, "STARTUP "))
-		snprintf(answer, sizeof(answer), "READY I -\r\n");
+		snprintf(answer, sizeof(answer), "%s",
+			 s->acceptance ? s->acceptance : "READY I -\r\n");
 	else
 		snprintf(answer, sizeof(answer),
 			 "DATAROW %s %" PRIu64 " %" PRIu64 ".100 0 0 0 1\r\n"
-			 "COMPLETE -\r\nREADY I -\r\n",
-			 s->is_primary ? "primary" : "replica", s->term, s->term);
+			 "%s",
+			 s->is_primary ? "primary" : "replica", s->term, s->term,
+			 s->status ? s->status : "COMPLETE -\r\nREADY I -\r\n");
 	(void)!send(fd, answer, strlen(answer), MSG_NOSIGNAL);
 }
 
@@ -1461,6 +1465,43 @@
 }
 END_TEST
 
+static const struct {
+	const char *label;
+	const char *acceptance, *status; /* of all servers, see struct fake_server */
+	bool promotes;                   /* a status is read, and so a server is promoted */
+} status_cases[] = {
+	{ "accepted twice", "READY I -\r\nREADY I -\r\n", NULL, true },
+	{ "without a completion", NULL, "READY I -\r\n", false },
+	{ "error after the row", NULL, "ERROR BUSY -\r\nREADY I -\r\n", false },
+	{ "error before the row", "READY I -\r\nERROR BUSY -\r\nREADY I -\r\n", NULL, false },
+	{ "two rows", NULL, "DATAROW primary 9 9.1 0 0 0 1\r\nCOMPLETE -\r\nREADY I -\r\n", false },
+	{ "row while nothing is due", "DATAROW primary 9 9.1 0 0 0 1\r\nREADY I -\r\n", NULL,
+	  false },
+};
+
+/*
+ * Fails if a second acceptance of the connection ends a status query, or if a status counts whose
+ * answer is not complete or has messages that are not due.
+ */
+START_TEST(test_status_answers)
+{
+	struct fixture x;
+	bool promoted;
+
+	setup(&x);
+	for (size_t i = 0; i < SERVER_COUNT; i++) {
+		x.servers[i].acceptance = status_cases[_i].acceptance;
+		x.servers[i].status = status_cases[_i].status;
+	}
+	start(&x, true);
+	promoted = wait_for(&x, has_promoted, 4000);
+	teardown(&x);
+	pw_primaries_unref(x.record);
+	ck_assert_msg(promoted == status_cases[_i].promotes, "%s: promoted %d",
+		      status_cases[_i].label, promoted);
+}
+END_TEST
+
 static bool has_permit(struct fixture *x)
 {
 	return x->permit_until_us > pw_clock_now_us();
@@ -2012,6 +2053,7 @@
 			    PW_ARRAY_LEN(resume_cases));
 	tcase_add_loop_test(tc, test_claim_is_repeated_for_same_primary_only, 0,
 			    PW_ARRAY_LEN(claim_cases));
+	tcase_add_loop_test(tc, test_status_answers, 0, PW_ARRAY_LEN(status_cases));
 	tcase_add_loop_test(tc, test_lost_answer_to_new_primary, 0,
 			    PW_ARRAY_LEN(lost_answer_cases));
 	tcase_add_loop_test(tc, test_lost_answer_to_claim, 0, PW_ARRAY_LEN(lost_claim_cases));
