HTTP client: each request has a connection of its own

Callers would see a stale read, or two holders of a permit: a second response of the store to an earlier call passed for the response to the next call on a kept connection, for example an earlier renewal for a renewal that never arrived.

Cause: HTTP/1.1 responses carry no id, and libcurl 7.88, which reads them, hands out a kept connection without looking for input that waits on it.

Fix: no connection is used for a second request. A call costs one more round trip for its connect; repeatable, which allowed the reuse, is gone, and with it the repeat of a request by libcurl on a connection that had ended.

--- a/http/include/pw/http/http.h
+++ b/http/include/pw/http/http.h
@@ -50,6 +50,7 @@
 	void *transfer; /**< owned by the client; NULL while the call is not in flight */
 };
 
+/** A request. It has a connection of its own, on which it is sent once. */
 struct pw_http_request {
 	const char *method;
 	const char *url;
@@ -63,12 +64,6 @@
 	 * connection is established; the call then ends with PW_EUNAVAILABLE. 0: none
 	 */
 	uint64_t send_deadline_us;
-	/**
-	 * The request may be executed twice. It may use a connection left open by an earlier
-	 * request, on which libcurl sends it again if the connection ends without a response. Other
-	 * requests open a new connection.
-	 */
-	bool repeatable;
 };
 
 #define PW_HTTP_OPTIONS_VERSION 1
--- a/http/src/http.c
+++ b/http/src/http.c
@@ -11,13 +11,6 @@
 #include "pw/core/counter.h"
 #include "pw/core/error.h"
 
-/*
- * A connection that has been idle for longer is not reused: its server may have become unreachable,
- * which shows only when a request gets no response.
- */
-#define CONNECTION_IDLE_MAX_S 5L
-#define IDLE_CONNECTIONS_MAX  4L
-
 /* The loss of the server during a call is detected after 1 + 2 * 1 seconds. */
 #define KEEPALIVE_IDLE_S     1
 #define KEEPALIVE_INTERVAL_S 1
@@ -34,8 +27,6 @@
 	GQueue released;       /**< finished or cancelled transfers, to be freed */
 	size_t response_max_bytes;
 	uint64_t unacked_timeout_us;
-	uint64_t no_reuse_until_us; /**< no connection is reused until then: after a failure the
-				       other idle ones may be dead as well */
 };
 
 /* A socket of libcurl, watched by the loop. */
@@ -173,8 +164,6 @@
 	} else if (rc != CURLE_OK) {
 		response.error_code = request_size_bytes > 0 ? PW_ETIMEOUT : PW_EUNAVAILABLE;
 		response.message = *t->error_text ? t->error_text : curl_easy_strerror(rc);
-		t->owner->no_reuse_until_us =
-			pw_clock_now_us() + CONNECTION_IDLE_MAX_S * PW_US_PER_S;
 	} else {
 		response.http_status = (uint32_t)status;
 		t->header_value = copy_header(t);
@@ -339,7 +328,6 @@
 static void set_options(struct transfer *t, const struct pw_http_request *req)
 {
 	CURL *easy = t->easy;
-	bool new_connection = !req->repeatable || pw_clock_now_us() < t->owner->no_reuse_until_us;
 
 	curl_easy_setopt(easy, CURLOPT_URL, req->url);
 	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, req->method);
@@ -360,8 +348,12 @@
 	if (req->connect_timeout_us)
 		curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
 				 timeout_to_ms(req->connect_timeout_us));
-	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, CONNECTION_IDLE_MAX_S);
-	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, new_connection ? 1L : 0L);
+	/*
+	 * Responses carry no id. On a connection of an earlier request, a second response to that
+	 * one would pass for the response to this one.
+	 */
+	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
 	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, sockopt_callback);
 	curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, t->owner);
 	if (req->send_deadline_us) {
@@ -441,7 +433,6 @@
 	curl_multi_setopt(h->multi, CURLMOPT_SOCKETDATA, h);
 	curl_multi_setopt(h->multi, CURLMOPT_TIMERFUNCTION, timer_callback);
 	curl_multi_setopt(h->multi, CURLMOPT_TIMERDATA, h);
-	curl_multi_setopt(h->multi, CURLMOPT_MAXCONNECTS, IDLE_CONNECTIONS_MAX);
 	*out = h;
 	return PW_OK;
 }
--- a/store/src/etcd.c
+++ b/store/src/etcd.c
@@ -128,11 +128,6 @@
 		.timeout_us = p->kind == PW_STORE_WATCH ? 0 : remaining_us,
 		/* Leaves time for the endpoints not tried yet if this one does not respond. */
 		.connect_timeout_us = MAX(remaining_us / untried_count, 1),
-		/*
-		 * A write must not be sent twice: the first request may have taken effect, and
-		 * a repeated transaction would then fail with a conflict that the first caused.
-		 */
-		.repeatable = p->kind == PW_STORE_RANGE,
 	};
 	int rc;
 
