--- a/tests/platform/test_http_responses.c
+++ b/tests/platform/test_http_responses.c
@@ -21,8 +21,8 @@
 #define CALL_TIMEOUT_US (2 * PW_US_PER_S)
 #define CONNECTIONS_MAX 4
 
-#define HEAD   "HTTP/1.1 200 OK\r\n"
-#define ONE(c) HEAD "Content-Length: 1\r\n\r\n" c
+#define HEAD            "HTTP/1.1 200 OK\r\n"
+#define ONE(c)          HEAD "Content-Length: 1\r\n\r\n" c
 
 /*
  * Responses to the first and the second request, and the body of the second one's result; "" stands
@@ -117,8 +117,7 @@
 
 static void start_server(struct server *s, char *url, size_t url_size)
 {
-	struct sockaddr_in a = { .sin_family = AF_INET,
-				 .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	struct sockaddr_in a = { .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
 	socklen_t size = sizeof(a);
 
 	for (size_t i = 0; i < CONNECTIONS_MAX; i++)
@@ -157,8 +156,8 @@
 {
 	struct client *c = (struct client *)call;
 
-	c->bodies[c->count++] = r->error_code ? g_strdup("")
-					      : g_strndup(r->body ? r->body : "", r->size_bytes);
+	c->bodies[c->count++] =
+		r->error_code ? g_strdup("") : g_strndup(r->body ? r->body : "", r->size_bytes);
 	if (c->count == G_N_ELEMENTS(c->bodies))
 		pw_loop_stop(c->loop);
 	else
