Statements: find the end of comments, identifiers and literals as the server does

A caller could run a statement that the proxy did not see: behind a carriage return in a line comment, in what the proxy took for a dollar-quoted text, or in what it took for a string. Such a statement is not routed, confirmed or charged, and may be one that is refused, such as SET, whose effect the next session on that connection would get.

Cause: the scanner ended a line comment at LF only, while PostgreSQL ends it at CR as well; it did not know that an identifier may contain '$', so that a$$x$ and a$e'...' opened a literal; and it scanned the continuation of an E'...' literal on a further line as a plain literal.

Fix: the scanner follows the lexical rules of the PostgreSQL documentation in these three places. The stand-in has no comments, so that no process test shows it.

--- a/decide/src/statement.c
+++ b/decide/src/statement.c
@@ -10,13 +10,26 @@
 struct scanner {
 	const char *in; /**< rest of the query string */
 	GString *out;
-	bool space_pending; /**< white space or a comment precedes the next character */
-	bool ended;         /**< a semicolon followed the statement */
-	bool multiple;      /**< text follows that semicolon */
+	gsize identifier_bytes; /**< size of the unquoted identifier at the end of `out`; 0: none */
+	bool space_pending;     /**< white space or a comment precedes the next character */
+	bool ended;             /**< a semicolon followed the statement */
+	bool multiple;          /**< text follows that semicolon */
 };
 
+static bool is_word_char(char c)
+{
+	return g_ascii_isalnum(c) || c == '_' || (unsigned char)c >= 0x80;
+}
+
 static void append_char(struct scanner *sc, char c)
 {
+	bool continues =
+		sc->identifier_bytes && !sc->space_pending && (is_word_char(c) || c == '$');
+
+	if (continues)
+		sc->identifier_bytes++;
+	else
+		sc->identifier_bytes = is_word_char(c) && !g_ascii_isdigit(c);
 	if (sc->ended)
 		sc->multiple = true;
 	if (sc->space_pending && sc->out->len)
@@ -52,22 +65,36 @@
 	sc->space_pending = true;
 }
 
-static bool is_word_char(char c)
+/* Returns whether the quote at `sc->in` opens an E'...' literal, where a backslash escapes. */
+static bool has_escape_prefix(const struct scanner *sc)
 {
-	return g_ascii_isalnum(c) || c == '_' || (unsigned char)c >= 0x80;
+	return !sc->space_pending && sc->identifier_bytes == 1 &&
+	       sc->out->str[sc->out->len - 1] == 'e';
 }
 
-/* Returns whether the quote at `sc->in` opens an E'...' literal, where a backslash escapes. */
-static bool has_escape_prefix(const struct scanner *sc)
+/*
+ * Returns the quote that continues a literal which ends before `p`: only white space with a line
+ * end, and line comments, may be in between. Returns NULL if the literal is not continued.
+ */
+static const char *find_continuation(const char *p)
 {
-	gsize n = sc->out->len;
+	bool has_line_end = false;
 
-	if (sc->space_pending || !n || sc->out->str[n - 1] != 'e')
-		return false;
-	return n == 1 || !is_word_char(sc->out->str[n - 2]);
+	for (;;) {
+		has_line_end |= *p == '\n' || *p == '\r';
+		if (g_ascii_isspace(*p))
+			p++;
+		else if (strncmp(p, "--", 2) == 0)
+			p += strcspn(p, "\r\n");
+		else
+			return *p == '\'' && has_line_end ? p : NULL;
+	}
 }
 
-/* Returns the end of a quoted literal or identifier; a doubled quote does not end it. */
+/*
+ * Returns the end of a quoted literal or identifier; a doubled quote does not end it. In the
+ * continuation of a literal, a backslash escapes as in its start.
+ */
 static const char *find_quoted_end(const char *p, bool has_escapes)
 {
 	char quote = *p++;
@@ -76,9 +103,13 @@
 		if (has_escapes && *p == '\\' && p[1]) {
 			p++;
 		} else if (*p == quote) {
-			if (p[1] != quote)
+			const char *next = p[1] == quote ? p + 1
+					   : has_escapes ? find_continuation(p + 1)
+							 : NULL;
+
+			if (!next)
 				return p + 1;
-			p++;
+			p = next;
 		}
 	}
 	return p;
@@ -111,15 +142,13 @@
 	const char *end;
 
 	if (strncmp(sc->in, "--", 2) == 0) {
-		sc->in += strcspn(sc->in, "\n");
+		sc->in += strcspn(sc->in, "\r\n");
 		sc->space_pending = true;
 	} else if (strncmp(sc->in, "/*", 2) == 0) {
 		skip_block_comment(sc);
 	} else if (*sc->in == '\'' || *sc->in == '"') {
 		append_until(sc, find_quoted_end(sc->in, *sc->in == '\'' && has_escape_prefix(sc)));
-	} else if (*sc->in == '$' &&
-		   (sc->space_pending || !sc->out->len ||
-		    !is_word_char(sc->out->str[sc->out->len - 1])) &&
+	} else if (*sc->in == '$' && (sc->space_pending || !sc->identifier_bytes) &&
 		   (end = find_dollar_quoted_end(sc->in))) {
 		append_until(sc, end);
 	} else if (*sc->in == ';') {
--- a/tests/platform/test_names.c
+++ b/tests/platform/test_names.c
@@ -33,7 +33,8 @@
 	const struct pw_catalog_source *source = &pw_platform_catalog_source;
 	char *text = g_strdup_printf(
 		"{\"Version\":1,\"Services\":[{\"Name\":\"s\"}],\"Routes\":[],\"Tenants\":["
-		"{\"Name\":\"%s\",\"ApiKeys\":[\"k1\"]},{\"Name\":\"birch\",\"ApiKeys\":[\"k2\"]}]}",
+		"{\"Name\":\"%s\",\"ApiKeys\":[\"k1\"]},{\"Name\":\"birch\",\"ApiKeys\":[\"k2\"]}]"
+		"}",
 		account_cases[_i].name);
 	struct pw_catalog *c = NULL;
 	struct pw_findings *f;
