Answers fleet: figures name the statements that can succeed

Cause: the bound of half of the statements leaves out those that must fail, so the printed successes could not be compared with it. Change: prints that number, too.

--- a/tests/platform/test_answers_fleet.c
+++ b/tests/platform/test_answers_fleet.c
@@ -332,10 +332,11 @@
 	gpointer code, count;
 
 	g_string_append_printf(text,
-			       "%s, seed %u: %u statements, %u runs, %u successes, %u errors, "
-			       "%u without an answer;",
+			       "%s, seed %u: %u statements, %u runs, %u successes of %u, "
+			       "%u errors, %u without an answer;",
 			       check->load, check->seed, check->notes->len, check->runs->len,
-			       check->success_count, check->error_count, check->no_answer_count);
+			       check->success_count, check->expected_count, check->error_count,
+			       check->no_answer_count);
 	for (uint32_t i = 0; i < RULE_COUNT; i++)
 		g_string_append_printf(text, " %s %u", rule_names[i], check->violations[i]);
 	g_string_append(text, ";");
