--- a/tests/platform/test_answers_fleet.c
+++ b/tests/platform/test_answers_fleet.c
@@ -5,8 +5,7 @@
  *
  * Usage: test_answers_fleet [--case INDEX]
  *
- * Without arguments, each load runs with one seed. INDEX is that of a load in the table below; with
- * --known-red, the loads that are listed in KNOWN-RED.txt fail the suite, too.
+ * Without arguments, each load runs with one seed. INDEX is that of a load in the table below.
  *
  * Environment variables:
  *   PW_ANSWERS_SEED   first seed (1)
