Answers: rows in front of an error or of the proxy's own success make an answer uncertain

Found in the review of the fix, by a unit case: rows of a copy that was cut off in front of an own BUSY were taken with it, and a read that had been sent in parts was then tried again; in front of an own begin or SET the own answer was dropped, and the connection stalled until its timeout. Such an answer is uncertain now: nothing of it is kept, and the connection is closed.

The order of the events 4041 and 4042 follows docs/events.md, which test_catalogue had refused.

--- a/core/include/pw/core/event.h
+++ b/core/include/pw/core/event.h
@@ -71,8 +71,8 @@
 	X(REQUEST_DRAINED, 4034, G_LOG_LEVEL_INFO, "request_drained")          \
 	X(REQUEST_ABANDONED, 4035, G_LOG_LEVEL_INFO, "request_abandoned")      \
 	X(ANSWER_FOREIGN, 4040, G_LOG_LEVEL_WARNING, "answer_foreign")         \
-	X(ANSWER_UNCERTAIN, 4042, G_LOG_LEVEL_INFO, "answer_uncertain")        \
 	X(ANSWER_CUT, 4041, G_LOG_LEVEL_INFO, "answer_cut")                    \
+	X(ANSWER_UNCERTAIN, 4042, G_LOG_LEVEL_INFO, "answer_uncertain")        \
 	X(KEY_WITHDRAWN, 5001, G_LOG_LEVEL_MESSAGE, "key_withdrawn")           \
 	X(ISOLATED, 5002, G_LOG_LEVEL_WARNING, "isolated")                     \
 	X(ADMIN_CHANGE, 6001, G_LOG_LEVEL_MESSAGE, "admin_change")
--- a/decide/src/answer.c
+++ b/decide/src/answer.c
@@ -121,8 +121,11 @@
 static enum pw_answer_verdict check_unsigned(const struct pw_answer_history *h,
 					     enum pw_answer_due due, const struct pw_answer *a)
 {
-	if (a->signature || a->row_count || a->state == PW_ANSWER_STATE_FAILED)
+	if (a->signature || a->state == PW_ANSWER_STATE_FAILED)
 		return PW_ANSWER_FOREIGN;
+	/* The rows may be those of a copy that was cut off. */
+	if (a->row_count)
+		return PW_ANSWER_UNCERTAIN;
 	/*
 	 * Sessions take turns on a connection, so that equal control answers are common. If one was
 	 * a copy, the own one comes in place of the next answer: its success is then found to be
@@ -147,7 +150,8 @@
 								       : PW_ANSWER_OWN;
 	switch (a->end) {
 	case PW_ANSWER_END_ERROR:
-		return h->is_ambiguous || was_given(h, a) ? PW_ANSWER_UNCERTAIN : PW_ANSWER_OWN;
+		return a->row_count || h->is_ambiguous || was_given(h, a) ? PW_ANSWER_UNCERTAIN
+									  : PW_ANSWER_OWN;
 	case PW_ANSWER_END_SUCCESS:
 		return due == PW_ANSWER_DUE_READ || due == PW_ANSWER_DUE_WRITE
 			       ? check_signed(h, due, a)
