Gateway: the state that ends an answer has to fit its statement; no retry behind parts of an answer

Found in the review, by reading: a statement outside a transaction whose answer ends in one was acknowledged, though a write there is not committed; a preparation within a transaction went on when the server was in none; a refused read of which parts had been sent was tried again, and its caller got both. The first fails the connection (a write is in doubt, a read is repeated), the second aborts the transaction, the third answers with the refusal. An idle connection that gets an answer of another statement to its ping is closed at once.

--- a/daemon/control/cluster_status.c
+++ b/daemon/control/cluster_status.c
@@ -93,9 +93,10 @@
 		q->has_row = true;
 		break;
 	case PW_REPLY_COMPLETE:
-		if (!q->has_row || q->completed)
+		if (q->has_row && !q->completed)
+			q->completed = true;
+		else
 			fail_query(q);
-		q->completed = true;
 		break;
 	case PW_REPLY_ERROR:
 		fail_query(q);
--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -527,7 +527,9 @@
 {
 	struct work *w = c->work;
 
-	if (c->begin_sent) {
+	if (w->in_transaction && !w->begins_transaction && r->state != PW_SESSION_IN_TRANSACTION) {
+		gw_conn_fail(c, "the transaction is not open at the server");
+	} else if (c->begin_sent) {
 		set_state(c, CONN_BEGINNING);
 	} else if (!w->session) {
 		c->work = NULL;
@@ -612,7 +614,10 @@
 		handle_begin_answer(c, r);
 		break;
 	case CONN_RUNNING:
-		handle_statement_answer(c, r);
+		if (!c->work->in_transaction && r->state != PW_SESSION_IDLE)
+			gw_conn_fail(c, "the statement ran in a transaction");
+		else
+			handle_statement_answer(c, r);
 		break;
 	case CONN_ROLLING_BACK:
 		if (reason == PW_REASON_NONE && r->state == PW_SESSION_IDLE)
@@ -628,10 +633,11 @@
 /*
  * Drops an answer that belongs to another statement, and goes on waiting for the one that is due.
  * If it has rows, which of them belong to the read in flight cannot be told; the read is repeated.
+ * An idle connection is closed.
  */
 static void drop_foreign_answer(struct conn *c, enum pw_answer_due due, uint32_t row_count)
 {
-	if (due == PW_ANSWER_DUE_READ && row_count) {
+	if (c->state == CONN_IDLE || (due == PW_ANSWER_DUE_READ && row_count)) {
 		gw_conn_fail(c, "the server sent the answer to another statement");
 		return;
 	}
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -268,6 +268,7 @@
 	char *error;           /**< text for `reason`; may be NULL */
 	bool begins_transaction;  /**< first statement of a transaction: the server has to begin
 				     the transaction before it */
+	bool in_transaction;      /**< part of a transaction of the caller */
 	bool is_commit;           /**< commits the transaction */
 	bool writes;              /**< a write, within a transaction or outside one */
 	bool is_autocommit_write; /**< write outside a transaction; must not run twice */
--- a/daemon/traffic/gateway_work.c
+++ b/daemon/traffic/gateway_work.c
@@ -35,6 +35,7 @@
 		w->prepared_statement =
 			g_hash_table_lookup(s->prepared_statements, statement->name);
 	w->begins_transaction = s->transaction == TRANSACTION_PENDING;
+	w->in_transaction = !is_autocommit;
 	w->is_commit = is_commit(statement);
 	w->writes = statement->verb == PW_VERB_WRITE ||
 		    (w->prepared_statement && w->prepared_statement->writes);
@@ -518,7 +519,8 @@
 		return;
 	}
 	gw_work_record_refusal(c, w->reason);
-	if (was_not_run(w->reason) && (!in_transaction || w->begins_transaction) && !w->is_commit) {
+	if (was_not_run(w->reason) && (!in_transaction || w->begins_transaction) && !w->is_commit &&
+	    !w->answer_started) {
 		if (state != PW_SESSION_IDLE) {
 			c->session = NULL;
 			gw_conn_roll_back(c);
