Gateway: a refused statement outside a transaction may end in the failed state

The check of the state of would have put such writes in doubt: the platform's page shows a READONLY that ends in E outside a transaction. Only a success has to end outside. Found by reading; the stand-in ends refusals in I there.

--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -646,7 +646,9 @@
 		handle_begin_answer(c, r);
 		break;
 	case CONN_RUNNING:
-		if (!c->work->in_transaction && r->state != PW_SESSION_IDLE)
+		/* A refusal outside a transaction may end in the failed state. */
+		if (reason == PW_REASON_NONE && !c->work->in_transaction &&
+		    r->state != PW_SESSION_IDLE)
 			gw_conn_fail(c, "the statement ran in a transaction");
 		else
 			handle_statement_answer(c, r);
