Group: the session with the id 0 leaves no connection behind

Cause: a connection took the session id 0 for "holds no transaction", but the first session of front task 0 has this id (and the first one after a wrap of the numbers). unpin() therefore never removed its entry from `pinned_conns`. The entry outlived the transaction and then the connection: the end of the session read freed memory, and a statement in a transaction whose connection was lost was "sent" on the closed connection, so that the caller got no answer. Class: a valid value that also stands for "none". The fleets of the tests hid it: their check for readiness logs in first and gets the id 0, unless the load balancing of the listeners gives it to another front task.

Ruled out: load. The proxy's own report names the access.

Change: a flag tells whether a connection is pinned; the key of the table is written only while the connection is not in it, and a connection removes only its own entry. A fleet can be started without logins, so that a test has the first session.

--- a/daemon/traffic/group_conn.c
+++ b/daemon/traffic/group_conn.c
@@ -32,11 +32,23 @@
 	g_byte_array_unref(b);
 }
 
+static void pin(struct conn *c, uint64_t session_id)
+{
+	if (c->is_pinned)
+		return;
+	c->is_pinned = true;
+	/* The table refers to this field, which must not change until unpin(). */
+	c->session_id = session_id;
+	g_hash_table_replace(group_of(c)->pinned_conns, &c->session_id, c);
+}
+
 static void unpin(struct conn *c)
 {
-	if (c->session_id)
-		g_hash_table_remove(group_of(c)->pinned_conns, &c->session_id);
-	c->session_id = 0;
+	GHashTable *conns = group_of(c)->pinned_conns;
+
+	if (c->is_pinned && g_hash_table_lookup(conns, &c->session_id) == c)
+		g_hash_table_remove(conns, &c->session_id);
+	c->is_pinned = false;
 }
 
 /* Closes the socket and removes the connection, without telling the pool. */
@@ -210,7 +222,6 @@
 static void end_conn_use(struct conn *c, uint64_t session_id, bool abandoned)
 {
 	struct server *s = c->server;
-	struct group *g = group_of(c);
 
 	clear_timeout(c);
 	c->work = NULL;
@@ -226,12 +237,9 @@
 		server_run_pool_actions(s);
 		return;
 	}
-	if (!c->session_id) {
-		c->session_id = session_id;
-		g_hash_table_replace(g->pinned_conns, &c->session_id, c);
-	}
+	pin(c, session_id);
 	c->state = CONN_PINNED;
-	c->idle_since_us = group_now_us(g);
+	c->idle_since_us = group_now_us(group_of(c));
 	if (abandoned)
 		conn_roll_back(c);
 }
--- a/daemon/traffic/group_private.h
+++ b/daemon/traffic/group_private.h
@@ -173,7 +173,8 @@
 	struct server *server;
 	struct pw_timer timer;        /**< timeout of the current state */
 	struct work *work;            /**< request that runs or waits for the check; NULL: none */
-	uint64_t session_id;          /**< id of the session with the open transaction; 0: none */
+	uint64_t session_id;          /**< id of the session with the open transaction, if
+					 `is_pinned` */
 	uint64_t busy_since_us;       /**< when it was taken from the pool */
 	uint64_t idle_since_us;       /**< end of the last use */
 	uint64_t sent_bytes_before;   /**< stream.sent_bytes before the request was sent */
@@ -187,6 +188,8 @@
 	struct pw_server_status status; /**< read after a write */
 	char transaction_status;        /**< of the last ReadyForQuery */
 	bool has_status;                /**< `status` was read after the current write */
+	bool is_pinned;                 /**< in `pinned_conns`, from the answer that leaves the
+					   transaction open to its end */
 	bool closed;                    /**< freed by the next tick */
 	bool discard_when_idle;         /**< closed instead of reused, since a late cancel request
 					   could hit another statement */
--- a/tests/process/harness_fleet.c
+++ b/tests/process/harness_fleet.c
@@ -150,8 +150,9 @@
 	add_env(env, "PW_API_TOKEN", g_strdup(API_TOKEN));
 	add_env(env, "PW_UPSTREAM_PASSWORD", g_strdup(UPSTREAM_PASSWORD));
 	add_env(env, "PW_CONTROL_PASSWORD", g_strdup(CONTROL_PASSWORD));
-	p->process = pw_harness_start(f->harness, "daemon/pimentowingd", p->caller_port, no_args,
-				      finish_list(env, f->options.proxy_env));
+	p->process = pw_harness_start(f->harness, "daemon/pimentowingd",
+				      f->options.without_callers ? p->api_port : p->caller_port,
+				      no_args, finish_list(env, f->options.proxy_env));
 	g_ptr_array_unref(env);
 }
 
@@ -441,7 +442,8 @@
 	const gint64 end_us = g_get_monotonic_time() + (gint64)timeout_ms * 1000;
 
 	for (uint32_t i = 0; i < f->options.proxy_count; i++) {
-		while (!is_full_member(f, i) || !serves_all_databases(f, i)) {
+		while (!is_full_member(f, i) ||
+		       (!f->options.without_callers && !serves_all_databases(f, i))) {
 			if (g_get_monotonic_time() >= end_us)
 				return false;
 			g_usleep(20000);
--- a/tests/process/harness_fleet.h
+++ b/tests/process/harness_fleet.h
@@ -23,10 +23,14 @@
 	const char *const *server_args;
 	/** Additional environment of the proxies as NAME=VALUE, NULL-terminated, or NULL. */
 	const char *const *proxy_env;
+	/** Connects to no proxy as a caller; pw_fleet_wait_ready() then asks for the members only.
+	 */
+	bool without_callers;
 };
 
 struct pw_fleet_proxy {
-	struct pw_harness_process *process; /**< its `port` is the caller port */
+	struct pw_harness_process *process; /**< its `port` is the caller port or,
+					       without_callers, the API port */
 	uint16_t caller_port;
 	uint16_t peer_port;
 	uint16_t api_port;
