Answers: rows of something else are not taken for those of a read

Cause: a read whose row is that of an earlier answer was taken for the same read again, whatever it asked for.

Change: the connection remembers what each answer was about. An answer that begins with a row which was given for something else is uncertain, so that the read is repeated on another connection. A read about the same has the same row: items are not deleted.

--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -609,8 +609,11 @@
 static enum pw_answer_verdict check_answer(struct conn *c)
 {
 	enum pw_answer_due due = answer_due(c);
-	enum pw_answer_verdict verdict = pw_answer_check(c->history, due, &c->answer);
+	enum pw_answer_verdict verdict;
 
+	if (due == PW_ANSWER_DUE_READ)
+		c->answer.subject_hash = g_bytes_hash(c->work->statement->argument);
+	verdict = pw_answer_check(c->history, due, &c->answer);
 	if (verdict != PW_ANSWER_OWN)
 		log_suspect_answer(c, due, verdict);
 	if (verdict == PW_ANSWER_FOREIGN && due != PW_ANSWER_DUE_NONE)
--- a/decide/include/pw/decide/answer.h
+++ b/decide/include/pw/decide/answer.h
@@ -65,6 +65,7 @@
 	enum pw_answer_state state;
 	bool has_position;
 	struct pw_position position;
+	uint32_t subject_hash; /**< of what a read asks for; other answers may leave it 0 */
 	uint32_t row_count;
 	uint32_t first_row_hash; /**< of the first row, if there is one */
 	uint32_t rows_hash;      /**< of all rows in their order */
--- a/decide/src/answer.c
+++ b/decide/src/answer.c
@@ -2,10 +2,16 @@
 
 #include <inttypes.h>
 
+/* The rows of an answer. */
+struct given_rows {
+	uint32_t rows_hash;
+	uint32_t subject_hash;
+};
+
 struct pw_answer_history {
 	GHashTable *identities; /**< set of texts, see format_identity() */
 	GPtrArray *batch;       /**< identities that pw_answer_end_batch() adds */
-	GHashTable *rows;       /**< hash of a first row -> hash of all rows of that answer */
+	GHashTable *rows;       /**< hash of a first row -> struct given_rows */
 	/** Newest position of an answer without signature, by what was due. */
 	struct pw_position unsigned_position[PW_ANSWER_DUE_COUNT];
 	bool has_unsigned[PW_ANSWER_DUE_COUNT];
@@ -53,7 +59,7 @@
 
 	h->identities = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	h->batch = g_ptr_array_new_with_free_func(g_free);
-	h->rows = g_hash_table_new(NULL, NULL);
+	h->rows = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	return h;
 }
 
@@ -94,19 +100,18 @@
 
 /*
  * Whether rows of a copy that was cut off may precede the rows of this answer: it begins with the
- * first row of an earlier answer and goes on differently.
+ * first row of an earlier answer and goes on differently, or asks for something else.
  */
 static bool may_have_foreign_rows(const struct pw_answer_history *h, enum pw_answer_due due,
 				  const struct pw_answer *a)
 {
-	gpointer rows_hash;
+	const struct given_rows *given;
 
-	if (!a->row_count ||
-	    !g_hash_table_lookup_extended(h->rows, GUINT_TO_POINTER(a->first_row_hash), NULL,
-					  &rows_hash))
+	if (!a->row_count)
 		return false;
-	return due == PW_ANSWER_DUE_WRITE ||
-	       (a->row_count > 1 && GPOINTER_TO_UINT(rows_hash) != a->rows_hash);
+	given = g_hash_table_lookup(h->rows, GUINT_TO_POINTER(a->first_row_hash));
+	return given && (due == PW_ANSWER_DUE_WRITE || given->rows_hash != a->rows_hash ||
+			 given->subject_hash != a->subject_hash);
 }
 
 /* Decides about the success of a statement that was forwarded for a caller. */
@@ -174,14 +179,26 @@
 							  : PW_ANSWER_DUE_CONTROL;
 }
 
+/* Remembers the rows; those of an own answer take the place of earlier ones. */
+static void record_rows(struct pw_answer_history *h, const struct pw_answer *a,
+			enum pw_answer_verdict verdict)
+{
+	gpointer key = GUINT_TO_POINTER(a->first_row_hash);
+	struct given_rows *given;
+
+	if (!a->row_count || (verdict != PW_ANSWER_OWN && g_hash_table_contains(h->rows, key)))
+		return;
+	given = g_new(struct given_rows, 1);
+	*given = (struct given_rows){ .rows_hash = a->rows_hash, .subject_hash = a->subject_hash };
+	g_hash_table_replace(h->rows, key, given);
+}
+
 void pw_answer_record(struct pw_answer_history *h, enum pw_answer_due due,
 		      const struct pw_answer *a, enum pw_answer_verdict verdict)
 {
 	char *identity = format_identity(a);
 
-	if (a->row_count)
-		g_hash_table_replace(h->rows, GUINT_TO_POINTER(a->first_row_hash),
-				     GUINT_TO_POINTER(a->rows_hash));
+	record_rows(h, a, verdict);
 	if (!identity)
 		return;
 	if (!a->signature) {
--- a/standins/platform/database.h
+++ b/standins/platform/database.h
@@ -47,6 +47,8 @@
  * BUSY.
  * The argument of "conn-limit" is the number of connections that a server accepts.
  * The argument of "reset-opens" is 1 if servers reset new connections instead of answering, else 0.
+ * The argument of "omit-empty-rows" is 1 if a read of an item that was never written has no row,
+ * and 0 if it has the row "none".
  * The argument of "refuse-set" is a number: so many of the next SET statements fail.
  *
  * The argument of these faults is a time in milliseconds:
--- a/standins/platform/faults.c
+++ b/standins/platform/faults.c
@@ -193,6 +193,7 @@
 	{ "conn-limit", set_count, offsetof(struct faults, conn_limit) },
 	{ "lose", set_count, offsetof(struct faults, lost_every) },
 	{ "refuse-set", set_count, offsetof(struct faults, refused_sets) },
+	{ "omit-empty-rows", set_flag, offsetof(struct faults, omits_empty_rows) },
 	{ "reset-opens", set_flag, offsetof(struct faults, resets_opens) },
 	{ "stutter", set_stutter, offsetof(struct faults, stutter) },
 	{ "cut", set_period, offsetof(struct faults, cut) },
--- a/standins/platform/session.c
+++ b/standins/platform/session.c
@@ -234,7 +234,10 @@
 	return g_byte_array_free_to_bytes(text);
 }
 
-/* For tests, the items @values, @account and @server return state of the connection or server. */
+/*
+ * Returns the row of an item; NULL if it has none. For tests, the items @values, @account and
+ * @server return state of the connection or server.
+ */
 static GBytes *read_item(const struct conn *c, struct wire_text item)
 {
 	const struct server *s = c->server;
@@ -252,15 +255,18 @@
 	key = wire_copy(item);
 	data = log_find(s->log, key);
 	g_bytes_unref(key);
-	return data ? g_bytes_ref(data) : g_bytes_new_static("none", strlen("none"));
+	if (data)
+		return g_bytes_ref(data);
+	return faults_of(c)->omits_empty_rows ? NULL : g_bytes_new_static("none", strlen("none"));
 }
 
 static void run_read(struct conn *c, struct statement *s)
 {
 	GBytes *row = read_item(c, s->item);
 
-	put_row(c, s, wire_text_of(row));
-	g_bytes_unref(row);
+	if (row)
+		put_row(c, s, wire_text_of(row));
+	g_clear_pointer(&row, g_bytes_unref);
 	send_signed(c, s);
 }
 
