--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -91,9 +91,9 @@
 	case CONN_OPENING:
 		return PW_ANSWER_DUE_OPENING;
 	case CONN_IDLE:
-		return c->proxy_answers_pending ? PW_ANSWER_DUE_CLEANUP : PW_ANSWER_DUE_NONE;
+		return c->control_answers_pending ? PW_ANSWER_DUE_CLEANUP : PW_ANSWER_DUE_NONE;
 	case CONN_PREPARING:
-		if (c->proxy_answers_pending)
+		if (c->control_answers_pending)
 			return PW_ANSWER_DUE_CONTROL;
 		return c->fence_answers_pending == FENCE_ANSWERS ? PW_ANSWER_DUE_FENCE
 								 : PW_ANSWER_DUE_FENCE_END;
@@ -274,7 +274,7 @@
 static void put_reset(struct conn *c, GByteArray *b)
 {
 	dialect(c)->put_reset(b);
-	c->proxy_answers_pending++;
+	c->control_answers_pending++;
 	g_clear_pointer(&c->variables, g_hash_table_unref);
 	g_clear_pointer(&c->prepared_names, g_hash_table_unref);
 }
@@ -297,7 +297,7 @@
 		if (has_variable(c, name, value))
 			continue;
 		dialect(c)->put_set(b, name, value);
-		c->proxy_answers_pending++;
+		c->control_answers_pending++;
 		g_hash_table_replace(c->variables, g_strdup(name), g_bytes_ref(value));
 	}
 }
@@ -335,7 +335,7 @@
 		c->prepared_names = g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
 							  (GDestroyNotify)g_bytes_unref, g_free);
 	dialect(c)->put_prepare(b, name, p->writes, p->text);
-	c->proxy_answers_pending++;
+	c->control_answers_pending++;
 	g_hash_table_insert(c->prepared_names, prepared_key(p), name);
 }
 
@@ -362,7 +362,7 @@
 	if (w->prepared_statement && !find_prepared(c, w->prepared_statement))
 		put_prepare(c, w->prepared_statement, b);
 	c->begin_sent = begin != NULL;
-	c->begin_refusal_ambiguous = begin && c->proxy_answers_pending > 1;
+	c->begin_refusal_ambiguous = begin && c->control_answers_pending > 1;
 	c->fence_answers_pending = 0;
 	if (begin) {
 		g_byte_array_append(b, begin->data, begin->len);
@@ -597,16 +597,17 @@
 /* Counts an answer to a control statement or to the fence behind them. */
 static void handle_preparation_answer(struct conn *c, const struct pw_reply *r)
 {
-	if (c->proxy_answers_pending)
-		c->proxy_answers_pending--;
+	if (c->control_answers_pending)
+		c->control_answers_pending--;
 	else
 		c->fence_answers_pending--;
-	if (!c->proxy_answers_pending && !c->fence_answers_pending)
+	if (!c->control_answers_pending && !c->fence_answers_pending)
 		handle_prepared(c, r);
 }
 
-/* Decides whether the answer that has ended is the one that is due, and remembers it. */
-static enum pw_answer_verdict check_answer(struct conn *c)
+/* Decides whether the answer that has ended is the one that is due; logs it if not, remembers it.
+ */
+static enum pw_answer_verdict judge_answer(struct conn *c)
 {
 	enum pw_answer_due due = answer_due(c);
 	enum pw_answer_verdict verdict;
@@ -621,7 +622,7 @@
 	else if (verdict == PW_ANSWER_UNCERTAIN)
 		pw_counter_inc(PW_COUNTER_UPSTREAM_ANSWERS_UNCERTAIN);
 	pw_answer_record(c->history, due, &c->answer, verdict);
-	if (due == PW_ANSWER_DUE_CONTROL && c->proxy_answers_pending == 1)
+	if (due == PW_ANSWER_DUE_CONTROL && c->control_answers_pending == 1)
 		pw_answer_end_batch(c->history);
 	return verdict;
 }
@@ -637,7 +638,7 @@
 		if (reason != PW_REASON_NONE)
 			gw_conn_fail(c, "the server refused a reset");
 		else
-			c->proxy_answers_pending--;
+			c->control_answers_pending--;
 		break;
 	case CONN_PREPARING:
 		if (reason != PW_REASON_NONE)
@@ -670,7 +671,7 @@
 /*
  * Drops an answer that belongs to another statement, and goes on waiting for the one that is due.
  * If it has rows, which of them belong to the read in flight cannot be told; the read is repeated.
- * An idle connection is closed.
+ * An idle connection is closed as well.
  */
 static void drop_foreign_answer(struct conn *c, enum pw_answer_due due, uint32_t row_count)
 {
@@ -701,7 +702,7 @@
 static void handle_ready(struct conn *c, const struct pw_reply *r)
 {
 	enum pw_answer_due due = answer_due(c);
-	enum pw_answer_verdict verdict = check_answer(c);
+	enum pw_answer_verdict verdict = judge_answer(c);
 	enum pw_reason reason = c->answer_reason;
 	uint32_t row_count = c->answer.row_count;
 
@@ -793,7 +794,7 @@
 		pw_counter_inc(PW_COUNTER_UPSTREAM_ANSWERS_EXTRA);
 	add_to_answer(c, r);
 	if (c->state == CONN_IDLE && answer_due(c) == PW_ANSWER_DUE_NONE) {
-		(void)check_answer(c);
+		(void)judge_answer(c);
 		gw_conn_fail(c, "the server sent an answer that was not due");
 	} else if (c->state == CONN_OPENING && r->kind == PW_REPLY_ERROR) {
 		record_open_refusal(c, r->reason);
@@ -906,16 +907,16 @@
 	const struct pw_position *newest = &c->server->position;
 
 	if ((w->begins_transaction || w->is_autocommit_write) &&
-	    !pw_answer_is_distinct_at(c->history, PW_ANSWER_DUE_WRITE, newest))
+	    !pw_answer_is_distinct_at(c->history, PW_UNSIGNED_ANSWER_ERROR, newest))
 		return false;
 	return !w->begins_transaction ||
-	       pw_answer_is_distinct_at(c->history, PW_ANSWER_DUE_BEGIN, newest);
+	       pw_answer_is_distinct_at(c->history, PW_UNSIGNED_ANSWER_BEGIN, newest);
 }
 
 /* Whether the statement may be sent on the connection now. */
 static bool is_usable(const struct conn *c, const struct work *w)
 {
-	return c->state == CONN_IDLE && c->account == w->account && !c->proxy_answers_pending &&
+	return c->state == CONN_IDLE && c->account == w->account && !c->control_answers_pending &&
 	       has_distinct_answers(c, w);
 }
 
@@ -1034,7 +1035,7 @@
 	gpointer account;
 	GByteArray *b;
 
-	if (c && c->proxy_answers_pending)
+	if (c && c->control_answers_pending)
 		return true;
 	if (!c) {
 		g_hash_table_iter_init(&it, g->accounts);
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -301,9 +301,9 @@
 	GHashTable *variables;   /**< name -> value set at the server; NULL: none */
 	GHashTable *prepared_names; /**< GBytes: text with the prefix "r" (reads) or "w" (writes) ->
 				    name of the prepared statement at the server; NULL: none */
-	uint32_t last_prepared_number;  /**< in the newest name of a prepared statement */
-	uint32_t proxy_answers_pending; /**< outstanding answers to the proxy's own resets, SETs and
-					   PREPAREs */
+	uint32_t last_prepared_number;     /**< in the newest name of a prepared statement */
+	uint32_t control_answers_pending;  /**< outstanding answers to the proxy's own resets, SETs
+					    and  PREPAREs */
 	struct pw_answer_history *history; /**< what the connection has answered */
 	struct pw_answer answer;           /**< messages of the answer that is being received */
 	char *answer_signature;            /**< owns the text in `answer` */
--- a/decide/include/pw/decide/answer.h
+++ b/decide/include/pw/decide/answer.h
@@ -3,7 +3,8 @@
  * Decides whether an answer of a server belongs to the statement in flight on its connection.
  * Answers carry no id, and a server may send one again at any later time. A connection remembers
  * what it has answered: by induction over its answers, one that differs from all earlier ones is
- * the statement's own, as long as no other one was ever taken for an own one.
+ * the statement's own, as long as no other one was ever taken for an own one. This assumes that a
+ * server answers in order, and that a second answer is the same as the first one, whole or in part.
  *
  * The success of a forwarded statement has a signature, which no server gives twice. All other
  * answers have none, so that a copy of an earlier one and an own one may be the same bytes.
@@ -76,7 +77,11 @@
 void pw_answer_add_row(struct pw_answer *answer, uint32_t row_hash);
 
 enum pw_answer_verdict {
-	PW_ANSWER_OWN,       /**< it can only be the answer that is due */
+	/**
+	 * It can only be the answer that is due; for PW_ANSWER_DUE_CONTROL and
+	 * PW_ANSWER_DUE_CLEANUP, it may also be a copy of an equal one.
+	 */
+	PW_ANSWER_OWN,
 	PW_ANSWER_FOREIGN,   /**< it cannot be the answer that is due */
 	PW_ANSWER_UNCERTAIN, /**< it is either the answer that is due or a copy of an earlier one */
 	PW_ANSWER_VERDICT_COUNT,
@@ -105,20 +110,27 @@
 		      const struct pw_answer *answer, enum pw_answer_verdict verdict);
 
 /**
- * Ends a batch of control statements that were sent together. Their answers may equal each other,
- * so they count as earlier ones only from then on.
+ * Ends a batch of control statements that were sent together, after their last answer. Own answers
+ * of one batch may equal each other, so they are compared with those of earlier batches only.
  */
 void pw_answer_end_batch(struct pw_answer_history *h);
 
+/** Kinds of answers without a signature. */
+enum pw_unsigned_answer {
+	PW_UNSIGNED_ANSWER_ERROR,
+	PW_UNSIGNED_ANSWER_BEGIN,   /**< a success that ends in a transaction */
+	PW_UNSIGNED_ANSWER_CONTROL, /**< any other success */
+	PW_UNSIGNED_ANSWER_COUNT,
+};
+
 /**
  * Whether an own answer without signature would be certain: none of that kind was given at the
  * newest position of the server's log, so that an own one differs by its position at least, and no
  * own answer is still to come in place of a copy.
  *
- * @param due      PW_ANSWER_DUE_WRITE for errors, PW_ANSWER_DUE_BEGIN or PW_ANSWER_DUE_CONTROL
  * @param position newest position that the server is known to have reached
  */
-bool pw_answer_is_distinct_at(const struct pw_answer_history *h, enum pw_answer_due due,
+bool pw_answer_is_distinct_at(const struct pw_answer_history *h, enum pw_unsigned_answer kind,
 			      const struct pw_position *position);
 
 /** @return number of answers that the connection remembers */
--- a/decide/src/answer.c
+++ b/decide/src/answer.c
@@ -12,9 +12,9 @@
 	GHashTable *identities; /**< set of texts, see format_identity() */
 	GPtrArray *batch;       /**< identities that pw_answer_end_batch() adds */
 	GHashTable *rows;       /**< hash of a first row -> struct given_rows */
-	/** Newest position of an answer without signature, by what was due. */
-	struct pw_position unsigned_position[PW_ANSWER_DUE_COUNT];
-	bool has_unsigned[PW_ANSWER_DUE_COUNT];
+	/** Newest position of the answers without signature of each kind. */
+	struct pw_position unsigned_position[PW_UNSIGNED_ANSWER_COUNT];
+	bool has_unsigned[PW_UNSIGNED_ANSWER_COUNT];
 	/**
 	 * An answer to a control or clean-up statement since the last certain answer may have been
 	 * a copy, so that the own one is still to come.
@@ -170,13 +170,12 @@
 	}
 }
 
-/* What an answer without signature is filed under; an error may answer any statement. */
-static enum pw_answer_due class_of(const struct pw_answer *a)
+static enum pw_unsigned_answer unsigned_kind(const struct pw_answer *a)
 {
 	if (a->end == PW_ANSWER_END_ERROR)
-		return PW_ANSWER_DUE_WRITE;
-	return a->state == PW_ANSWER_STATE_IN_TRANSACTION ? PW_ANSWER_DUE_BEGIN
-							  : PW_ANSWER_DUE_CONTROL;
+		return PW_UNSIGNED_ANSWER_ERROR;
+	return a->state == PW_ANSWER_STATE_IN_TRANSACTION ? PW_UNSIGNED_ANSWER_BEGIN
+							  : PW_UNSIGNED_ANSWER_CONTROL;
 }
 
 /* Remembers the rows; those of an own answer take the place of earlier ones. */
@@ -202,11 +201,11 @@
 	if (!identity)
 		return;
 	if (!a->signature) {
-		enum pw_answer_due class = class_of(a);
+		enum pw_unsigned_answer kind = unsigned_kind(a);
 
-		h->unsigned_position[class] =
-			pw_position_max(&h->unsigned_position[class], &a->position);
-		h->has_unsigned[class] = true;
+		h->unsigned_position[kind] =
+			pw_position_max(&h->unsigned_position[kind], &a->position);
+		h->has_unsigned[kind] = true;
 	}
 	if (due == PW_ANSWER_DUE_CONTROL || due == PW_ANSWER_DUE_CLEANUP)
 		h->is_ambiguous |= g_hash_table_contains(h->identities, identity);
@@ -225,13 +224,13 @@
 	g_ptr_array_set_size(h->batch, 0);
 }
 
-bool pw_answer_is_distinct_at(const struct pw_answer_history *h, enum pw_answer_due due,
+bool pw_answer_is_distinct_at(const struct pw_answer_history *h, enum pw_unsigned_answer kind,
 			      const struct pw_position *position)
 {
-	if (due == PW_ANSWER_DUE_WRITE && h->is_ambiguous)
+	if (kind == PW_UNSIGNED_ANSWER_ERROR && h->is_ambiguous)
 		return false;
-	return !h->has_unsigned[due] ||
-	       pw_position_compare(&h->unsigned_position[due], position) < 0;
+	return !h->has_unsigned[kind] ||
+	       pw_position_compare(&h->unsigned_position[kind], position) < 0;
 }
 
 uint32_t pw_answer_history_count(const struct pw_answer_history *h)
--- a/tests/decide/test_answer.c
+++ b/tests/decide/test_answer.c
@@ -313,21 +313,21 @@
 	const char *label;
 	enum pw_answer_due given_due;
 	struct pw_answer given;
-	enum pw_answer_due due;
+	enum pw_unsigned_answer kind;
 	uint64_t at;
 	bool expected;
 } distinct_cases[] = {
-	{ "nothing given", PW_ANSWER_DUE_READ, SIGNED("a", 5), PW_ANSWER_DUE_WRITE, 5, true },
-	{ "an error at this position", PW_ANSWER_DUE_READ, REFUSED("busy", 5), PW_ANSWER_DUE_WRITE,
-	  5, false },
-	{ "an error before it", PW_ANSWER_DUE_READ, REFUSED("busy", 4), PW_ANSWER_DUE_WRITE, 5,
-	  true },
-	{ "an error, then a begin", PW_ANSWER_DUE_READ, REFUSED("busy", 5), PW_ANSWER_DUE_BEGIN, 5,
+	{ "nothing given", PW_ANSWER_DUE_READ, SIGNED("a", 5), PW_UNSIGNED_ANSWER_ERROR, 5, true },
+	{ "an error at this position", PW_ANSWER_DUE_READ, REFUSED("busy", 5),
+	  PW_UNSIGNED_ANSWER_ERROR, 5, false },
+	{ "an error before it", PW_ANSWER_DUE_READ, REFUSED("busy", 4), PW_UNSIGNED_ANSWER_ERROR, 5,
 	  true },
+	{ "an error, then a begin", PW_ANSWER_DUE_READ, REFUSED("busy", 5),
+	  PW_UNSIGNED_ANSWER_BEGIN, 5, true },
 	{ "a begin at this position", PW_ANSWER_DUE_BEGIN, UNSIGNED(IN_TRANSACTION, 5),
-	  PW_ANSWER_DUE_BEGIN, 5, false },
+	  PW_UNSIGNED_ANSWER_BEGIN, 5, false },
 	{ "control at this position", PW_ANSWER_DUE_CONTROL, UNSIGNED(IDLE, 5),
-	  PW_ANSWER_DUE_CONTROL, 5, false },
+	  PW_UNSIGNED_ANSWER_CONTROL, 5, false },
 };
 
 /* Guards against work on a connection whose next refusal could not be told from an earlier one. */
@@ -337,7 +337,7 @@
 	struct pw_answer_history *h = pw_answer_history_new();
 
 	(void)give(h, distinct_cases[_i].given_due, &distinct_cases[_i].given);
-	ck_assert_msg(pw_answer_is_distinct_at(h, distinct_cases[_i].due, &at) ==
+	ck_assert_msg(pw_answer_is_distinct_at(h, distinct_cases[_i].kind, &at) ==
 			      distinct_cases[_i].expected,
 		      "%s", distinct_cases[_i].label);
 	pw_answer_history_free(h);
