Gateway: a connection whose statement failed in the state E is rolled back

Cause: after an answer outside a transaction that does not end in the idle state, and whose error is no refusal that is tried elsewhere, nobody rolled the connection back. It stayed pinned without a session until the server closed it, and counted against the limit of connections.

Change: a connection that has answered and holds no session's transaction is made idle or rolled back.

--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -580,6 +580,8 @@
 		return;
 	if (r->state == PW_SESSION_IDLE)
 		make_idle(c);
+	else if (!c->session)
+		gw_conn_roll_back(c);
 	gw_group_try_settle(c->server->group);
 }
 
--- a/standins/platform/database.h
+++ b/standins/platform/database.h
@@ -49,7 +49,9 @@
  * The argument of "reset-opens" is 1 if servers reset new connections instead of answering, else 0.
  * The argument of "omit-empty-rows" is 1 if a read of an item that was never written has no row,
  * and 0 if it has the row "none".
- * The argument of "refuse-set" is a number: so many of the next SET statements fail.
+ * The argument of "fail-state" is 1 if an error outside a transaction ends in the failed state,
+ * which lasts until a ROLLBACK or COMMIT, and 0 if it ends in the idle state. The argument of
+ * "refuse-set" is a number: so many of the next SET statements fail.
  *
  * The argument of these faults is a time in milliseconds:
  *
@@ -70,6 +72,7 @@
  *   number of its bytes, and closes the connection; the statement has run;
  * - "split", with bytes:B, sends answers in packets of 1 to B bytes;
  * - "busy", with every:N, refuses every N-th read, write, commit and BEGIN with BUSY.
+ * - "failures", with every:N, lets every N-th read or write fail with FAILED;
  * - "set-failures", with every:N, lets every N-th SET fail.
  *
  * The argument of "record" is "clear", which empties the record.
--- a/standins/platform/faults.c
+++ b/standins/platform/faults.c
@@ -194,11 +194,13 @@
 	{ "lose", set_count, offsetof(struct faults, lost_every) },
 	{ "refuse-set", set_count, offsetof(struct faults, refused_sets) },
 	{ "omit-empty-rows", set_flag, offsetof(struct faults, omits_empty_rows) },
+	{ "fail-state", set_flag, offsetof(struct faults, fails_state) },
 	{ "reset-opens", set_flag, offsetof(struct faults, resets_opens) },
 	{ "stutter", set_stutter, offsetof(struct faults, stutter) },
 	{ "cut", set_period, offsetof(struct faults, cut) },
 	{ "split", set_split, offsetof(struct faults, split_bytes) },
 	{ "busy", set_period, offsetof(struct faults, busy) },
+	{ "failures", set_period, offsetof(struct faults, failures) },
 	{ "set-failures", set_period, offsetof(struct faults, set_failures) },
 };
 
--- a/standins/platform/session.c
+++ b/standins/platform/session.c
@@ -173,7 +173,7 @@
 
 static void send_error(struct conn *c, const struct statement *s, const char *code)
 {
-	if (c->transaction)
+	if (c->transaction || faults_of(c)->fails_state)
 		c->transaction_failed = true;
 	record_error(s->record, code);
 	put_format(c, "ERROR %s %s\r\n", code, c->server->id);
@@ -449,7 +449,10 @@
 		return "NOSTMT";
 	if (s->waits_for_position && c->server->log->len < s->position)
 		return "LAGGING";
-	return is_refused_by_role(c, s) ? "READONLY" : NULL;
+	if (is_refused_by_role(c, s))
+		return "READONLY";
+	return s->kind != STATEMENT_OTHER && faults_select(&faults_of(c)->failures) ? "FAILED"
+										    : NULL;
 }
 
 /* Runs a statement, or answers it with an error if `code` is not NULL. */
