Front: a route without a limit does not lift the limit of its batch

Callers would have seen: in a batch of several statements, rows of a replica that is older than the limit of the statement's route, if another statement of the batch has a route without a limit and the session has a floor of its own (a position token, or a session per connection).

Cause: the plan of a batch took the least limit of its routes, and 0 stands for no limit.

--- a/daemon/traffic/front_session.c
+++ b/daemon/traffic/front_session.c
@@ -60,7 +60,7 @@
 /* How a batch may run, combined from the routes and kinds of all of its statements. */
 struct batch_plan {
 	const struct pw_document_route *route; /**< last of the routes; NULL: none */
-	uint32_t stale_age_ms;                 /**< least value of the routes; 0: no limit */
+	uint32_t stale_age_ms;                 /**< strictest limit of the routes; 0: none */
 	uint32_t timeout_ms;                   /**< greatest value of the routes */
 	uint32_t statement_count;  /**< number of statements charged to the account's rate */
 	bool needs_key;            /**< needs the key of an account */
@@ -71,6 +71,12 @@
 	bool commits;              /**< contains a COMMIT */
 };
 
+/* Returns the stricter of two limits on the age of data, of which 0 stands for no limit. */
+static uint32_t stricter_age_ms(uint32_t a_ms, uint32_t b_ms)
+{
+	return a_ms && b_ms ? MIN(a_ms, b_ms) : MAX(a_ms, b_ms);
+}
+
 /* Adds a statement's route to the plan. Returns false if it has none, after sending an error. */
 static bool plan_add_statement(struct caller *c, struct batch_plan *p, const struct pw_statement *s)
 {
@@ -84,8 +90,7 @@
 			     "no route of the database matches the statement");
 		return false;
 	}
-	p->stale_age_ms =
-		p->route ? MIN(p->stale_age_ms, route->stale_age_ms) : route->stale_age_ms;
+	p->stale_age_ms = stricter_age_ms(p->stale_age_ms, route->stale_age_ms);
 	p->timeout_ms = MAX(p->timeout_ms, route->timeout_ms);
 	p->needs_key |= route->access == PW_ACCESS_KEYED;
 	p->writes |= route->kind == PW_ROUTE_WRITE;
--- a/tests/process/test_sessions.c
+++ b/tests/process/test_sessions.c
@@ -141,6 +141,29 @@
 	g_free(sql);
 }
 
+/* Runs the statements of `arg`, separated by ";", as one batch; expects the last one's result. */
+static void run_batch(struct session_run *r, const struct step *s)
+{
+	char **statements = g_strsplit(s->arg, ";", -1);
+	PGconn *conn = *conn_at(r, s->target);
+	char *result = NULL;
+
+	ck_assert(PQenterPipelineMode(conn));
+	for (uint32_t i = 0; statements[i]; i++)
+		ck_assert(PQsendQueryParams(conn, statements[i], 0, NULL, NULL, NULL, NULL, 0));
+	ck_assert(PQpipelineSync(conn));
+	for (uint32_t i = 0; statements[i]; i++) {
+		g_free(result);
+		result = pw_harness_wait_result(conn, STATEMENT_TIMEOUT_MS);
+	}
+	expect_result(r, s, s->arg, result);
+	/* The end of the batch. */
+	PQclear(PQgetResult(conn));
+	ck_assert(PQexitPipelineMode(conn));
+	g_free(result);
+	g_strfreev(statements);
+}
+
 /* Runs a statement on a server directly, without a proxy. */
 static void run_on_server(struct session_run *r, const struct step *s)
 {
@@ -197,6 +220,7 @@
 static const struct step_ops open_with_token_ops = { run_open_with_token };
 static const struct step_ops set_token_ops = { run_set_token };
 static const struct step_ops query_ops = { run_query };
+static const struct step_ops batch_ops = { run_batch };
 static const struct step_ops on_server_ops = { run_on_server };
 static const struct step_ops set_lag_ops = { run_set_lag };
 static const struct step_ops promote_ops = { run_promote };
@@ -212,6 +236,7 @@
 #define OPEN_WITH_TOKEN(where, from)   STEP(open_with_token, where, from, NULL)
 #define SET_TOKEN(where, from)         STEP(set_token, where, from, NULL)
 #define QUERY(where, sql, pattern)     STEP(query, where, sql, pattern)
+#define BATCH(where, sql, pattern)     STEP(batch, where, sql, pattern)
 #define ON_SERVER(where, sql, pattern) STEP(on_server, where, sql, pattern)
 #define SET_LAG(where, ms)             STEP(set_lag, where, ms, NULL)
 #define PROMOTE(where)                 STEP(promote, where, NULL, NULL)
@@ -342,6 +367,14 @@
 		     QUERY("B0", INSERT("single", "b#"), "INSERT 0 1"),
 		     QUERY("B0", SELECT("single", "b#"), "vb#"), OPEN("A1"),
 		     QUERY("A1", SELECT("single", "b#"), "vb#") } },
+	/* Guards against a limit on the age of data that another statement of the batch lifts. */
+	{ .label = "batch of a stale route and a route without a limit",
+	  .database = PW_FLEET_CATALOG,
+	  .steps = { OPEN_WITH_EMPTY_TOKEN("A0"), QUERY("A0", "SELECT * FROM schedule", ""),
+		     SET_LAG("1", "8000"), SET_LAG("2", "8000"),
+		     QUERY("B0", INSERT("schedule", "a"), "INSERT 0 1"), WAIT("3000"),
+		     BATCH("A0", SELECT("calm", "x") ";SELECT * FROM schedule", "a|va"),
+		     BATCH("A0", "SELECT * FROM schedule;" SELECT("schedule", "a"), "va") } },
 	/* Guards against a probe for each read, as in a strict session. */
 	{ .label = "session per connection reads from a replica",
 	  .database = PW_FLEET_CATALOG,
