Answers: a fence that may be a copy confirms no control statement

Cause: the answers to a preparation that come again late match the next preparation on the connection one by one, its fence included. Any answer that ends in a transaction was taken for that of the fence, and the fence ended the doubt about the answers in front of it. The statement was sent, and the error of the SET arrived as its own.

Change: a fence whose answer equals that of an earlier begin leaves the doubt about the answers in front of it, and the statement is not sent then: the connection is closed, and the statement tried on another one. Statements that need a preparation get a connection on which the fence can be told from earlier begins by its position.

--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -550,6 +550,8 @@
 
 	if (w->in_transaction && !w->begins_transaction && r->state != PW_SESSION_IN_TRANSACTION) {
 		gw_conn_fail(c, "the transaction is not open at the server");
+	} else if (!w->in_transaction && pw_answer_is_ambiguous(c->history)) {
+		gw_conn_fail(c, "the state of the session may not be set at the server");
 	} else if (c->begin_sent) {
 		set_state(c, CONN_BEGINNING);
 	} else if (!w->session) {
@@ -901,17 +903,19 @@
 }
 
 /*
- * Whether a refusal of the statement, or the begin of its transaction, could be told from the
- * earlier answers of the connection. The server answers at its newest position at least.
+ * Whether a refusal of the statement, and the begin of its transaction or of its fence, could be
+ * told from the earlier answers of the connection. The server answers at its newest position at
+ * least.
  */
 static bool has_distinct_answers(const struct conn *c, const struct work *w)
 {
 	const struct pw_position *newest = &c->server->position;
+	bool has_fence = !w->in_transaction && needs_preparation(c, w);
 
 	if ((w->begins_transaction || w->is_autocommit_write) &&
 	    !pw_answer_is_distinct_at(c->history, PW_UNSIGNED_ANSWER_ERROR, newest))
 		return false;
-	return !w->begins_transaction ||
+	return !(w->begins_transaction || has_fence) ||
 	       pw_answer_is_distinct_at(c->history, PW_UNSIGNED_ANSWER_BEGIN, newest);
 }
 
--- a/decide/include/pw/decide/answer.h
+++ b/decide/include/pw/decide/answer.h
@@ -36,7 +36,8 @@
 	PW_ANSWER_DUE_CLEANUP, /**< a rollback or a ping, on whose success nothing depends */
 	/**
 	 * A begin that only confirms the control statements in front of it: it ends in another
-	 * state than they do, so that copies of their answers cannot take its place.
+	 * state than they do, so that copies of their answers cannot take its place. If it equals
+	 * the answer to an earlier begin, it confirms nothing.
 	 */
 	PW_ANSWER_DUE_FENCE,
 	PW_ANSWER_DUE_FENCE_END, /**< the rollback of that begin */
@@ -115,6 +116,12 @@
  */
 void pw_answer_end_batch(struct pw_answer_history *h);
 
+/**
+ * Whether own answers to control or clean-up statements may still be to come, since copies may have
+ * taken their places. What these statements were to do is not certain then.
+ */
+bool pw_answer_is_ambiguous(const struct pw_answer_history *h);
+
 /** Kinds of answers without a signature. */
 enum pw_unsigned_answer {
 	PW_UNSIGNED_ANSWER_ERROR,
--- a/decide/src/answer.c
+++ b/decide/src/answer.c
@@ -192,6 +192,25 @@
 	g_hash_table_replace(h->rows, key, given);
 }
 
+/* Whether own answers may still be to come after this one, since copies took their places. */
+static bool leaves_ambiguity(const struct pw_answer_history *h, enum pw_answer_due due,
+			     const char *identity, enum pw_answer_verdict verdict)
+{
+	switch (due) {
+	case PW_ANSWER_DUE_CONTROL:
+	case PW_ANSWER_DUE_CLEANUP:
+		return h->is_ambiguous || g_hash_table_contains(h->identities, identity);
+	case PW_ANSWER_DUE_FENCE:
+		/* That of an earlier fence ends in the same state, and may come again as well. */
+		return verdict == PW_ANSWER_OWN ? g_hash_table_contains(h->identities, identity)
+						: h->is_ambiguous;
+	case PW_ANSWER_DUE_FENCE_END:
+		return h->is_ambiguous;
+	default:
+		return h->is_ambiguous && verdict != PW_ANSWER_OWN;
+	}
+}
+
 void pw_answer_record(struct pw_answer_history *h, enum pw_answer_due due,
 		      const struct pw_answer *a, enum pw_answer_verdict verdict)
 {
@@ -207,10 +226,7 @@
 			pw_position_max(&h->unsigned_position[kind], &a->position);
 		h->has_unsigned[kind] = true;
 	}
-	if (due == PW_ANSWER_DUE_CONTROL || due == PW_ANSWER_DUE_CLEANUP)
-		h->is_ambiguous |= g_hash_table_contains(h->identities, identity);
-	else if (verdict == PW_ANSWER_OWN)
-		h->is_ambiguous = false;
+	h->is_ambiguous = leaves_ambiguity(h, due, identity, verdict);
 	if (due == PW_ANSWER_DUE_CONTROL)
 		g_ptr_array_add(h->batch, identity);
 	else
@@ -224,6 +240,11 @@
 	g_ptr_array_set_size(h->batch, 0);
 }
 
+bool pw_answer_is_ambiguous(const struct pw_answer_history *h)
+{
+	return h->is_ambiguous;
+}
+
 bool pw_answer_is_distinct_at(const struct pw_answer_history *h, enum pw_unsigned_answer kind,
 			      const struct pw_position *position)
 {
--- a/tests/decide/test_answer.c
+++ b/tests/decide/test_answer.c
@@ -5,7 +5,7 @@
 
 #include "pw/decide/answer.h"
 
-#define GIVEN_MAX 3
+#define GIVEN_MAX 6
 
 /* Answers in short: what ends them, their signature or error, state, position and rows. */
 #define SIGNED(text, at)                                                                 \
@@ -147,6 +147,26 @@
 	  PW_ANSWER_DUE_WRITE,
 	  REFUSED("busy", 1),
 	  PW_ANSWER_OWN },
+	{ "an error behind copies of the answers to an earlier batch and its fence",
+	  { { PW_ANSWER_DUE_CONTROL, UNSIGNED(IDLE, 1) },
+	    { PW_ANSWER_DUE_FENCE, UNSIGNED(IN_TRANSACTION, 1) },
+	    { PW_ANSWER_DUE_FENCE_END, UNSIGNED(IDLE, 1) },
+	    { PW_ANSWER_DUE_CONTROL, UNSIGNED(IDLE, 1) },
+	    { PW_ANSWER_DUE_FENCE, UNSIGNED(IN_TRANSACTION, 1) },
+	    { PW_ANSWER_DUE_FENCE_END, UNSIGNED(IDLE, 1) } },
+	  PW_ANSWER_DUE_WRITE,
+	  REFUSED("busy", 1),
+	  PW_ANSWER_UNCERTAIN },
+	{ "an error behind a fence at a later position",
+	  { { PW_ANSWER_DUE_CONTROL, UNSIGNED(IDLE, 1) },
+	    { PW_ANSWER_DUE_FENCE, UNSIGNED(IN_TRANSACTION, 1) },
+	    { PW_ANSWER_DUE_FENCE_END, UNSIGNED(IDLE, 1) },
+	    { PW_ANSWER_DUE_CONTROL, UNSIGNED(IDLE, 1) },
+	    { PW_ANSWER_DUE_FENCE, UNSIGNED(IN_TRANSACTION, 2) },
+	    { PW_ANSWER_DUE_FENCE_END, UNSIGNED(IDLE, 2) } },
+	  PW_ANSWER_DUE_WRITE,
+	  REFUSED("busy", 2),
+	  PW_ANSWER_OWN },
 	{ "control with a signature",
 	  { { 0 } },
 	  PW_ANSWER_DUE_CONTROL,
--- a/tests/platform/test_answers_fleet.c
+++ b/tests/platform/test_answers_fleet.c
@@ -148,6 +148,16 @@
 		      { "slots", "4" } } },
 	{ .label = "drawn faults, words", .draws_faults = true },
 	{ .label = "drawn faults, any bytes", .any_bytes = true, .draws_faults = true },
+	{ .label = "all answers twice, 1 ms late, failed SETs and statements",
+	  .faults = { { "stutter", "every:1,delay_ms:1,of:all,part:whole" },
+		      { "set-failures", "every:3" },
+		      { "failures", "every:7" },
+		      { "fail-state", "1" } } },
+	{ .label = "all answers twice, 20 ms late, failed SETs and statements",
+	  .faults = { { "stutter", "every:1,delay_ms:20,of:all,part:whole" },
+		      { "set-failures", "every:3" },
+		      { "failures", "every:7" },
+		      { "fail-state", "1" } } },
 };
 
 static const char *const stutter_counts[] = { "1", "2", "3", "7" };
