Ledger: the end of a session does not overtake its request

Seen: test_session_end, PostgreSQL binding: 8 sessions of an account above its rate send BEGIN and are reset while it waits. Their transactions begin afterwards, keep all slots of the primary, and a write of another account is refused with 53300 after its deadline of 1 s, in 7 of 8 runs. The slots are free again when the transactions have been idle for 5 s, or 30 s if nobody waits.

Cause: requests reach the group task through the ledger task, in which they wait up to 100 ms for a token; the end of a session was sent to the group task at once. It found neither a request nor a transaction, and the request ran after it with nobody to end its transaction.

Change: the end of a session takes the same way. The ledger task drops the request of the session if it waits, and passes the message on.

--- a/daemon/traffic/front.c
+++ b/daemon/traffic/front.c
@@ -71,8 +71,10 @@
 	 * request opens. It does nothing for a session without a transaction.
 	 */
 	if (f->document && c->database && c->state >= CALLER_READY)
-		pw_mailbox_send(pw_directory_group_inbox(f->directory, c->database),
-				pw_session_end_msg(c->session_id));
+		pw_mailbox_send(
+			f->directory->ledger,
+			pw_session_end_msg(c->session_id,
+					   pw_directory_group_inbox(f->directory, c->database)));
 	if (c->uncredited_bytes && c->credit_to)
 		pw_mailbox_send(c->credit_to,
 				pw_credit_msg(c->request_id, (uint32_t)c->uncredited_bytes));
--- a/daemon/traffic/front_session.c
+++ b/daemon/traffic/front_session.c
@@ -43,8 +43,11 @@
 		c->transaction_status = 'E';
 	/* Rolls the failed transaction back at the upstream; the caller still has to end it. */
 	if (c->transaction_status == 'E' && c->has_upstream_transaction) {
-		pw_mailbox_send(pw_directory_group_inbox(c->front->directory, c->database),
-				pw_session_end_msg(c->session_id));
+		const struct pw_directory *directory = c->front->directory;
+
+		pw_mailbox_send(directory->ledger,
+				pw_session_end_msg(c->session_id, pw_directory_group_inbox(
+									  directory, c->database)));
 		c->has_upstream_transaction = false;
 	}
 	pw_pg_put_error(b, &error);
--- a/daemon/traffic/ledger.c
+++ b/daemon/traffic/ledger.c
@@ -499,6 +499,36 @@
 	pw_msg_free(&m->base);
 }
 
+/* Finds the request of a session that waits for tokens; NULL if there is none. */
+static const struct pw_request *find_waiting_request(const struct ledger *l, uint64_t session_id)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, l->admissions);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct admission *a = value;
+
+		if (a->request->session_id == session_id)
+			return a->request;
+	}
+	return NULL;
+}
+
+/* Drops the session's request if it waits for tokens; passes the message on to the group task. */
+static void end_session(struct ledger *l, struct pw_session_end *m)
+{
+	const struct pw_request *r = find_waiting_request(l, m->session_id);
+	char id[PW_QUOTA_ID_SIZE];
+
+	if (r) {
+		format_rate_id(id, r->account->name);
+		pw_quota_cancel_request(l->quota, id, r->id);
+		g_hash_table_remove(l->admissions, &r->id);
+	}
+	pw_mailbox_send(m->group, &m->base);
+}
+
 static void ledger_receive(struct pw_task *t, struct pw_msg *m)
 {
 	struct ledger *l = (struct ledger *)t;
@@ -511,6 +541,10 @@
 		stop_request(l, (struct pw_request_stop *)m); /* takes ownership */
 		return;
 	}
+	if (m->ops == &pw_session_end_ops) {
+		end_session(l, (struct pw_session_end *)m); /* takes ownership */
+		return;
+	}
 	if (m->ops == &pw_units_msg_ops) {
 		handle_units(l, (struct pw_units_msg *)m);
 	} else if (m->ops == &pw_snapshot_ops) {
--- a/daemon/traffic/request.c
+++ b/daemon/traffic/request.c
@@ -117,12 +117,13 @@
 	return &c->base;
 }
 
-struct pw_msg *pw_session_end_msg(uint64_t session_id)
+struct pw_msg *pw_session_end_msg(uint64_t session_id, struct pw_mailbox *group)
 {
 	struct pw_session_end *e = g_new0(struct pw_session_end, 1);
 
 	e->base.ops = &pw_session_end_ops;
 	e->session_id = session_id;
+	e->group = group;
 	return &e->base;
 }
 
--- a/daemon/traffic/request.h
+++ b/daemon/traffic/request.h
@@ -80,10 +80,14 @@
 	uint32_t size_bytes;
 };
 
-/** A session ended or gave up its transaction, which is rolled back to release its connection. */
+/**
+ * A session ended or gave up its transaction, which is rolled back to release its connection. Takes
+ * the way of the requests, through the ledger task, so that it does not overtake one of them.
+ */
 struct pw_session_end {
 	struct pw_msg base;
 	uint64_t session_id;
+	struct pw_mailbox *group; /**< group task of the session's database */
 };
 
 /** Cancels the outstanding request of a session. */
@@ -154,7 +158,7 @@
 	__attribute__((format(printf, 4, 5)));
 
 struct pw_msg *pw_credit_msg(uint64_t request_id, uint32_t size_bytes);
-struct pw_msg *pw_session_end_msg(uint64_t session_id);
+struct pw_msg *pw_session_end_msg(uint64_t session_id, struct pw_mailbox *group);
 struct pw_msg *pw_cancel_msg(uint64_t session_id);
 struct pw_msg *pw_request_stop_msg(uint64_t request_id, struct pw_mailbox *group);
 /** The message takes a reference of its own to the document. */
