Drawn loads of test_answers_fleet: failed statements, failed SETs, failed state

The loads with drawn faults had none of the faults of the stand-in that were new: reads and writes that fail, SETs that fail, and errors that end in the failed state.

--- a/tests/platform/test_answers_fleet.c
+++ b/tests/platform/test_answers_fleet.c
@@ -171,10 +171,12 @@
 	struct fault fault;
 	double share;
 } drawn_faults[] = {
-	{ { "cut", "every:19" }, 0.3 }, { { "split", "bytes:60" }, 0.3 },
-	{ { "busy", "every:7" }, 0.3 }, { { "refuse-set", "20" }, 0.2 },
-	{ { "lose", "90" }, 0.15 },     { { "work", "3" }, 0.3 },
-	{ { "slots", "4" }, 0.2 },      { { "omit-empty-rows", "1" }, 0.5 },
+	{ { "cut", "every:19" }, 0.3 },     { { "split", "bytes:60" }, 0.3 },
+	{ { "busy", "every:7" }, 0.3 },     { { "refuse-set", "20" }, 0.2 },
+	{ { "lose", "90" }, 0.15 },         { { "work", "3" }, 0.3 },
+	{ { "slots", "4" }, 0.2 },          { { "omit-empty-rows", "1" }, 0.5 },
+	{ { "failures", "every:7" }, 0.3 }, { { "set-failures", "every:5" }, 0.3 },
+	{ { "fail-state", "1" }, 0.5 },
 };
 
 static const struct fault no_faults[] = {
