--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -582,7 +582,7 @@
 		return;
 	if (r->state == PW_SESSION_IDLE)
 		make_idle(c);
-	else if (!c->session)
+	else if (!c->session) /* an error outside a transaction, in the failed state */
 		gw_conn_roll_back(c);
 	gw_group_try_settle(c->server->group);
 }
--- a/decide/src/answer.c
+++ b/decide/src/answer.c
@@ -178,7 +178,7 @@
 							  : PW_UNSIGNED_ANSWER_CONTROL;
 }
 
-/* Remembers the rows; those of an own answer take the place of earlier ones. */
+/* Remembers the rows, unless a copy has them; an own answer is remembered in any case. */
 static void record_rows(struct pw_answer_history *h, const struct pw_answer *a,
 			enum pw_answer_verdict verdict)
 {
--- a/standins/platform/database.h
+++ b/standins/platform/database.h
@@ -64,14 +64,14 @@
  *
  * - "stutter", with every:N, and optionally delay_ms:D, of:KIND and part:PART, sends every N-th
  *   answer a second time, D ms after the first copy and unless the connection has closed. KIND
- * limits this to some answers: all (the default), signed (to reads, writes and commits that
- * succeeded), error, own (to statements with the id "-", other than STATUS and BEGIN), begin,
- * status or startup. PART limits it to a part of the answer: whole (the default), rows, head (all
- * but READY) or ready;
+ *   limits this to some answers: all (the default), signed (to reads, writes and commits that
+ *   succeeded), error, own (to statements with the id "-", other than STATUS and BEGIN), begin,
+ *   status or startup. PART limits it to a part of the answer: whole (the default), rows, head (all
+ *   but READY) or ready;
  * - "cut", with every:N, ends every N-th answer to a read, write or commit after a pseudo-random
  *   number of its bytes, and closes the connection; the statement has run;
  * - "split", with bytes:B, sends answers in packets of 1 to B bytes;
- * - "busy", with every:N, refuses every N-th read, write, commit and BEGIN with BUSY.
+ * - "busy", with every:N, refuses every N-th read, write, commit and BEGIN with BUSY;
  * - "failures", with every:N, lets every N-th read or write fail with FAILED;
  * - "set-failures", with every:N, lets every N-th SET fail.
  *
