Drain: an event tells when a request crossed the close of its session

The event request_crossed (4036) has the caller's port, when the session was closed and when the input behind the close was read.

--- a/core/include/pw/core/event.h
+++ b/core/include/pw/core/event.h
@@ -70,6 +70,7 @@
 	X(REQUEST_UNANSWERED, 4033, G_LOG_LEVEL_WARNING, "request_unanswered") \
 	X(REQUEST_DRAINED, 4034, G_LOG_LEVEL_INFO, "request_drained")          \
 	X(REQUEST_ABANDONED, 4035, G_LOG_LEVEL_INFO, "request_abandoned")      \
+	X(REQUEST_CROSSED, 4036, G_LOG_LEVEL_INFO, "request_crossed")          \
 	X(ANSWER_FOREIGN, 4040, G_LOG_LEVEL_WARNING, "answer_foreign")         \
 	X(ANSWER_CUT, 4041, G_LOG_LEVEL_INFO, "answer_cut")                    \
 	X(ANSWER_UNCERTAIN, 4042, G_LOG_LEVEL_INFO, "answer_uncertain")        \
--- a/core/include/pw/core/stream.h
+++ b/core/include/pw/core/stream.h
@@ -42,6 +42,9 @@
 	uint64_t sent_bytes; /**< output accepted by the transports since the stream was opened */
 	uint32_t read_limit_bytes; /**< reading pauses while the input buffer holds this much */
 	uint32_t discarded_bytes;  /**< input that came after the sending side was shut down */
+	uint64_t shut_down_us;     /**< when the sending side was shut down; 0: it is not */
+	uint64_t discarded_us;     /**< when the first such input was read; 0: none was */
+	uint16_t remote_port;      /**< set with `shut_down_us`; 0: the remote end was gone */
 	bool connecting;
 	bool reading_paused;     /**< the owner has paused reading, see pw_stream_pause() */
 	bool shutdown_when_sent; /**< the sending side is shut down after the output is written */
--- a/core/src/stream.c
+++ b/core/src/stream.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "pw/core/address.h"
+#include "pw/core/clock.h"
 #include "pw/core/error.h"
 
 /*
@@ -92,6 +93,18 @@
 	return s->open && recv(s->source.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+/* Returns the port of the remote end, or 0 if it has closed the connection. */
+static uint16_t find_remote_port(const struct pw_stream *s)
+{
+	struct sockaddr_storage a = { 0 };
+	socklen_t size = sizeof(a);
+
+	if (getpeername(s->source.fd, (struct sockaddr *)&a, &size) < 0)
+		return 0;
+	return ntohs(a.ss_family == AF_INET6 ? ((const struct sockaddr_in6 *)&a)->sin6_port
+					     : ((const struct sockaddr_in *)&a)->sin_port);
+}
+
 static bool wants_input(const struct pw_stream *s)
 {
 	if (s->lingering)
@@ -186,6 +199,8 @@
 	s->lingering = true;
 	s->transport->ops->shutdown(s->transport);
 	shutdown(s->source.fd, SHUT_WR);
+	s->shut_down_us = pw_clock_now_us();
+	s->remote_port = find_remote_port(s);
 	update_events(s);
 }
 
@@ -195,8 +210,11 @@
 	uint8_t chunk[READ_CHUNK_BYTES];
 	ssize_t n = recv(s->source.fd, chunk, sizeof(chunk), 0);
 
-	if (n > 0)
+	if (n > 0) {
 		s->discarded_bytes += (uint32_t)n;
+		if (!s->discarded_us)
+			s->discarded_us = pw_clock_now_us();
+	}
 	return n > 0 || (n < 0 && (errno == EAGAIN || errno == EINTR));
 }
 
--- a/daemon/traffic/drain_log.c
+++ b/daemon/traffic/drain_log.c
@@ -4,6 +4,7 @@
 
 #include "pw/core/clock.h"
 #include "pw/core/event.h"
+#include "pw/core/stream.h"
 
 void pw_drain_counts_add_close(struct pw_drain_counts *n, bool is_closing, bool by_caller,
 			       bool unanswered, bool crossed)
@@ -18,6 +19,19 @@
 		n->cut++;
 }
 
+void pw_drain_log_crossed(const struct pw_stream *s, const char *account, const char *database,
+			  uint64_t started_us)
+{
+	if (!s->discarded_us || !pw_event_is_logged(PW_EVENT_REQUEST_CROSSED))
+		return;
+	pw_event_log(PW_EVENT_REQUEST_CROSSED,
+		     "account=%s database=%s port=%u bytes=%u closed_ms=%" PRIu64
+		     " after_us=%" PRIu64,
+		     account ? account : "", database ? database : "", s->remote_port,
+		     s->discarded_bytes, (s->shut_down_us - started_us) / PW_US_PER_MS,
+		     s->discarded_us - s->shut_down_us);
+}
+
 void pw_drain_log_start(const struct pw_drain_start *s)
 {
 	pw_event_log(PW_EVENT_DRAIN_STARTED,
--- a/daemon/traffic/drain_log.h
+++ b/daemon/traffic/drain_log.h
@@ -9,6 +9,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+struct pw_stream;
+
 /** What became of statements and sessions since the drain began. */
 struct pw_drain_counts {
 	uint32_t answered;   /**< statements answered, also by an error */
@@ -44,6 +46,17 @@
 void pw_drain_counts_add_close(struct pw_drain_counts *n, bool is_closing, bool by_caller,
 			       bool unanswered, bool crossed);
 
+/**
+ * Logs the end of a session whose caller sent more after the proxy had closed its side; does
+ * nothing for another one.
+ *
+ * @param account    NULL: not known
+ * @param database   NULL: not known
+ * @param started_us begin of the drain
+ */
+void pw_drain_log_crossed(const struct pw_stream *s, const char *account, const char *database,
+			  uint64_t started_us);
+
 void pw_drain_log_start(const struct pw_drain_start *s);
 
 /** @param age_us time since the drain began */
--- a/daemon/traffic/front_drain.c
+++ b/daemon/traffic/front_drain.c
@@ -67,6 +67,8 @@
 
 	pw_drain_counts_add_close(&f->drain_counts, c->state == CALLER_CLOSING, by_caller,
 				  state != NULL, c->stream.discarded_bytes != 0);
+	if (f->drain_started_us)
+		pw_drain_log_crossed(&c->stream, c->user, c->database, f->drain_started_us);
 	if (!state)
 		return;
 	pw_counter_inc(PW_COUNTER_UNANSWERED);
--- a/daemon/traffic/gateway_drain.c
+++ b/daemon/traffic/gateway_drain.c
@@ -177,10 +177,13 @@
 {
 	const char *state = find_unanswered(s, has_input);
 
-	if (pw_drain_has_started(&s->gateway->drain))
+	if (pw_drain_has_started(&s->gateway->drain)) {
 		pw_drain_counts_add_close(&s->gateway->drain_counts, s->state == SESSION_CLOSING,
 					  by_caller, state && !by_caller,
 					  s->stream.discarded_bytes != 0);
+		pw_drain_log_crossed(&s->stream, s->account ? s->account->name : NULL, s->database,
+				     s->gateway->drain.started_us);
+	}
 	if (!state || (by_caller && !s->work))
 		return;
 	if (!by_caller)
