Metrics: bytes of the reads of members and servers are counted

Two counters hold the bytes of entries of members and of servers; the event has them and the number of calls without an answer.

--- a/core/include/pw/core/counter.h
+++ b/core/include/pw/core/counter.h
@@ -101,6 +101,10 @@
 	X(STORE_READS, "store_reads_total", "range calls to the store")                            \
 	X(STORE_WRITES, "store_writes_total", "transactions and lease calls to the store")         \
 	X(STORE_WATCHES, "store_watches_total", "watches opened at the store")                     \
+	X(STORE_BYTES_MEMBERS, "store_bytes_members_total",                                        \
+	  "bytes of entries of members read from the store")                                       \
+	X(STORE_BYTES_SERVERS, "store_bytes_servers_total",                                        \
+	  "bytes of entries of servers read from the store")                                       \
 	X(STORE_FAILURES, "store_failures_total", "calls to the store without an answer")          \
 	X(STORE_ITEMS_MALFORMED, "store_items_malformed_total",                                    \
 	  "items in responses of the store that cannot be read")                                   \
--- a/daemon/control/catalog.c
+++ b/daemon/control/catalog.c
@@ -653,6 +653,7 @@
 		struct pw_server_entry *e;
 
 		c->servers_read_bytes += kv->size_bytes + strlen(kv->key);
+		pw_counter_add(PW_COUNTER_STORE_BYTES_SERVERS, kv->size_bytes + strlen(kv->key));
 
 		if (c->source->ops->decode_server_entry(&e, kv->key, kv->value, kv->size_bytes) ==
 		    PW_OK)
--- a/daemon/control/cluster_member.c
+++ b/daemon/control/cluster_member.c
@@ -3,6 +3,7 @@
 
 #include "cluster_private.h"
 #include "pw/core/clock.h"
+#include "pw/core/counter.h"
 #include "pw/core/error.h"
 #include "pw/core/event.h"
 #include "pw/decide/follow.h"
@@ -409,8 +410,11 @@
 		end_members_read(c);
 		return;
 	}
-	for (size_t i = 0; i < r->kv_count; i++)
+	for (size_t i = 0; i < r->kv_count; i++) {
+		pw_counter_add(PW_COUNTER_STORE_BYTES_MEMBERS,
+			       r->kvs[i].size_bytes + strlen(r->kvs[i].key));
 		(void)member_add_listed(c, &r->kvs[i]);
+	}
 	if (r->has_more) {
 		g_free(c->last_member_key);
 		c->last_member_key = g_strdup(r->kvs[r->kv_count - 1].key);
--- a/daemon/control/metrics.c
+++ b/daemon/control/metrics.c
@@ -105,41 +105,45 @@
 {
 	struct metrics *m = (struct metrics *)((char *)t - offsetof(struct metrics, traffic_timer));
 
-	pw_event_log(PW_EVENT_TRAFFIC,
-		     "peer_bytes=%" PRIu64 " peer_messages=%" PRIu64 " peer_broadcasts=%" PRIu64
-		     " peer_bytes_regular=%" PRIu64 " peer_bytes_reply=%" PRIu64
-		     " peer_bytes_notice=%" PRIu64 " peer_bytes_record=%" PRIu64
-		     " upstream_bytes_sent=%" PRIu64 " upstream_bytes_received=%" PRIu64
-		     " upstream_bytes_remote=%" PRIu64 " upstream_connects=%" PRIu64
-		     " upstream_checks=%" PRIu64 " upstream_open_timeouts=%" PRIu64
-		     " upstream_opens_refused=%" PRIu64 " upstream_preparations=%" PRIu64
-		     " upstream_answers_extra=%" PRIu64 " upstream_answers_foreign=%" PRIu64
-		     " upstream_answers_uncertain=%" PRIu64 " store_bytes_sent=%" PRIu64
-		     " store_bytes_received=%" PRIu64 " store_reads=%" PRIu64
-		     " store_writes=%" PRIu64 " store_watches=%" PRIu64,
-		     pw_counter_get(PW_COUNTER_PEER_BYTES_SENT),
-		     pw_counter_get(PW_COUNTER_PEER_MESSAGES_SENT),
-		     pw_counter_get(PW_COUNTER_PEER_BROADCASTS),
-		     pw_counter_get(PW_COUNTER_PEER_BYTES_REGULAR),
-		     pw_counter_get(PW_COUNTER_PEER_BYTES_REPLY),
-		     pw_counter_get(PW_COUNTER_PEER_BYTES_NOTICE),
-		     pw_counter_get(PW_COUNTER_PEER_BYTES_RECORD),
-		     pw_counter_get(PW_COUNTER_UPSTREAM_BYTES_SENT),
-		     pw_counter_get(PW_COUNTER_UPSTREAM_BYTES_RECEIVED),
-		     pw_counter_get(PW_COUNTER_UPSTREAM_BYTES_REMOTE),
-		     pw_counter_get(PW_COUNTER_UPSTREAM_CONNECTS),
-		     pw_counter_get(PW_COUNTER_UPSTREAM_CHECKS),
-		     pw_counter_get(PW_COUNTER_UPSTREAM_OPEN_TIMEOUTS),
-		     pw_counter_get(PW_COUNTER_UPSTREAM_OPENS_REFUSED),
-		     pw_counter_get(PW_COUNTER_UPSTREAM_PREPARATIONS),
-		     pw_counter_get(PW_COUNTER_UPSTREAM_ANSWERS_EXTRA),
-		     pw_counter_get(PW_COUNTER_UPSTREAM_ANSWERS_FOREIGN),
-		     pw_counter_get(PW_COUNTER_UPSTREAM_ANSWERS_UNCERTAIN),
-		     pw_counter_get(PW_COUNTER_HTTP_BYTES_SENT),
-		     pw_counter_get(PW_COUNTER_HTTP_BYTES_RECEIVED),
-		     pw_counter_get(PW_COUNTER_STORE_READS),
-		     pw_counter_get(PW_COUNTER_STORE_WRITES),
-		     pw_counter_get(PW_COUNTER_STORE_WATCHES));
+	pw_event_log(
+		PW_EVENT_TRAFFIC,
+		"peer_bytes=%" PRIu64 " peer_messages=%" PRIu64 " peer_broadcasts=%" PRIu64
+		" peer_bytes_regular=%" PRIu64 " peer_bytes_reply=%" PRIu64
+		" peer_bytes_notice=%" PRIu64 " peer_bytes_record=%" PRIu64
+		" upstream_bytes_sent=%" PRIu64 " upstream_bytes_received=%" PRIu64
+		" upstream_bytes_remote=%" PRIu64 " upstream_connects=%" PRIu64
+		" upstream_checks=%" PRIu64 " upstream_open_timeouts=%" PRIu64
+		" upstream_opens_refused=%" PRIu64 " upstream_preparations=%" PRIu64
+		" upstream_answers_extra=%" PRIu64 " upstream_answers_foreign=%" PRIu64
+		" upstream_answers_uncertain=%" PRIu64 " store_bytes_sent=%" PRIu64
+		" store_bytes_received=%" PRIu64 " store_reads=%" PRIu64 " store_writes=%" PRIu64
+		" store_watches=%" PRIu64 " store_bytes_members=%" PRIu64
+		" store_bytes_servers=%" PRIu64 " store_failures=%" PRIu64,
+		pw_counter_get(PW_COUNTER_PEER_BYTES_SENT),
+		pw_counter_get(PW_COUNTER_PEER_MESSAGES_SENT),
+		pw_counter_get(PW_COUNTER_PEER_BROADCASTS),
+		pw_counter_get(PW_COUNTER_PEER_BYTES_REGULAR),
+		pw_counter_get(PW_COUNTER_PEER_BYTES_REPLY),
+		pw_counter_get(PW_COUNTER_PEER_BYTES_NOTICE),
+		pw_counter_get(PW_COUNTER_PEER_BYTES_RECORD),
+		pw_counter_get(PW_COUNTER_UPSTREAM_BYTES_SENT),
+		pw_counter_get(PW_COUNTER_UPSTREAM_BYTES_RECEIVED),
+		pw_counter_get(PW_COUNTER_UPSTREAM_BYTES_REMOTE),
+		pw_counter_get(PW_COUNTER_UPSTREAM_CONNECTS),
+		pw_counter_get(PW_COUNTER_UPSTREAM_CHECKS),
+		pw_counter_get(PW_COUNTER_UPSTREAM_OPEN_TIMEOUTS),
+		pw_counter_get(PW_COUNTER_UPSTREAM_OPENS_REFUSED),
+		pw_counter_get(PW_COUNTER_UPSTREAM_PREPARATIONS),
+		pw_counter_get(PW_COUNTER_UPSTREAM_ANSWERS_EXTRA),
+		pw_counter_get(PW_COUNTER_UPSTREAM_ANSWERS_FOREIGN),
+		pw_counter_get(PW_COUNTER_UPSTREAM_ANSWERS_UNCERTAIN),
+		pw_counter_get(PW_COUNTER_HTTP_BYTES_SENT),
+		pw_counter_get(PW_COUNTER_HTTP_BYTES_RECEIVED),
+		pw_counter_get(PW_COUNTER_STORE_READS), pw_counter_get(PW_COUNTER_STORE_WRITES),
+		pw_counter_get(PW_COUNTER_STORE_WATCHES),
+		pw_counter_get(PW_COUNTER_STORE_BYTES_MEMBERS),
+		pw_counter_get(PW_COUNTER_STORE_BYTES_SERVERS),
+		pw_counter_get(PW_COUNTER_STORE_FAILURES));
 	pw_loop_timer_set(m->task.loop, t, now_us + TRAFFIC_LOG_INTERVAL_US);
 }
 
