--- a/core/src/stream.c
+++ b/core/src/stream.c
@@ -96,13 +96,16 @@
 /* Returns the port of the remote end, or 0 if it has closed the connection. */
 static uint16_t find_remote_port(const struct pw_stream *s)
 {
-	struct sockaddr_storage a = { 0 };
+	union {
+		struct sockaddr any;
+		struct sockaddr_in in;
+		struct sockaddr_in6 in6;
+	} a = { .in6 = { 0 } };
 	socklen_t size = sizeof(a);
 
-	if (getpeername(s->source.fd, (struct sockaddr *)&a, &size) < 0)
+	if (getpeername(s->source.fd, &a.any, &size) < 0)
 		return 0;
-	return ntohs(a.ss_family == AF_INET6 ? ((const struct sockaddr_in6 *)&a)->sin6_port
-					     : ((const struct sockaddr_in *)&a)->sin_port);
+	return ntohs(a.any.sa_family == AF_INET6 ? a.in6.sin6_port : a.in.sin_port);
 }
 
 static bool wants_input(const struct pw_stream *s)
