Evacuation of availability zones: watched with the catalogue, in force at gateways and changes of primary

Callers saw: after op/evacuate/ZONE was written, statements went on to servers of the zone; nobody read the key. Ruled out: a watch of its own, which costs a call of each VM every few seconds.

The catalogue task marks the entries of these servers as leaving, with a time after which nothing is sent to them (decide/evacuation). Open transactions are rolled back then, and what only these servers could run is refused at once with a time to come back.

--- a/codec/include/pw/codec/catalog.h
+++ b/codec/include/pw/codec/catalog.h
@@ -107,8 +107,11 @@
 	uint64_t started_ms;
 	uint32_t slots;          /**< number of statements that it runs at once */
 	uint32_t warmup_left_ms; /**< remaining time of its warm-up */
-	bool leaving;            /**< a stop is planned: it gets no new work */
-	bool claims_primary;     /**< the server considers itself the primary */
+	bool leaving;   /**< a stop is planned, or its zone is evacuated: it gets no new work */
+	bool evacuated; /**< its zone is evacuated; set by the reader, not by the server */
+	/** While `evacuated`: nothing is sent to it from then on, by the reader's clock. */
+	uint64_t evacuation_stop_us;
+	bool claims_primary; /**< the server considers itself the primary */
 };
 
 void pw_server_entry_free(struct pw_server_entry *e);
@@ -134,6 +137,14 @@
 	/** Decodes a server entry. @return 0, or PW_EINVALID if it does not describe one */
 	int (*decode_server_entry)(struct pw_server_entry **out, const char *key, const char *text,
 				   size_t size_bytes);
+	/**
+	 * Finds the availability zone that an item under `operator_prefix` evacuates. NULL if the
+	 * environment has no evacuations.
+	 *
+	 * @param zone receives a part of `key`; NULL if the item is not an evacuation
+	 * @return 0, or PW_EINVALID if it is one, but does not name a zone
+	 */
+	int (*find_evacuated_zone)(const char **zone, const char *key);
 };
 
 /** Store keys under which the environment publishes, and the decoders of their values. */
@@ -141,6 +152,9 @@
 	const struct pw_catalog_source_ops *ops;
 	const char *catalog_key;
 	const char *servers_prefix; /**< prefix of the keys of server entries */
+	/** Prefix of `catalog_key` and `evacuations_prefix`; NULL: no evacuations. */
+	const char *operator_prefix;
+	const char *evacuations_prefix; /**< prefix of the keys of evacuations; NULL: none */
 };
 
 #endif
--- a/codec/include/pw/codec/pulse.h
+++ b/codec/include/pw/codec/pulse.h
@@ -64,10 +64,11 @@
 	bool leaving;      /**< the sender is in a planned stop */
 	/** It has only those groups whose vote, and accounts whose demand, has changed. */
 	bool notice;
-	uint64_t catalog_version; /**< of the sender's catalogue; 0: none */
-	uint32_t catalog_age_ms;  /**< time since that version was known to be the newest */
-	uint64_t servers_digest;  /**< of the sender's list of servers; 0: none */
-	uint32_t servers_age_ms;  /**< time since that list was known to be the newest */
+	uint64_t catalog_version;    /**< of the sender's catalogue; 0: none */
+	uint32_t catalog_age_ms;     /**< time since that version was known to be the newest */
+	uint64_t evacuations_digest; /**< of the evacuated zones known with it; 0: none */
+	uint64_t servers_digest;     /**< of the sender's list of servers; 0: none */
+	uint32_t servers_age_ms;     /**< time since that list was known to be the newest */
 	/** Text of the record of `primaries_revision`, for a receiver that needs it; NULL: none. */
 	char *primaries_record;
 	GArray *groups;   /**< struct pw_pulse_group */
--- a/codec/src/pulse.c
+++ b/codec/src/pulse.c
@@ -122,6 +122,7 @@
 		wire->message.primaries_record = p->primaries_record;
 	wire->message.catalog_version = p->catalog_version;
 	wire->message.catalog_age_ms = p->catalog_age_ms;
+	wire->message.evacuations_digest = p->evacuations_digest;
 	wire->message.servers_digest = p->servers_digest;
 	wire->message.servers_age_ms = p->servers_age_ms;
 	wire->groups = g_new0(Pw__PulseGroup, MAX(p->groups->len, 1));
@@ -209,6 +210,7 @@
 		out->primaries_record = g_strdup(message->primaries_record);
 	out->catalog_version = message->catalog_version;
 	out->catalog_age_ms = message->catalog_age_ms;
+	out->evacuations_digest = message->evacuations_digest;
 	out->servers_digest = message->servers_digest;
 	out->servers_age_ms = message->servers_age_ms;
 	for (size_t i = 0; i < message->n_groups; i++) {
--- a/core/include/pw/core/counter.h
+++ b/core/include/pw/core/counter.h
@@ -111,6 +111,12 @@
 	X(SERVER_ENTRIES_REFUSED, "server_entries_refused_total",                                  \
 	  "entries of servers refused by reads of the list: they describe no server")              \
 	X(CONFIG_APPLIED, "config_applied_total", "configuration revisions put in force")          \
+	X(EVACUATIONS_STARTED, "evacuations_started_total",                                        \
+	  "evacuations of availability zones that this VM has learned of")                         \
+	X(REFUSED_EVACUATED, "refused_evacuated_total",                                            \
+	  "refused: the servers that could run the statement are in evacuated zones")              \
+	X(EVACUATED_TRANSACTIONS, "evacuated_transactions_total",                                  \
+	  "transactions rolled back: their server is in an evacuated zone")                        \
 	X(CONFIG_REJECTED, "config_rejected_total",                                                \
 	  "configuration revisions not applied: invalid")                                          \
 	X(QUOTA_GRANTS_SENT, "quota_grants_sent_total", "quota grants given to peers")             \
--- a/core/include/pw/core/event.h
+++ b/core/include/pw/core/event.h
@@ -64,6 +64,9 @@
 	X(CHANGE_STEP, 4018, G_LOG_LEVEL_INFO, "change_step")                  \
 	X(SERVER_GONE, 4020, G_LOG_LEVEL_WARNING, "server_gone")               \
 	X(ENTRY_REFUSED, 4021, G_LOG_LEVEL_WARNING, "entry_refused")           \
+	X(ZONE_EVACUATED, 4022, G_LOG_LEVEL_WARNING, "zone_evacuated")         \
+	X(ZONE_RETURNED, 4023, G_LOG_LEVEL_MESSAGE, "zone_returned")           \
+	X(EVACUATION_REFUSED, 4024, G_LOG_LEVEL_WARNING, "evacuation_refused") \
 	X(REQUEST_REFUSED, 4030, G_LOG_LEVEL_INFO, "request_refused")          \
 	X(REQUEST_RETRIED, 4031, G_LOG_LEVEL_INFO, "request_retried")          \
 	X(REQUEST_SERVED, 4032, G_LOG_LEVEL_INFO, "request_served")            \
--- a/daemon/control/catalog.c
+++ b/daemon/control/catalog.c
@@ -9,6 +9,7 @@
 #include "pw/core/error.h"
 #include "pw/core/event.h"
 #include "pw/core/histogram.h"
+#include "pw/decide/evacuation.h"
 #include "pw/decide/follow.h"
 #include "pw/decide/registry.h"
 #include "store.h"
@@ -30,12 +31,16 @@
 #define RETRY_BACKOFF_INITIAL_US (300 * PW_US_PER_MS)
 #define RETRY_BACKOFF_MAX_US     (2 * PW_US_PER_S)
 
+/* Half of the longest delay of a read for evacuations that another VM knows. */
+#define EVACUATION_FETCH_DELAY_US (200 * PW_US_PER_MS)
+
 /* Maximum number of refused entries of servers that are logged, each once while it is there. */
 #define REFUSED_LOGGED_MAX 64
 
 enum store_request_tag {
 	TAG_CATALOG,
 	TAG_CATALOG_WATCH,
+	TAG_EVACUATIONS_WATCH,
 	TAG_SERVERS,
 };
 
@@ -45,11 +50,14 @@
 	const struct pw_catalog_source *source;
 	struct pw_catalog *catalog;
 	struct pw_server_list *servers;
-	GHashTable *registry_states; /**< server id -> struct pw_registry_state */
-	GPtrArray *entries_read;     /**< struct pw_server_entry of the pages read so far */
-	char *last_key_read;         /**< last key of these pages; NULL: at the start */
-	GHashTable *refused_keys;    /**< set of logged entries that the last read refused */
-	GHashTable *refused_read;    /**< the same for the pages read so far */
+	struct pw_server_list *published_servers; /**< `servers` with evacuated zones marked */
+	GHashTable *evacuations;                  /**< zone -> struct pw_evacuation */
+	GHashTable *evacuations_read;             /**< set of zones on the pages read so far */
+	GHashTable *registry_states;              /**< server id -> struct pw_registry_state */
+	GPtrArray *entries_read;  /**< struct pw_server_entry of the pages read so far */
+	char *last_key_read;      /**< last key of these pages; NULL: at the start */
+	GHashTable *refused_keys; /**< set of logged entries that the last read refused */
+	GHashTable *refused_read; /**< the same for the pages read so far */
 	struct pw_timer catalog_timer;
 	struct pw_timer servers_timer;
 	/** When the first server without an entry ends to be used; UINT64_MAX: all have entries. */
@@ -59,15 +67,19 @@
 	uint64_t catalog_backoff_us;   /**< 0: the last read has not failed */
 	uint64_t servers_backoff_us;   /**< 0: the last read has not failed */
 	struct pw_catalog_freshness freshness;
-	struct pw_follow follow;   /**< whether the watch or reads follow the catalogue */
-	uint32_t vm_count;         /**< of the fleet, this VM included; 0: not known yet */
-	size_t catalog_bytes;      /**< size of the catalogue that was last read */
-	size_t servers_bytes;      /**< size of the entries that were last read */
-	size_t servers_read_bytes; /**< of the pages read so far */
-	uint64_t fetched_version;  /**< newest version for which a read was scheduled */
+	struct pw_follow follow;      /**< whether the watch or reads follow the catalogue */
+	uint32_t vm_count;            /**< of the fleet, this VM included; 0: not known yet */
+	size_t catalog_bytes;         /**< size of the catalogue that was last read */
+	size_t servers_bytes;         /**< size of the entries that were last read */
+	size_t servers_read_bytes;    /**< of the pages read so far */
+	uint64_t fetched_version;     /**< newest version for which a read was scheduled */
+	int64_t operator_revision;    /**< of the last read, as of its first page */
+	char *last_operator_key_read; /**< last key of the pages read so far; NULL: at the start */
 	bool reading_servers;
 	bool reading_catalog;
 	bool watching_catalog;
+	bool watching_evacuations; /**< alone, since the catalogue is not watched */
+	bool evacuations_known;    /**< they were read since the start */
 };
 
 struct catalog_request_msg {
@@ -159,11 +171,11 @@
 {
 	struct pw_servers_msg *m;
 
-	if (!c->servers)
+	if (!c->published_servers)
 		return;
 	m = g_new0(struct pw_servers_msg, 1);
 	m->base.ops = &pw_servers_msg_ops;
-	m->servers = pw_server_list_ref(c->servers);
+	m->servers = pw_server_list_ref(c->published_servers);
 	pw_mailbox_send(to, &m->base);
 }
 
@@ -200,19 +212,38 @@
 	return fresh_us + RECHECK_INTERVAL_US + pw_clock_random_u64() % RECHECK_JITTER_US;
 }
 
-static void request_catalog(struct catalog_task *c)
+/* Whether evacuations of availability zones are followed. */
+static bool follows_evacuations(const struct catalog_task *c)
 {
-	const struct pw_store_range req = { .key = c->source->catalog_key };
+	return c->directory->settings->evacuation_timeout_us && c->source->operator_prefix;
+}
+
+/* Requests the catalogue, or a page of what operators have written, which includes it. */
+static void send_catalog_request(struct catalog_task *c)
+{
+	const struct pw_store_range key = { .key = c->source->catalog_key };
+	const struct pw_store_range prefix = {
+		.key = c->source->operator_prefix,
+		.prefix = true,
+		.allow_malformed = true,
+		.after_key = c->last_operator_key_read,
+	};
+	const struct pw_store_range req = follows_evacuations(c) ? prefix : key;
 
-	if (c->reading_catalog)
-		return;
 	c->reading_catalog = true;
-	c->catalog_requested_us = catalog_now_us(c);
 	pw_mailbox_send(c->directory->store,
 			pw_store_range_msg_new(c->task.inbox, TAG_CATALOG,
 					       pw_follow_timeout_us(&c->follow), &req));
 }
 
+static void request_catalog(struct catalog_task *c)
+{
+	if (c->reading_catalog)
+		return;
+	c->catalog_requested_us = catalog_now_us(c);
+	send_catalog_request(c);
+}
+
 static void catalog_timer_expired(struct pw_timer *t, uint64_t now_us)
 {
 	(void)now_us;
@@ -328,7 +359,8 @@
 static void watch_catalog(struct catalog_task *c, int64_t revision)
 {
 	const struct pw_store_watch req = {
-		.key = c->source->catalog_key,
+		.key = follows_evacuations(c) ? c->source->operator_prefix : c->source->catalog_key,
+		.prefix = follows_evacuations(c),
 		.start_revision = revision + 1,
 	};
 
@@ -338,6 +370,32 @@
 					       PW_STORE_CALL_TIMEOUT_US, &req));
 }
 
+/* Watches the evacuations alone while the catalogue is too large to be watched. */
+static void watch_evacuations(struct catalog_task *c, int64_t revision)
+{
+	const struct pw_store_watch req = {
+		.key = c->source->evacuations_prefix,
+		.prefix = true,
+		.start_revision = revision + 1,
+	};
+
+	if (!follows_evacuations(c) || c->watching_evacuations)
+		return;
+	c->watching_evacuations = true;
+	pw_mailbox_send(c->directory->store,
+			pw_store_watch_msg_new(c->task.inbox, TAG_EVACUATIONS_WATCH,
+					       PW_STORE_CALL_TIMEOUT_US, &req));
+}
+
+static void end_evacuations_watch(struct catalog_task *c)
+{
+	if (!c->watching_evacuations)
+		return;
+	c->watching_evacuations = false;
+	pw_mailbox_send(c->directory->store,
+			pw_store_unwatch_msg_new(c->task.inbox, TAG_EVACUATIONS_WATCH));
+}
+
 /*
  * Returns when to read a change that is being made. A random part spreads the reads of the VMs,
  * which learn of a change at the same time.
@@ -410,6 +468,26 @@
 		pw_loop_timer_set(c->task.loop, &c->catalog_timer, due_us);
 }
 
+/* Whether a VM that has read the evacuations later than this one knows others. */
+static bool has_other_evacuations(const struct catalog_task *c,
+				  const struct pw_catalog_freshness *remote)
+{
+	return follows_evacuations(c) && remote->catalog_version == c->freshness.catalog_version &&
+	       remote->evacuations_digest != c->freshness.evacuations_digest &&
+	       remote->catalog_fresh_us > c->freshness.catalog_fresh_us;
+}
+
+/* Reads the evacuations soon; the watch usually brings them, so the read is not immediate. */
+static void fetch_evacuations(struct catalog_task *c)
+{
+	uint64_t due_us = catalog_now_us(c) + EVACUATION_FETCH_DELAY_US +
+			  random_part(EVACUATION_FETCH_DELAY_US);
+
+	if (!c->reading_catalog && !c->catalog_backoff_us &&
+	    (!c->catalog_timer.node || c->catalog_timer.due_us > due_us))
+		pw_loop_timer_set(c->task.loop, &c->catalog_timer, due_us);
+}
+
 /*
  * Handles what another VM has read. If this VM has the same catalogue or servers, they count as
  * read at that time, which postpones this VM's own read; if the other VM has newer ones, this VM
@@ -420,6 +498,8 @@
 {
 	if (remote->catalog_version > c->freshness.catalog_version) {
 		fetch_newer_catalog(c, remote->catalog_version);
+	} else if (has_other_evacuations(c, remote)) {
+		fetch_evacuations(c);
 	} else if (remote->catalog_version == c->freshness.catalog_version &&
 		   remote->catalog_fresh_us > c->freshness.catalog_fresh_us) {
 		c->freshness.catalog_fresh_us = remote->catalog_fresh_us;
@@ -445,16 +525,207 @@
 	}
 }
 
+/*
+ * Publishes the servers, those of evacuated zones marked as leaving, once both the servers and the
+ * evacuations were read.
+ */
+static void publish_servers(struct catalog_task *c)
+{
+	struct pw_server_list *next;
+
+	if (!c->servers || (follows_evacuations(c) && !c->evacuations_known))
+		return;
+	next = g_hash_table_size(c->evacuations) ? pw_server_list_new()
+						 : pw_server_list_ref(c->servers);
+	for (guint i = 0; g_hash_table_size(c->evacuations) && i < c->servers->entries->len; i++) {
+		struct pw_server_entry *e =
+			pw_server_entry_copy(g_ptr_array_index(c->servers->entries, i));
+		const struct pw_evacuation *evacuation =
+			g_hash_table_lookup(c->evacuations, e->availability_zone);
+
+		if (evacuation) {
+			e->leaving = e->evacuated = true;
+			e->evacuation_stop_us = pw_evacuation_stop_us(
+				evacuation, c->directory->settings->evacuation_timeout_us);
+		}
+		g_ptr_array_add(next->entries, e);
+	}
+	pw_server_list_unref(c->published_servers);
+	c->published_servers = next;
+	publish_to_all(c, send_servers);
+}
+
+static bool is_known_zone(const struct catalog_task *c, const char *zone)
+{
+	for (guint i = 0; c->servers && i < c->servers->entries->len; i++) {
+		const struct pw_server_entry *e = g_ptr_array_index(c->servers->entries, i);
+
+		if (strcmp(e->availability_zone, zone) == 0)
+			return true;
+	}
+	return pw_directory_has_zone(c->directory, zone);
+}
+
+/*
+ * Adds an evacuation unless it is known.
+ *
+ * @param earliest_us see struct pw_evacuation
+ */
+static bool add_evacuation(struct catalog_task *c, const char *zone, uint64_t earliest_us)
+{
+	struct pw_evacuation *e;
+
+	if (g_hash_table_contains(c->evacuations, zone))
+		return false;
+	e = g_new0(struct pw_evacuation, 1);
+	e->learned_us = catalog_now_us(c);
+	e->earliest_us = earliest_us;
+	g_hash_table_insert(c->evacuations, g_strdup(zone), e);
+	pw_counter_inc(PW_COUNTER_EVACUATIONS_STARTED);
+	pw_event_log(PW_EVENT_ZONE_EVACUATED, "zone=%s known=%d watched=%d stop_ms=%" PRIu64, zone,
+		     is_known_zone(c, zone), e->earliest_us == e->learned_us,
+		     (pw_evacuation_stop_us(e, c->directory->settings->evacuation_timeout_us) -
+		      e->learned_us) /
+			     PW_US_PER_MS);
+	return true;
+}
+
+static bool remove_evacuation(struct catalog_task *c, const char *zone)
+{
+	if (!g_hash_table_contains(c->evacuations, zone))
+		return false;
+	pw_event_log(PW_EVENT_ZONE_RETURNED, "zone=%s", zone);
+	g_hash_table_remove(c->evacuations, zone);
+	return true;
+}
+
+/* Returns a digest of the evacuated zones, which does not depend on their order; 0: none. */
+static uint64_t compute_evacuations_digest(const struct catalog_task *c)
+{
+	GHashTableIter it;
+	gpointer zone;
+	uint64_t digest = 0;
+
+	g_hash_table_iter_init(&it, c->evacuations);
+	while (g_hash_table_iter_next(&it, &zone, NULL))
+		digest ^= pw_directory_name_hash(zone);
+	return digest;
+}
+
+static void publish_evacuations(struct catalog_task *c)
+{
+	c->freshness.evacuations_digest = compute_evacuations_digest(c);
+	publish_servers(c);
+}
+
+/* Finds the zone that an item evacuates; NULL if it evacuates none. */
+static const char *find_evacuated_zone(const struct catalog_task *c, const struct pw_store_kv *kv)
+{
+	const char *zone;
+
+	if (c->source->ops->find_evacuated_zone(&zone, kv->key) == PW_OK)
+		return zone;
+	pw_event_log(PW_EVENT_EVACUATION_REFUSED, "error=\"%s\" key=\"%.200s\"", pw_error_message(),
+		     kv->key);
+	return NULL;
+}
+
+/* Applies the evacuations that a complete read has found, all others have ended. */
+static void apply_read_evacuations(struct catalog_task *c)
+{
+	bool changed = !c->evacuations_known;
+	GHashTableIter it;
+	gpointer zone;
+
+	g_hash_table_iter_init(&it, c->evacuations_read);
+	while (g_hash_table_iter_next(&it, &zone, NULL))
+		changed |= add_evacuation(c, zone, c->freshness.catalog_fresh_us);
+	g_hash_table_iter_init(&it, c->evacuations);
+	while (g_hash_table_iter_next(&it, &zone, NULL)) {
+		if (g_hash_table_contains(c->evacuations_read, zone))
+			continue;
+		pw_event_log(PW_EVENT_ZONE_RETURNED, "zone=%s", (const char *)zone);
+		g_hash_table_iter_remove(&it);
+		changed = true;
+	}
+	c->evacuations_known = true;
+	g_hash_table_remove_all(c->evacuations_read);
+	if (changed)
+		publish_evacuations(c);
+}
+
+/* Applies the evacuations among the events of a watch. */
+static void apply_watched_evacuations(struct catalog_task *c, const struct pw_store_watch_result *r)
+{
+	bool changed = false;
+
+	for (size_t i = 0; follows_evacuations(c) && i < r->event_count; i++) {
+		const struct pw_store_event *e = &r->events[i];
+		const char *zone = find_evacuated_zone(c, &e->kv);
+
+		if (!zone)
+			continue;
+		changed |= e->kind == PW_STORE_PUT ? add_evacuation(c, zone, catalog_now_us(c))
+						   : remove_evacuation(c, zone);
+	}
+	if (changed)
+		publish_evacuations(c);
+}
+
+/* Collects the evacuated zones of a page. Returns the catalogue if it is on the page. */
+static const struct pw_store_kv *collect_operator_items(struct catalog_task *c,
+							const struct pw_store_range_result *r)
+{
+	const struct pw_store_kv *catalog = NULL;
+
+	for (size_t i = 0; i < r->kv_count; i++) {
+		const struct pw_store_kv *kv = &r->kvs[i];
+		const char *zone;
+
+		if (strcmp(kv->key, c->source->catalog_key) == 0 && kv->value)
+			catalog = kv;
+		if (!follows_evacuations(c))
+			continue;
+		zone = find_evacuated_zone(c, kv);
+		if (zone)
+			g_hash_table_add(c->evacuations_read, g_strdup(zone));
+	}
+	return catalog;
+}
+
+/* Whether another page of the read follows; requests it. */
+static bool request_next_page(struct catalog_task *c, const struct pw_store_range_result *r)
+{
+	g_clear_pointer(&c->last_operator_key_read, g_free);
+	if (!follows_evacuations(c) || !r->has_more || !r->kv_count)
+		return false;
+	c->last_operator_key_read = g_strdup(r->kvs[r->kv_count - 1].key);
+	send_catalog_request(c);
+	return true;
+}
+
 static void handle_catalog_result(struct catalog_task *c, const struct pw_store_result *base)
 {
 	const struct pw_store_range_result *r = (const struct pw_store_range_result *)base;
 	uint64_t now_us = catalog_now_us(c), former_version = c->freshness.catalog_version;
+	const struct pw_store_kv *kv = base->code ? NULL : collect_operator_items(c, r);
 	bool watch;
 
 	c->reading_catalog = false;
 	if (base->code == PW_ETIMEOUT)
 		pw_follow_handle_timeout(&c->follow);
-	if (base->code || !r->kv_count) {
+	if (!c->last_operator_key_read)
+		c->operator_revision = base->revision;
+	if (kv) {
+		c->catalog_bytes = kv->size_bytes;
+		c->operator_revision = MAX(c->operator_revision, kv->mod_revision);
+		(void)apply_catalog(c, kv, false);
+	}
+	if (!base->code && request_next_page(c, r))
+		return;
+	if (base->code || !c->catalog_bytes) {
+		g_hash_table_remove_all(c->evacuations_read);
+		g_clear_pointer(&c->last_operator_key_read, g_free);
 		pw_loop_timer_set(c->task.loop, &c->catalog_timer,
 				  now_us + next_retry_delay_us(&c->catalog_backoff_us));
 		return;
@@ -462,8 +733,8 @@
 	c->catalog_backoff_us = 0;
 	if (c->freshness.catalog_fresh_us)
 		pw_histogram_add(PW_HISTOGRAM_CATALOG_AGE, now_us - c->freshness.catalog_fresh_us);
-	c->catalog_bytes = r->kvs[0].size_bytes;
-	(void)apply_catalog(c, &r->kvs[0], false);
+	if (follows_evacuations(c))
+		apply_read_evacuations(c);
 	set_catalog_fresh(c, c->catalog_requested_us);
 	watch = pw_follow_handle_read(&c->follow, c->freshness.catalog_version > former_version,
 				      now_us - c->catalog_requested_us, now_us);
@@ -472,22 +743,63 @@
 	else if (c->watching_catalog && !may_watch(c))
 		end_watch(c);
 	else if (!c->watching_catalog && may_watch(c))
-		watch_catalog(c, MAX(base->revision, r->kvs[0].mod_revision));
+		watch_catalog(c, c->operator_revision);
+	if (c->watching_catalog)
+		end_evacuations_watch(c);
+	else
+		watch_evacuations(c, c->operator_revision);
+}
+
+static bool is_catalog_event(const struct catalog_task *c, const struct pw_store_event *e)
+{
+	return e->kind == PW_STORE_PUT && strcmp(e->kv.key, c->source->catalog_key) == 0;
+}
+
+static uint32_t count_catalog_events(const struct catalog_task *c,
+				     const struct pw_store_watch_result *r)
+{
+	uint32_t count = 0;
+
+	for (size_t i = 0; i < r->event_count; i++)
+		count += is_catalog_event(c, &r->events[i]);
+	return count;
+}
+
+/* Handles an update of the watch of the evacuations alone. */
+static void handle_evacuations_watch_result(struct catalog_task *c,
+					    const struct pw_store_result *base)
+{
+	const struct pw_store_watch_result *r = (const struct pw_store_watch_result *)base;
+
+	if (!c->watching_evacuations)
+		return;
+	apply_watched_evacuations(c, r);
+	if (r->event_count)
+		send_freshness(c, false);
+	if (r->is_last) {
+		c->watching_evacuations = false;
+		request_catalog(c);
+	}
 }
 
 static void handle_watch_result(struct catalog_task *c, const struct pw_store_result *base)
 {
 	const struct pw_store_watch_result *r = (const struct pw_store_watch_result *)base;
-	bool by_reads = pw_follow_handle_watched(&c->follow, (uint32_t)r->event_count,
-						 r->transfer_us, catalog_now_us(c)) &&
+	uint32_t version_count = count_catalog_events(c, r);
+	bool by_reads = pw_follow_handle_watched(&c->follow, version_count, r->transfer_us,
+						 catalog_now_us(c)) &&
 			!r->is_last;
 
+	apply_watched_evacuations(c, r);
+
 	/* The watch ends before the versions are parsed, since its next request follows soon. */
-	if (by_reads)
+	if (by_reads) {
 		end_watch(c);
+		watch_evacuations(c, base->revision);
+	}
 	/* Of several versions, only the newest valid one is applied: each costs processor time. */
 	for (size_t i = r->event_count; i-- > 0;) {
-		if (r->events[i].kind == PW_STORE_PUT && apply_catalog(c, &r->events[i].kv, true))
+		if (is_catalog_event(c, &r->events[i]) && apply_catalog(c, &r->events[i].kv, true))
 			break;
 	}
 	/* Records the version. The time stays, since only a read shows that no newer one exists. */
@@ -585,7 +897,7 @@
 	} else {
 		pw_server_list_unref(c->servers);
 		c->servers = next;
-		publish_to_all(c, send_servers);
+		publish_servers(c);
 	}
 	if (c->retained_until_us != UINT64_MAX)
 		schedule_servers_refresh(c);
@@ -686,6 +998,9 @@
 	case TAG_CATALOG_WATCH:
 		handle_watch_result(c, m->result);
 		break;
+	case TAG_EVACUATIONS_WATCH:
+		handle_evacuations_watch_result(c, m->result);
+		break;
 	case TAG_SERVERS:
 		handle_servers_result(c, m->result);
 		break;
@@ -726,6 +1041,8 @@
 	c->entries_read = g_ptr_array_new();
 	c->refused_keys = key_set_new();
 	c->refused_read = key_set_new();
+	c->evacuations = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	c->evacuations_read = key_set_new();
 	c->retained_until_us = UINT64_MAX;
 	c->catalog_timer.ops = &catalog_timer_ops;
 	c->servers_timer.ops = &servers_timer_ops;
@@ -746,6 +1063,10 @@
 	g_hash_table_unref(c->refused_read);
 	pw_catalog_unref(c->catalog);
 	pw_server_list_unref(c->servers);
+	pw_server_list_unref(c->published_servers);
+	g_hash_table_unref(c->evacuations);
+	g_hash_table_unref(c->evacuations_read);
+	g_free(c->last_operator_key_read);
 	g_hash_table_unref(c->registry_states);
 }
 
--- a/daemon/control/catalog.h
+++ b/daemon/control/catalog.h
@@ -29,8 +29,9 @@
  */
 struct pw_catalog_freshness {
 	uint64_t catalog_version;
-	uint64_t catalog_fresh_us; /**< last time that this version was known to be the newest */
-	uint64_t servers_digest;   /**< of all entries; 0: not read yet */
+	uint64_t catalog_fresh_us;   /**< last time that this version was known to be the newest */
+	uint64_t evacuations_digest; /**< of the evacuated zones at that time; 0: none */
+	uint64_t servers_digest;     /**< of all entries; 0: not read yet */
 	uint64_t servers_fresh_us; /**< last time that the servers were known to have this digest */
 };
 
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -113,6 +113,7 @@
 {
 	p->catalog_version = c->freshness.catalog_version;
 	p->catalog_age_ms = age_ms(c, c->freshness.catalog_fresh_us);
+	p->evacuations_digest = c->freshness.evacuations_digest;
 	p->servers_digest = c->freshness.servers_digest;
 	p->servers_age_ms = age_ms(c, c->freshness.servers_fresh_us);
 }
@@ -127,6 +128,7 @@
 	const struct pw_catalog_freshness remote = {
 		.catalog_version = p->catalog_version,
 		.catalog_fresh_us = now_us - MIN(p->catalog_age_ms * PW_US_PER_MS, now_us),
+		.evacuations_digest = p->evacuations_digest,
 		.servers_digest = p->servers_digest,
 		.servers_fresh_us = now_us - MIN(p->servers_age_ms * PW_US_PER_MS, now_us),
 	};
@@ -140,6 +142,7 @@
 	heard->servers_fresh_us = MAX(heard->servers_fresh_us, remote.servers_fresh_us);
 	/* Reads that are hardly newer are not worth a message. */
 	if (remote.catalog_version <= own->catalog_version &&
+	    remote.evacuations_digest == own->evacuations_digest &&
 	    remote.catalog_fresh_us < own->catalog_fresh_us + PULSE_INTERVAL_US &&
 	    remote.servers_fresh_us < own->servers_fresh_us + PULSE_INTERVAL_US)
 		return;
--- a/daemon/directory.c
+++ b/daemon/directory.c
@@ -39,6 +39,14 @@
 	return false;
 }
 
+bool pw_directory_has_zone(const struct pw_directory *d, const char *zone)
+{
+	const char *region;
+	size_t size_bytes;
+
+	return find_region(d->settings->zone_regions, zone, &region, &size_bytes);
+}
+
 enum pw_distance pw_directory_zone_distance(const struct pw_directory *d, const char *zone)
 {
 	const struct pw_process_settings *s = d->settings;
--- a/daemon/directory.h
+++ b/daemon/directory.h
@@ -38,6 +38,7 @@
 	char *promoter_address;  /**< IP:PORT for promotion requests; NULL: not set */
 	char *zone_regions;      /**< ZONE=REGION, separated by commas; may be NULL or empty */
 	uint64_t rate_window_us; /**< window in which an account may use its rate and burst */
+	uint64_t evacuation_timeout_us; /**< an evacuation is in force after it; 0: not followed */
 	uint32_t gateway_task_count;
 	uint32_t front_task_count;
 	uint32_t group_task_count;
@@ -86,6 +87,9 @@
  */
 enum pw_distance pw_directory_zone_distance(const struct pw_directory *d, const char *zone);
 
+/** @return whether the setting `--zone-regions` names the zone */
+bool pw_directory_has_zone(const struct pw_directory *d, const char *zone);
+
 /**
  * @return first 64 bits of the SHA-256 of the name, or 1 if they are 0, since 0 stands for the
  * store in pw/decide/revision.h. This number is the identity of a VM for the decision modules and
--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -461,7 +461,8 @@
 	 * The caller may have disconnected since the server was chosen, or the server's role or the
 	 * known positions may have changed.
 	 */
-	if (!w->session || !check_role(c) || !find_floor(c, &floor, &has_floor)) {
+	if (!w->session || gw_group_is_evacuated(c->server) || !check_role(c) ||
+	    !find_floor(c, &floor, &has_floor)) {
 		make_idle(c);
 		w->conn = NULL;
 		gw_work_handle_conn_lost(w, "the server can no longer run the statement");
@@ -489,6 +490,11 @@
 		gw_conn_fail(c, "the primary is being changed");
 		return;
 	}
+	if (gw_group_is_evacuated(c->server)) {
+		pw_counter_inc(PW_COUNTER_EVACUATED_TRANSACTIONS);
+		gw_conn_fail(c, "the server's zone is evacuated");
+		return;
+	}
 	if (needs_preparation(c, w))
 		send_preparation(c, NULL);
 	else
--- a/daemon/traffic/gateway_group.c
+++ b/daemon/traffic/gateway_group.c
@@ -145,6 +145,11 @@
 	s->address = g_strdup(e->address);
 }
 
+bool gw_group_is_evacuated(const struct server *s)
+{
+	return gateway_now_us(s->group->gateway) >= s->evacuation_stop_us;
+}
+
 static void apply_entry(struct group *group, const struct pw_server_entry *e)
 {
 	struct server *s = find_server(group, e->id);
@@ -164,6 +169,7 @@
 	if (e->leaving && !s->leaving)
 		s->leaving_since_us = gateway_now_us(group->gateway);
 	s->leaving = e->leaving;
+	s->evacuation_stop_us = e->evacuated ? e->evacuation_stop_us : UINT64_MAX;
 	if (s->leaving)
 		gw_conn_close_idle(s, true);
 }
@@ -356,12 +362,30 @@
 	const struct server *primary = group->primary;
 
 	return primary && primary->registered && !group->changing &&
-	       now_us >= primary->pause_until_us &&
+	       now_us >= primary->pause_until_us && now_us < primary->evacuation_stop_us &&
 	       (!primary->leaving ||
 		now_us - primary->leaving_since_us < LEAVING_PRIMARY_GRACE_US) &&
 	       (w->needs_primary || !primary->leaving) && gateway_may_use_primaries(group->gateway);
 }
 
+bool gw_group_has_evacuated_all(const struct work *w)
+{
+	const struct group *group = w->group;
+	bool any_evacuated = false;
+
+	for (guint i = 0; i < group->servers->len; i++) {
+		const struct server *s = g_ptr_array_index(group->servers, i);
+
+		if (!s->registered || (w->needs_primary && s != group->primary))
+			continue;
+		if (s->evacuation_stop_us == UINT64_MAX ||
+		    (s == group->primary && !gw_group_is_evacuated(s)))
+			return false;
+		any_evacuated = true;
+	}
+	return any_evacuated && !group->changing;
+}
+
 uint64_t gw_group_primary_ready_us(const struct group *group)
 {
 	uint64_t now_us = gateway_now_us(group->gateway);
@@ -511,6 +535,7 @@
 	BLOCKED_UNREGISTERED,
 	BLOCKED_CHANGING,
 	BLOCKED_PERMIT,
+	BLOCKED_EVACUATED,
 	BLOCKED_LEAVING,
 	BLOCKED_PAUSED,
 	BLOCKED_AVOIDED,
@@ -524,6 +549,7 @@
 	[BLOCKED_UNREGISTERED] = "unregistered",
 	[BLOCKED_CHANGING] = "changing",
 	[BLOCKED_PERMIT] = "permit",
+	[BLOCKED_EVACUATED] = "evacuated",
 	[BLOCKED_LEAVING] = "leaving",
 	[BLOCKED_PAUSED] = "paused",
 	[BLOCKED_AVOIDED] = "avoided",
@@ -545,6 +571,8 @@
 		return BLOCKED_CHANGING;
 	if (s == group->primary && !gateway_may_use_primaries(group->gateway))
 		return BLOCKED_PERMIT;
+	if (gw_group_is_evacuated(s))
+		return BLOCKED_EVACUATED;
 	if (s->leaving)
 		return BLOCKED_LEAVING;
 	if (now_us < s->pause_until_us)
@@ -735,10 +763,32 @@
 void gw_group_ping_primary(struct group *group)
 {
 	if (group->primary && group->primary->registered && !owes_answer(group->primary) &&
+	    !gw_group_is_evacuated(group->primary) &&
 	    gateway_now_us(group->gateway) - group->primary_last_answer_us > PROBE_SILENCE_US)
 		(void)gw_conn_ping(group->primary, true);
 }
 
+/* Whether the connection holds a transaction in which no statement is in flight. */
+static bool holds_idle_transaction(const struct conn *c)
+{
+	return c->state == CONN_PINNED;
+}
+
+/* Rolls back what is open at a server of an evacuated zone once its time is over. */
+static void end_evacuated_transactions(struct server *s)
+{
+	uint32_t count = 0;
+
+	if (!gw_group_is_evacuated(s))
+		return;
+	for (guint i = 0; i < s->conns->len; i++)
+		count += holds_idle_transaction(g_ptr_array_index(s->conns, i));
+	if (!count)
+		return;
+	pw_counter_add(PW_COUNTER_EVACUATED_TRANSACTIONS, count);
+	fail_conns(s, holds_idle_transaction, gw_conn_fail, "the server's zone is evacuated");
+}
+
 static bool has_overdue_answer(const struct server *s)
 {
 	for (guint i = 0; i < s->conns->len; i++) {
@@ -758,6 +808,7 @@
 		uint64_t silent_us = now_us - s->last_contact_us;
 		uint64_t since_us = unanswered_since_us(s);
 
+		end_evacuated_transactions(s);
 		if (s->registered && since_us && now_us - since_us > SERVER_UNRESPONSIVE_US &&
 		    now_us >= s->pause_until_us) {
 			gw_group_record_server_failure(s, FAILURE_SILENT);
@@ -767,7 +818,8 @@
 
 		if (s->registered && silent_us > PROBE_SILENCE_US && has_overdue_answer(s))
 			start_probe(s);
-		else if (s->registered && silent_us > PRIMARY_PING_IDLE_US && s == group->primary)
+		else if (s->registered && silent_us > PRIMARY_PING_IDLE_US && s == group->primary &&
+			 !gw_group_is_evacuated(s))
 			(void)gw_conn_ping(s, false);
 		gw_conn_close_idle(s, false);
 	}
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -344,11 +344,13 @@
 	struct pw_silence silence;
 	uint32_t in_flight; /**< statements in flight */
 	struct pw_congestion congestion;
-	uint64_t leaving_since_us; /**< when this task learned that `leaving` is set */
-	bool registered;           /**< it is in the latest list of servers */
-	bool leaving;              /**< its entry says that it is about to stop */
-	bool claims_primary;       /**< its entry says that it is the primary */
-	struct probe *probe;       /**< in progress; NULL: none */
+	uint64_t leaving_since_us;   /**< when this task learned that `leaving` is set */
+	uint64_t evacuation_stop_us; /**< its zone is evacuated, and nothing is sent to it from then
+					on; UINT64_MAX: not evacuated */
+	bool registered;             /**< it is in the latest list of servers */
+	bool leaving;                /**< its entry says that it is about to stop */
+	bool claims_primary;         /**< its entry says that it is the primary */
+	struct probe *probe;         /**< in progress; NULL: none */
 };
 
 /* How a server has failed. */
@@ -507,6 +509,13 @@
 /** @return group of that name, created if needed */
 struct group *gw_group_get(struct gateway *g, const char *name);
 void gw_group_free(gpointer data);
+/** @return whether the server's zone is evacuated and nothing is sent to it any more */
+bool gw_group_is_evacuated(const struct server *s);
+/**
+ * @return whether all servers that could run the statement are in evacuated zones, so that it can
+ *         be refused at once
+ */
+bool gw_group_has_evacuated_all(const struct work *w);
 /** Applies the list of registered servers in `g->servers`. */
 void gw_group_apply_servers(struct gateway *g);
 /** Applies the record of primaries in `g->primaries`. */
--- a/daemon/traffic/gateway_work.c
+++ b/daemon/traffic/gateway_work.c
@@ -7,6 +7,8 @@
 #include "pw/core/histogram.h"
 #include "pw/decide/queue.h"
 
+/* Retry time while all servers that could run a statement are in evacuated zones. */
+#define EVACUATED_RETRY_AFTER_US (1 * PW_US_PER_S)
 /* Shortest retry time that a caller is given while the servers are busy. */
 #define BUSY_RETRY_AFTER_MIN_US (100 * PW_US_PER_MS)
 
@@ -170,9 +172,14 @@
 {
 	uint64_t now_us = gateway_now_us(gateway_of(w));
 	uint64_t retry_after_us = gw_group_primary_ready_us(w->group) - now_us;
+	bool is_evacuated = gw_group_has_evacuated_all(w);
 	char text[96];
 
-	if (retry_after_us)
+	if (is_evacuated)
+		g_snprintf(text, sizeof(text),
+			   "retry_after_ms=%" PRIu64 " the servers' zones are evacuated",
+			   EVACUATED_RETRY_AFTER_US / PW_US_PER_MS);
+	else if (retry_after_us)
 		g_snprintf(text, sizeof(text),
 			   "retry_after_ms=%" PRIu64 " the primary is out of use",
 			   retry_after_us / PW_US_PER_MS);
@@ -180,6 +187,8 @@
 		g_snprintf(text, sizeof(text),
 			   "retry_after_ms=%" PRIu64 " no server could take the statement",
 			   busy_retry_after_us(w) / PW_US_PER_MS);
+	if (is_evacuated)
+		pw_counter_inc(PW_COUNTER_REFUSED_EVACUATED);
 	if (w->charged && !w->sent_before)
 		gw_account_refund(w->account);
 	/* The transaction is not open at any server, so it is aborted for the caller. */
@@ -210,6 +219,8 @@
 	struct pw_position floor;
 	uint64_t observed_us, now_us = gateway_now_us(gateway_of(w));
 
+	if (gw_group_has_evacuated_all(w))
+		return true;
 	if (gw_group_primary_ready_us(w->group) > w->wait_deadline_us &&
 	    !gw_work_find_floor(w, &floor, &observed_us))
 		return true;
--- a/standins/platform/database.c
+++ b/standins/platform/database.c
@@ -148,8 +148,11 @@
 {
 	char *key = g_strdup_printf("servers/%s", s->id);
 	char *address = g_strdup_printf("127.0.0.1:%u", s->port);
+	uint32_t index = (uint32_t)(s - s->group->servers);
+	char *zone =
+		g_strdup_printf("zone-%u", 1 + index % MAX(s->databases->faults.zone_count, 1));
 	json_t *j = json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:s,s:I,s:I}", "Service",
-			      s->group->name, "Address", address, "Zone", "zone-1", "Version", "v1",
+			      s->group->name, "Address", address, "Zone", zone, "Version", "v1",
 			      "Slots", 3, "State", s->draining ? "draining" : "ready",
 			      "WarmupLeftMs", 0, "DbRole", s->primary ? "primary" : "replica",
 			      "Sequence", (json_int_t)++s->registration_sequence, "born",
@@ -159,6 +162,7 @@
 	kv_put(s->databases->kv, key, text, 0);
 	free(text);
 	json_decref(j);
+	g_free(zone);
 	g_free(address);
 	g_free(key);
 }
--- a/standins/platform/faults.h
+++ b/standins/platform/faults.h
@@ -60,10 +60,11 @@
 	uint32_t conn_limit;         /**< of a server; 0: none */
 	uint32_t lost_every;         /**< every so many results are lost; 0: none */
 	uint32_t refused_sets;       /**< number of the next SET statements that fail */
-	uint32_t split_bytes;        /**< largest size of a packet; 0: answers are not split */
-	bool fails_state;            /**< an error outside a transaction ends in the state E */
-	bool omits_empty_rows;       /**< a read of an item that was never written has no row */
-	bool resets_opens;           /**< new connections are reset when they send a message */
+	uint32_t zone_count;   /**< zones, "zone-1" and so on, that the servers of a group are in */
+	uint32_t split_bytes;  /**< largest size of a packet; 0: answers are not split */
+	bool fails_state;      /**< an error outside a transaction ends in the state E */
+	bool omits_empty_rows; /**< a read of an item that was never written has no row */
+	bool resets_opens;     /**< new connections are reset when they send a message */
 	struct stutter stutter;
 	struct period cut;
 	struct period busy;
--- a/standins/platform/main.c
+++ b/standins/platform/main.c
@@ -17,6 +17,7 @@
  * - "copy", which takes a copy of the store, and "restore", which goes back to it; the value is
  *   ignored;
  * - "era", with the value "hidden" (responses lack the header Store-Era) or "shown";
+ * - "evacuate" and "return", which add and remove the evacuation of the zone that the value names;
  * - "config", which stores the request's body as the catalogue; the value is ignored;
  * - "entry", which stores the request's body under the key in the value, as another writer could;
  * - "reply", which answers calls of the store with the path in the value by the request's body;
@@ -174,6 +175,26 @@
 	return true;
 }
 
+static bool evacuate_zone(struct platform *p, const char *value, const char *body)
+{
+	char *key = g_strconcat("op/evacuate/", value, NULL);
+
+	(void)body;
+	kv_put(p->kv, key, "{}", 0);
+	g_free(key);
+	return true;
+}
+
+static bool return_zone(struct platform *p, const char *value, const char *body)
+{
+	char *key = g_strconcat("op/evacuate/", value, NULL);
+
+	(void)body;
+	kv_delete(p->kv, key);
+	g_free(key);
+	return true;
+}
+
 static bool put_entry(struct platform *p, const char *value, const char *body)
 {
 	kv_put(p->kv, value, body, 0);
@@ -197,7 +218,8 @@
 } store_faults[] = {
 	{ "store", set_store_mode },  { "compact", compact_store }, { "copy", copy_store },
 	{ "restore", restore_store }, { "era", hide_era },          { "config", publish_catalog },
-	{ "entry", put_entry },       { "reply", set_fixed_reply },
+	{ "entry", put_entry },       { "reply", set_fixed_reply }, { "evacuate", evacuate_zone },
+	{ "return", return_zone },
 };
 
 static bool inject_fault(struct platform *p, const char *name, const char *value, const char *body)
