Evacuation, review: late reads, incomplete reads, candidates listed before, statements of the proxy's own

Callers saw, on the code of (the new tests against its daemon): - 57 of 60 reads reached a replica of the zone again when reads were answered from before the evacuation that the watch had reported: a read replaced the whole list whatever its revision; - 19 did so when reads lacked the catalogue: such a read counted as complete and fresh; - a change of primary promoted i-core-2, whose zone was evacuated after the servers were listed; - the rollback for a caller that had left reached a server after its time (own statements 2, not 1); - the first statement of a transaction followed a begin whose answer came after the time; - status queries and the request to step down reached the old primary after the time (45 own statements, not 33); - 57 reads reached a server whose entry named another zone than at the start of the VMs: lists of servers that differ in the zone alone counted as equal.

Found by reading: one malformed item under the operators' prefix interrupts the watch of the catalogue until the history is compacted (test_store_calls; the watch had no way to allow it); a VM that ends its watch of the catalogue because the fleet has grown did not watch the evacuations before its next read (no test).

Ruled out: a commit or statement of an open transaction after the time (checked where it is sent); pings and RESET (the tick and gw_group_ping_primary check); a request that comes late through a watch that was interrupted: its backoff is shorter than the time after which a VM counts as in touch.

Change: reads older than the last watched evacuation do not change the list; a read must include the catalogue; the selection reads the present entries each time; rollbacks at evacuated servers become a close; may_query(); malformed events are delivered with their key where the watch allows it. Stand-in: fixed replies for one prefix, slow begins, a count of the proxies' own statements.

--- a/daemon/control/catalog.c
+++ b/daemon/control/catalog.c
@@ -74,9 +74,11 @@
 	size_t servers_read_bytes;    /**< of the pages read so far */
 	uint64_t fetched_version;     /**< newest version for which a read was scheduled */
 	int64_t operator_revision;    /**< of the last read, as of its first page */
+	int64_t evacuations_revision; /**< of the newest evacuation or return that was watched */
 	char *last_operator_key_read; /**< last key of the pages read so far; NULL: at the start */
 	bool reading_servers;
 	bool reading_catalog;
+	bool catalog_read; /**< the pages read so far include the catalogue */
 	bool watching_catalog;
 	bool watching_evacuations; /**< alone, since the catalogue is not watched */
 	bool evacuations_known;    /**< they were read since the start */
@@ -241,6 +243,7 @@
 	if (c->reading_catalog)
 		return;
 	c->catalog_requested_us = catalog_now_us(c);
+	c->catalog_read = false;
 	send_catalog_request(c);
 }
 
@@ -361,6 +364,7 @@
 	const struct pw_store_watch req = {
 		.key = follows_evacuations(c) ? c->source->operator_prefix : c->source->catalog_key,
 		.prefix = follows_evacuations(c),
+		.allow_malformed = follows_evacuations(c),
 		.start_revision = revision + 1,
 	};
 
@@ -376,6 +380,7 @@
 	const struct pw_store_watch req = {
 		.key = c->source->evacuations_prefix,
 		.prefix = true,
+		.allow_malformed = true,
 		.start_revision = revision + 1,
 	};
 
@@ -630,13 +635,20 @@
 	return NULL;
 }
 
-/* Applies the evacuations that a complete read has found, all others have ended. */
+/*
+ * Applies the evacuations that a complete read has found, all others have ended. The watch may have
+ * reported later ones than a read that took long.
+ */
 static void apply_read_evacuations(struct catalog_task *c)
 {
 	bool changed = !c->evacuations_known;
 	GHashTableIter it;
 	gpointer zone;
 
+	if (c->evacuations_known && c->operator_revision < c->evacuations_revision) {
+		g_hash_table_remove_all(c->evacuations_read);
+		return;
+	}
 	g_hash_table_iter_init(&it, c->evacuations_read);
 	while (g_hash_table_iter_next(&it, &zone, NULL))
 		changed |= add_evacuation(c, zone, c->freshness.catalog_fresh_us);
@@ -665,6 +677,7 @@
 
 		if (!zone)
 			continue;
+		c->evacuations_revision = MAX(c->evacuations_revision, e->kv.mod_revision);
 		changed |= e->kind == PW_STORE_PUT ? add_evacuation(c, zone, catalog_now_us(c))
 						   : remove_evacuation(c, zone);
 	}
@@ -717,13 +730,14 @@
 	if (!c->last_operator_key_read)
 		c->operator_revision = base->revision;
 	if (kv) {
+		c->catalog_read = true;
 		c->catalog_bytes = kv->size_bytes;
 		c->operator_revision = MAX(c->operator_revision, kv->mod_revision);
 		(void)apply_catalog(c, kv, false);
 	}
 	if (!base->code && request_next_page(c, r))
 		return;
-	if (base->code || !c->catalog_bytes) {
+	if (base->code || !c->catalog_read) {
 		g_hash_table_remove_all(c->evacuations_read);
 		g_clear_pointer(&c->last_operator_key_read, g_free);
 		pw_loop_timer_set(c->task.loop, &c->catalog_timer,
@@ -752,7 +766,8 @@
 
 static bool is_catalog_event(const struct catalog_task *c, const struct pw_store_event *e)
 {
-	return e->kind == PW_STORE_PUT && strcmp(e->kv.key, c->source->catalog_key) == 0;
+	return e->kind == PW_STORE_PUT && e->kv.value &&
+	       strcmp(e->kv.key, c->source->catalog_key) == 0;
 }
 
 static uint32_t count_catalog_events(const struct catalog_task *c,
@@ -817,9 +832,10 @@
 static bool server_entries_equal(const struct pw_server_entry *a, const struct pw_server_entry *b)
 {
 	return strcmp(a->id, b->id) == 0 && strcmp(a->group, b->group) == 0 &&
-	       strcmp(a->address, b->address) == 0 && a->started_ms == b->started_ms &&
-	       a->leaving == b->leaving && a->claims_primary == b->claims_primary &&
-	       a->slots == b->slots;
+	       strcmp(a->address, b->address) == 0 &&
+	       strcmp(a->availability_zone, b->availability_zone) == 0 &&
+	       a->started_ms == b->started_ms && a->leaving == b->leaving &&
+	       a->claims_primary == b->claims_primary && a->slots == b->slots;
 }
 
 static bool server_lists_equal(const struct pw_server_list *a, const struct pw_server_list *b)
@@ -912,8 +928,9 @@
 	for (guint i = 0; i < entries->len; i++) {
 		const struct pw_server_entry *e = g_ptr_array_index(entries, i);
 
-		g_string_append_printf(text, "%s %s %s %" PRIu64 " %d %d\n", e->id, e->group,
-				       e->address, e->started_ms, e->leaving, e->claims_primary);
+		g_string_append_printf(text, "%s %s %s %s %" PRIu64 " %d %d\n", e->id, e->group,
+				       e->address, e->availability_zone, e->started_ms, e->leaving,
+				       e->claims_primary);
 	}
 	digest = pw_directory_name_hash(text->str);
 	g_string_free(text, TRUE);
@@ -1024,8 +1041,10 @@
 		const struct pw_catalog_freshness_msg *f = (struct pw_catalog_freshness_msg *)m;
 
 		c->vm_count = f->vm_count;
-		if (c->watching_catalog && !may_watch(c))
+		if (c->watching_catalog && !may_watch(c)) {
 			end_watch(c);
+			watch_evacuations(c, c->operator_revision);
+		}
 		handle_remote_freshness(c, &f->freshness);
 	}
 	pw_msg_free(m);
--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -625,6 +625,14 @@
 	}
 }
 
+/* Sets whether a server may be promoted, by what its entry and the promoter say. */
+static void set_eligibility(const struct change *ch, struct pw_change_server *s, bool leaving)
+{
+	s->eligible =
+		!leaving && !s->refused && (!s->is_primary || ch->reason == PW_CHANGE_ABANDONED);
+	s->leaving = leaving && !s->refused && !s->is_primary;
+}
+
 /* Lists the servers of the group, which are then queried and compared, and enters PHASE_SELECT. */
 static void start_selection(struct change *ch)
 {
@@ -634,15 +642,13 @@
 	for (guint i = 0; i < c->servers->entries->len; i++) {
 		const struct pw_server_entry *e = g_ptr_array_index(c->servers->entries, i);
 		bool is_primary = strcmp(e->id, primary->server_id) == 0;
-		const struct pw_change_server s = {
+		struct pw_change_server s = {
 			.is_primary = is_primary,
-			.eligible =
-				!e->leaving && (!is_primary || ch->reason == PW_CHANGE_ABANDONED),
-			.leaving = e->leaving && !is_primary,
 			.distance = strcmp(e->availability_zone,
 					   c->directory->settings->availability_zone) != 0,
 		};
 
+		set_eligibility(ch, &s, e->leaving);
 		if (strcmp(e->group, ch->group) == 0)
 			add_server(ch, e, &s);
 	}
@@ -736,11 +742,23 @@
 
 static const struct status_query_ops status_query_ops = { .done = handle_status_row };
 
+/*
+ * Whether statements of the change may be sent to a server: not to one of an evacuated zone once
+ * its time is over, unless it may be the only one with some acknowledged commit.
+ */
+static bool may_query(const struct change *ch, const struct pw_server_entry *e)
+{
+	return !e->evacuated || cluster_now_us(ch->cluster) < e->evacuation_stop_us ||
+	       is_synchronous(ch);
+}
+
 /* Queries the status of all servers, or of the target only, except where a query is in flight. */
 static void query_servers(struct change *ch, bool target_only)
 {
 	for (guint i = 0; i < ch->entries->len; i++) {
-		if ((target_only && (int32_t)i != ch->target) || ch->queries->pdata[i])
+		if (ch->queries->pdata[i] ||
+		    (target_only ? (int32_t)i != ch->target
+				 : !may_query(ch, g_ptr_array_index(ch->entries, i))))
 			continue;
 		ch->queries->pdata[i] = status_query_start(
 			ch->cluster, g_ptr_array_index(ch->entries, i), 0, &status_query_ops, ch);
@@ -770,6 +788,7 @@
 			&g_array_index(ch->servers, struct pw_change_server, ch->target);
 
 		/* The server does not run, but its log still counts. */
+		s->refused = true;
 		s->eligible = s->leaving = false;
 		enter_phase(ch, PHASE_SELECT);
 	} else {
@@ -852,6 +871,28 @@
 	}
 }
 
+/*
+ * Applies what the servers' entries say now: since they were listed, a server may have begun to
+ * leave, or its zone may have been evacuated or returned.
+ */
+static void update_entries(struct change *ch)
+{
+	for (guint i = 0; i < ch->entries->len; i++) {
+		struct pw_change_server *s =
+			&g_array_index(ch->servers, struct pw_change_server, i);
+		struct pw_server_entry *e = g_ptr_array_index(ch->entries, i);
+		const struct pw_server_entry *current =
+			pw_server_list_find(ch->cluster->servers, e->id);
+
+		if (s->departed || !current)
+			continue;
+		e->leaving = current->leaving;
+		e->evacuated = current->evacuated;
+		e->evacuation_stop_us = current->evacuation_stop_us;
+		set_eligibility(ch, s, e->leaving);
+	}
+}
+
 /* Promotes a server, or queries the servers again. */
 static void select_candidate(struct change *ch)
 {
@@ -862,6 +903,7 @@
 	bool last_resort = now_us - ch->started_us >= PW_CHANGE_LAST_RESORT_AFTER_US;
 	uint32_t target = 0;
 
+	update_entries(ch);
 	switch (pw_change_choose(&target, (struct pw_change_server *)(void *)ch->servers->data,
 				 ch->servers->len, g ? g->sync_replica_count : 0,
 				 last_resort ? 0 : position_seen_term(c, primary), ch->planned,
@@ -905,7 +947,8 @@
 		bool may_be_primary = s->is_primary || s->acts_as_primary ||
 				      (ch->reason == PW_CHANGE_ABANDONED && !s->reported);
 
-		if (may_be_primary && (int32_t)i != ch->target)
+		if (may_be_primary && (int32_t)i != ch->target &&
+		    may_query(ch, g_ptr_array_index(ch->entries, i)))
 			(void)status_query_start(ch->cluster, g_ptr_array_index(ch->entries, i),
 						 term, &status_query_ops, NULL);
 	}
--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -508,6 +508,11 @@
 	c->session = NULL;
 	if (c->closed || c->work)
 		return;
+	/* The server rolls back when the connection is closed. */
+	if (gw_group_is_evacuated(c->server)) {
+		gw_conn_fail(c, "the server's zone is evacuated");
+		return;
+	}
 	b = g_byte_array_new();
 	set_state(c, CONN_ROLLING_BACK);
 	set_timeout(c, CONN_ROLLBACK_TIMEOUT_US);
@@ -546,6 +551,10 @@
 		gw_conn_roll_back(c);
 		return;
 	}
+	if (gw_group_is_evacuated(c->server)) {
+		gw_conn_fail(c, "the server's zone is evacuated");
+		return;
+	}
 	send_statement(c, NULL);
 }
 
--- a/decide/include/pw/decide/change.h
+++ b/decide/include/pw/decide/change.h
@@ -201,6 +201,7 @@
 	 * replication it may be the only replica that has them, and is then promoted.
 	 */
 	bool leaving;
+	bool refused; /**< the promotion request was refused, since it does not run */
 	/**
 	 * It was a replica and is not registered any more. Commits that only it has are at or
 	 * before `last_known_end`.
--- a/standins/platform/database.c
+++ b/standins/platform/database.c
@@ -352,10 +352,11 @@
 			const struct server *s = &g->servers[i];
 
 			json_array_append_new(
-				servers, json_pack("{s:s,s:b,s:b,s:I,s:i,s:i}", "id", s->id, "up",
-						   s->running, "primary", s->primary, "term",
+				servers, json_pack("{s:s,s:b,s:b,s:I,s:i,s:i,s:i}", "id", s->id,
+						   "up", s->running, "primary", s->primary, "term",
 						   (json_int_t)s->term, "log", (int)s->log->len,
-						   "conns", (int)g_hash_table_size(s->conns)));
+						   "conns", (int)g_hash_table_size(s->conns), "own",
+						   (int)s->own_count));
 		}
 	}
 	return json_pack("{s:o,s:O}", "servers", servers, "orders", d->promotion_requests);
--- a/standins/platform/faults.c
+++ b/standins/platform/faults.c
@@ -198,6 +198,7 @@
 	{ "reset-opens", set_flag, offsetof(struct faults, resets_opens) },
 	{ "stutter", set_stutter, offsetof(struct faults, stutter) },
 	{ "cut", set_period, offsetof(struct faults, cut) },
+	{ "slow-begins", set_flag, offsetof(struct faults, slow_begins) },
 	{ "zones", set_count, offsetof(struct faults, zone_count) },
 	{ "split", set_split, offsetof(struct faults, split_bytes) },
 	{ "busy", set_period, offsetof(struct faults, busy) },
--- a/standins/platform/faults.h
+++ b/standins/platform/faults.h
@@ -62,6 +62,7 @@
 	uint32_t refused_sets;       /**< number of the next SET statements that fail */
 	uint32_t zone_count;   /**< zones, "zone-1" and so on, that the servers of a group are in */
 	uint32_t split_bytes;  /**< largest size of a packet; 0: answers are not split */
+	bool slow_begins;      /**< a begin takes as long as a read or write */
 	bool fails_state;      /**< an error outside a transaction ends in the state E */
 	bool omits_empty_rows; /**< a read of an item that was never written has no row */
 	bool resets_opens;     /**< new connections are reset when they send a message */
--- a/standins/platform/main.c
+++ b/standins/platform/main.c
@@ -21,7 +21,7 @@
  * - "config", which stores the request's body as the catalogue; the value is ignored;
  * - "entry", which stores the request's body under the key in the value, as another writer could;
  * - "reply", which answers calls of the store with the path in the value by the request's body;
- *   an empty body ends this.
+ *   an empty body ends this. The path may be followed by "?Prefix=" and a prefix.
  */
 #include <glib.h>
 #include <microhttpd.h>
@@ -259,10 +259,21 @@
 }
 
 /* Handles a call to the key-value store, according to the store mode. */
+/* Returns the fixed reply to a call with this path, or with this path and prefix; NULL: none. */
+static const char *find_fixed_reply(const struct request *r, const char *path)
+{
+	const char *prefix = query_argument(r, "Prefix");
+	char *key = g_strconcat(path, "?Prefix=", prefix ? prefix : "", NULL);
+	const char *reply = g_hash_table_lookup(r->platform->fixed_replies, key);
+
+	g_free(key);
+	return reply ? reply : g_hash_table_lookup(r->platform->fixed_replies, path);
+}
+
 static enum MHD_Result handle_store_call(struct request *r, const char *path, const json_t *payload)
 {
 	struct kv_store *kv = r->platform->kv;
-	const char *fixed_reply = g_hash_table_lookup(r->platform->fixed_replies, path);
+	const char *fixed_reply = find_fixed_reply(r, path);
 	uint64_t now_us = pw_clock_now_us();
 	json_t *body = NULL;
 	unsigned status;
--- a/standins/platform/server.h
+++ b/standins/platform/server.h
@@ -36,6 +36,7 @@
 	bool draining;
 	bool deaf;              /**< receives no commits */
 	uint32_t running_count; /**< statements whose run time has not passed yet */
+	uint32_t own_count;     /**< statements received that are not of a client */
 	GQueue waiting;         /**< struct conn whose statement waits for a slot */
 };
 
--- a/standins/platform/session.c
+++ b/standins/platform/session.c
@@ -502,9 +502,10 @@
 	bool has_run_time = false, is_full;
 
 	resolve_execute(c, s);
-	has_run_time = s->kind != STATEMENT_OTHER;
+	has_run_time = s->kind != STATEMENT_OTHER || (f->slow_begins && s->verb == VERB_BEGIN);
 	is_full = f->slots && has_run_time && c->server->running_count >= f->slots;
 	g_hash_table_add(d->started_ids, wire_copy(s->id));
+	c->server->own_count += s->is_own;
 	record_add(d->record, s, c->server->id, c->account);
 	if (is_busy(c, s, is_full)) {
 		answer_statement(c, s, "BUSY");
--- a/store/include/pw/store/store.h
+++ b/store/include/pw/store/store.h
@@ -111,6 +111,11 @@
 	const char *key;
 	bool prefix;
 	int64_t start_revision;
+	/**
+	 * Prefix watches of keys that others write: see struct pw_store_range. Otherwise an event
+	 * that cannot be read interrupts the watch.
+	 */
+	bool allow_malformed;
 };
 
 struct pw_store_kv {
--- /dev/null
+++ b/tests/platform/test_evacuation_faults_fleet.c
@@ -0,0 +1,300 @@
+/*
+ * End-to-end tests of the evacuation of availability zones while something else goes wrong, on a
+ * fleet of proxy processes against the platform stand-in.
+ */
+#include "suite.h"
+
+#include "evacuation_fleet.h"
+#include "harness_relay.h"
+
+/* Returns the id of a server that is not the primary: the first one, or the second. */
+static char *find_other_server(const char *primary, uint32_t skip_count)
+{
+	static const char *const ids[SERVER_COUNT] = { "i-core-1", "i-core-2", "i-core-3" };
+
+	for (size_t i = 0; i < SERVER_COUNT; i++) {
+		if (strcmp(ids[i], primary) != 0 && !skip_count--)
+			return g_strdup(ids[i]);
+	}
+	return NULL;
+}
+
+static bool has_any_logged(const char *text)
+{
+	for (uint32_t i = 0; i < VM_COUNT; i++) {
+		if (count_log_lines(&vms[i], text))
+			return true;
+	}
+	return false;
+}
+
+static bool has_new_primary(const char *old)
+{
+	char *id = find_primary();
+	bool is_new = id && strcmp(id, old) != 0;
+
+	g_free(id);
+	return is_new;
+}
+
+/* A change that has listed the servers before one of them is evacuated must not promote that one.
+ */
+START_TEST(test_candidate_evacuated_during_change)
+{
+	char *primary, *first, *second, *zone, *promoted;
+
+	start_fleet_in_zones();
+	primary = find_primary();
+	first = find_other_server(primary, 0);
+	second = find_other_server(primary, 1);
+	zone = find_zone(first);
+	inject_fault("dark", first);
+	inject_fault("dark", second);
+	inject_fault("leave", primary);
+	ck_assert(PW_HARNESS_WAIT_UNTIL(has_any_logged("step=quiesced"), 4000));
+	inject_fault("evacuate", zone);
+	g_usleep(300000);
+	inject_fault("light", first);
+	g_usleep(200000);
+	inject_fault("light", second);
+	ck_assert(PW_HARNESS_WAIT_UNTIL(has_new_primary(primary), 8000));
+	promoted = find_primary();
+	ck_assert_str_eq(promoted, second);
+	g_free(promoted);
+	g_free(zone);
+	g_free(second);
+	g_free(first);
+	g_free(primary);
+	stop_fleet();
+}
+END_TEST
+
+/* Opens a transaction at a replica, to which other reads go as well. Returns the server's id. */
+static char *begin_at_replica(struct client **c)
+{
+	char *primary = find_primary();
+
+	for (;;) {
+		char *text;
+		json_t *root;
+		char *id;
+
+		inject_fault("record", "clear");
+		*c = open_session(0, "views");
+		expect_answer(*c, "BEGIN READ", "done T");
+		expect_answer(*c, "READ a", "none ok T");
+		text = http_request(platform->port, "/record", NULL);
+		root = json_loads(text, 0, NULL);
+		id = g_strdup(json_string_value(json_object_get(
+			json_array_get(root, json_array_size(root) - 1), "server")));
+		json_decref(root);
+		g_free(text);
+		if (strcmp(id, primary) != 0) {
+			g_free(primary);
+			return id;
+		}
+		g_free(id);
+		client_free(*c);
+	}
+}
+
+/* The rollback for a caller that has gone must not reach a server after the zone's time. */
+START_TEST(test_rollback_after_stop)
+{
+	struct client *c;
+	char *busy, *id, *zone;
+	uint32_t own_count;
+
+	start_fleet_in_zones();
+	busy = find_replica();
+	id = begin_at_replica(&c);
+	zone = find_zone(id);
+	inject_fault("evacuate", zone);
+	g_usleep(2200000);
+	inject_fault("work", "700");
+	send_statement(c, "READ a");
+	g_usleep(100000);
+	client_free(c);
+	g_usleep(350000);
+	own_count = count_own(id);
+	g_usleep(1000000);
+	ck_assert_uint_eq(count_own(id), own_count);
+	g_free(zone);
+	g_free(id);
+	g_free(busy);
+	stop_fleet();
+}
+END_TEST
+
+/* The first statement of a transaction must not follow a begin whose answer came after the time. */
+START_TEST(test_statement_after_slow_begin)
+{
+	struct client *c;
+	char *primary, *answer;
+
+	g_setenv("PW_EVACUATION_TIMEOUT", "800ms", TRUE);
+	start_fleet_in_zones();
+	primary = find_primary();
+	c = open_session(0, "desk");
+	expect_answer(c, "BEGIN", "done T");
+	inject_fault("work", "600");
+	inject_fault("slow-begins", "1");
+	inject_fault("record", "clear");
+	for (size_t i = 0; i < SERVER_COUNT; i++)
+		inject_fault("evacuate", zones[i]);
+	g_usleep(80000);
+	send_statement(c, "WRITE late v");
+	answer = read_answer(c, ANSWER_TIMEOUT_MS);
+	g_usleep(500000);
+	ck_assert_msg(!count_received(primary) && strstr(answer, "ABORTED"),
+		      "%u statements reached %s, answer %s", count_received(primary), primary,
+		      answer);
+	g_free(answer);
+	g_free(primary);
+	client_free(c);
+	stop_fleet();
+}
+END_TEST
+
+/* Queries of a long change, and its request to step down, must not reach the old primary. */
+START_TEST(test_queries_after_stop)
+{
+	char *primary, *first, *second, *zone;
+	uint32_t own_count;
+
+	start_fleet_in_zones();
+	primary = find_primary();
+	first = find_other_server(primary, 0);
+	second = find_other_server(primary, 1);
+	zone = find_zone(primary);
+	inject_fault("dark", first);
+	inject_fault("dark", second);
+	inject_fault("evacuate", zone);
+	g_usleep(EVACUATION_MS * 1000);
+	own_count = count_own(primary);
+	g_usleep(1000000);
+	inject_fault("light", first);
+	inject_fault("light", second);
+	ck_assert(PW_HARNESS_WAIT_UNTIL(has_new_primary(primary), 8000));
+	g_usleep(1000000);
+	ck_assert_uint_eq(count_own(primary), own_count);
+	g_free(zone);
+	g_free(second);
+	g_free(first);
+	g_free(primary);
+	stop_fleet();
+}
+END_TEST
+
+/* Writes and reads through all VMs. Returns how many statements reached the server. */
+static uint32_t count_received_by_sample(const char *id)
+{
+	inject_fault("record", "clear");
+	(void)send_sample("desk", "WRITE b v", "ok I");
+	g_usleep(300000);
+	(void)send_sample("views", "READ a", "none ok I");
+	return count_received(id);
+}
+
+/* Reads that are answered from before the evacuation, when the watch has reported it. */
+static void play_old_reads(void)
+{
+	char *page = http_request(platform->port, "/kv-range?Prefix=op/", NULL);
+
+	fix_reply("/kv-range?Prefix=op/", page);
+	g_free(page);
+}
+
+/* Reads that lack the catalogue, and with it all that operators have written. */
+static void play_empty_reads(void)
+{
+	fix_reply("/kv-range?Prefix=op/",
+		  "{\"items\":[],\"HasMore\":false,\"StoreRevision\":1000000}");
+}
+
+/* A watch that reports nothing more. The change of the catalogue ends the polls that wait. */
+static void play_silent_watch(void)
+{
+	fix_reply("/kv-watch?Prefix=op/", "{\"events\":[],\"StoreRevision\":1}");
+	fix_reply("/kv-watch?Prefix=op/evacuate/", "{\"events\":[],\"StoreRevision\":1}");
+	publish_catalog(BOTH_KEYS, 3000);
+	g_usleep(300000);
+}
+
+/* Neither reads that are older than the watch nor incomplete ones may end an evacuation. */
+START_TEST(test_odd_reads)
+{
+	char *id, *zone;
+	uint32_t received;
+
+	start_fleet_in_zones();
+	id = find_replica();
+	zone = find_zone(id);
+	play_old_reads();
+	inject_fault("evacuate", zone);
+	g_usleep(EVACUATION_MS * 1000);
+	received = count_received_by_sample(id);
+	ck_assert_msg(!received, "older reads: %u statements reached %s", received, id);
+	play_empty_reads();
+	g_usleep(3500000);
+	received = count_received_by_sample(id);
+	ck_assert_msg(!received, "incomplete reads: %u statements reached %s", received, id);
+	g_free(zone);
+	g_free(id);
+	stop_fleet();
+}
+END_TEST
+
+/* A watch that reports nothing must not delay the evacuation beyond EvacMs. */
+START_TEST(test_silent_watch)
+{
+	char *id, *zone;
+	uint32_t received;
+
+	start_fleet_in_zones();
+	id = find_replica();
+	zone = find_zone(id);
+	play_silent_watch();
+	inject_fault("evacuate", zone);
+	g_usleep(EVACUATION_MS * 1000);
+	received = count_received_by_sample(id);
+	ck_assert_msg(!received, "%u statements reached %s", received, id);
+	ck_assert(have_all_logged("name=zone_evacuated"));
+	ck_assert(!has_any_logged("known=1 watched=1"));
+	g_free(zone);
+	g_free(id);
+	stop_fleet();
+}
+END_TEST
+
+/* A server whose entry names another zone than before must count as one of that zone. */
+START_TEST(test_moved_server)
+{
+	uint32_t received;
+
+	start_fleet_in("2"); /* the third server is in the zone of the first */
+	inject_fault("evacuate", zones[1]);
+	inject_fault("zones", "3");
+	g_usleep(4500000);
+	inject_fault("evacuate", zones[2]);
+	g_usleep(EVACUATION_MS * 1000);
+	received = count_received_by_sample("i-core-3");
+	ck_assert_msg(!received, "%u statements reached the zone", received);
+	stop_fleet();
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("evacuation faults fleet");
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	tcase_add_test(tc, test_candidate_evacuated_during_change);
+	tcase_add_test(tc, test_rollback_after_stop);
+	tcase_add_test(tc, test_statement_after_slow_begin);
+	tcase_add_test(tc, test_queries_after_stop);
+	tcase_add_test(tc, test_odd_reads);
+	tcase_add_test(tc, test_silent_watch);
+	tcase_add_test(tc, test_moved_server);
+	return pw_suite_run("evacuation faults fleet", tc);
+}
--- a/tests/platform/test_store_calls.c
+++ b/tests/platform/test_store_calls.c
@@ -676,6 +676,52 @@
 }
 END_TEST
 
+#define EVENTS_WITH(event) "{\"events\":[" event "," GOOD_ITEM("p/c") "],\"StoreRevision\":9}"
+
+static const struct {
+	const char *label, *body;
+	const char *keys;
+} allowed_events[] = {
+	{ "a value that is not base64",
+	  EVENTS_WITH("{\"Key\":\"p/b\",\"Value\":\"*\",\"Revision\":7}"), "p/b:none p/c:value " },
+	{ "no value", EVENTS_WITH("{\"Key\":\"p/b\",\"Revision\":7}"), "p/b:none p/c:value " },
+	{ "a value that is a number", EVENTS_WITH("{\"Key\":\"p/b\",\"Value\":1,\"Revision\":7}"),
+	  "p/b:none p/c:value " },
+	{ "no revision", EVENTS_WITH("{\"Key\":\"p/b\",\"Value\":\"\"}"), "p/c:value " },
+	{ "no key", EVENTS_WITH("{\"Value\":\"\",\"Revision\":7}"), "p/c:value " },
+	{ "an event that is a list", EVENTS_WITH("[1]"), "p/c:value " },
+};
+
+/* Guards against one odd event that hides the others of a watch of keys that others write. */
+START_TEST(test_allowed_odd_event)
+{
+	int64_t revision = (put_value("my/other", "v", 0, 0, PW_OK) >> 40 << 40) + 2;
+	const struct pw_store_watch req = {
+		.key = "p/",
+		.prefix = true,
+		.start_revision = revision,
+		.allow_malformed = true,
+	};
+	const struct pw_store_watch_result *r;
+	GString *keys = g_string_new(NULL);
+	struct call *c = call_new();
+
+	fix_reply("/kv-watch", allowed_events[_i].body);
+	ck_assert_int_eq(store->ops->watch(store, &req, CALL_TIMEOUT_US, &c->base), PW_OK);
+	run_loop(3000);
+	r = (const struct pw_store_watch_result *)first_result(c);
+	ck_assert_msg(r->base.code == PW_OK, "%s: code %d", allowed_events[_i].label, r->base.code);
+	for (size_t i = 0; i < r->event_count; i++)
+		g_string_append_printf(keys, "%s:%s ", r->events[i].kv.key,
+				       r->events[i].kv.value ? "value" : "none");
+	ck_assert_msg(strcmp(keys->str, allowed_events[_i].keys) == 0, "%s: %s",
+		      allowed_events[_i].label, keys->str);
+	store->ops->cancel(store, &c->base);
+	call_free(c);
+	g_string_free(keys, TRUE);
+}
+END_TEST
+
 static const struct {
 	const char *label, *body;
 	int32_t code;
@@ -877,6 +923,7 @@
 	tcase_add_loop_test(tc, test_odd_page, 0, PW_ARRAY_LEN(odd_pages));
 	tcase_add_loop_test(tc, test_odd_item_in_complete_list, 0, PW_ARRAY_LEN(odd_pages));
 	tcase_add_test(tc, test_nested_page);
+	tcase_add_loop_test(tc, test_allowed_odd_event, 0, PW_ARRAY_LEN(allowed_events));
 	tcase_add_loop_test(tc, test_odd_event, 0, PW_ARRAY_LEN(odd_events));
 	tcase_add_loop_test(tc, test_odd_lease, 0, PW_ARRAY_LEN(lease_replies));
 	tcase_add_test(tc, test_invalid_requests);
