--- a/decide/include/pw/decide/share.h
+++ b/decide/include/pw/decide/share.h
@@ -111,6 +111,14 @@
  */
 void pw_share_bucket_change(struct pw_share_bucket *t, const struct pw_share *from,
 			    const struct pw_share *to, uint64_t now_us);
+/** Adds the tokens that the share has accrued by `now_us`. */
+void pw_share_bucket_refill(struct pw_share_bucket *t, const struct pw_share *s, uint64_t now_us);
+/**
+ * @param reserved tokens that have to remain
+ * @return whether a token can be taken from the bucket, which was refilled
+ */
+bool pw_share_bucket_has(const struct pw_share_bucket *t, const struct pw_share *s,
+			 double reserved);
 /**
  * Takes a token. While the share is not contended, the level may become negative.
  *
--- a/decide/src/share.c
+++ b/decide/src/share.c
@@ -136,7 +136,7 @@
 	t->last_refill_us = now_us;
 }
 
-static void refill(struct pw_share_bucket *t, const struct pw_share *s, uint64_t now_us)
+void pw_share_bucket_refill(struct pw_share_bucket *t, const struct pw_share *s, uint64_t now_us)
 {
 	if (now_us > t->last_refill_us) {
 		t->level += s->rate_per_s * (double)(now_us - t->last_refill_us) / 1e6;
@@ -148,7 +148,7 @@
 void pw_share_bucket_change(struct pw_share_bucket *t, const struct pw_share *from,
 			    const struct pw_share *to, uint64_t now_us)
 {
-	refill(t, from, now_us);
+	pw_share_bucket_refill(t, from, now_us);
 	if (!to->contended) {
 		t->flood_charged = false;
 	} else if (to->account_burst < from->account_burst) {
@@ -171,13 +171,18 @@
 #define OVERDRAFT_S          0.3
 #define OVERDRAFT_MIN_TOKENS 1.0
 
-bool pw_share_bucket_take(struct pw_share_bucket *t, const struct pw_share *s, uint64_t now_us)
+bool pw_share_bucket_has(const struct pw_share_bucket *t, const struct pw_share *s, double reserved)
 {
 	double overdraft =
 		s->contended ? 0 : fmax(s->rate_per_s * OVERDRAFT_S, OVERDRAFT_MIN_TOKENS);
 
-	refill(t, s, now_us);
-	if (t->level + overdraft < 1)
+	return t->level + overdraft >= 1 + reserved;
+}
+
+bool pw_share_bucket_take(struct pw_share_bucket *t, const struct pw_share *s, uint64_t now_us)
+{
+	pw_share_bucket_refill(t, s, now_us);
+	if (!pw_share_bucket_has(t, s, 0))
 		return false;
 	t->level -= 1;
 	return true;
