Gateway: operations wait for the rate of their account by priority

Seen by callers: a burst of one kind of operation took the tokens of its account, and operations that are more urgent were refused beside it, with retry times from 1 ms.

An operation whose token is expected within half of its target time (and 45% of its timeout) waits, in the order of priority, and holds its session's statement. At each VM tokens are kept for urgent operations while the demand is above the rate. What is refused gets a retry time such that two retries are possible within the target time.

--- a/core/include/pw/core/counter.h
+++ b/core/include/pw/core/counter.h
@@ -25,6 +25,7 @@
 	  "refused: neither store nor peers reachable")                                            \
 	X(REFUSED_ROUTE, "refused_route_total", "refused: no route for the statement")             \
 	X(REFUSED_RATE, "refused_rate_total", "refused: client account is over its rate")          \
+	X(RATE_WAITS, "rate_waits_total", "operations that waited for the rate of their account")  \
 	X(REFUSED_QUEUE, "refused_queue_total", "refused: client account's queue is full")         \
 	X(REFUSED_DEADLINE, "refused_deadline_total",                                              \
 	  "refused: no connection before the deadline")                                            \
--- a/daemon/traffic/gateway.c
+++ b/daemon/traffic/gateway.c
@@ -204,6 +204,7 @@
 		gw_group_ping_primary(gw_group_get(g, ((struct pw_primary_check_msg *)m)->group));
 	} else if (m->ops == &pw_shares_msg_ops) {
 		gw_account_apply_shares(g, ((struct pw_shares_msg *)m)->shares);
+		gw_admission_serve_all(g);
 	} else if (m->ops == &pw_drain_ops) {
 		gw_drain_start(g);
 	} else if (m->ops == &pw_drain_end_ops) {
--- a/daemon/traffic/gateway_account.c
+++ b/daemon/traffic/gateway_account.c
@@ -6,7 +6,9 @@
 
 	if (!a) {
 		a = g_new0(struct account, 1);
+		a->gateway = g;
 		a->name = g_strdup(name);
+		g_queue_init(&a->waiting);
 		g_hash_table_insert(g->accounts, a->name, a);
 	}
 	return a;
@@ -23,18 +25,37 @@
 /* Retry time given to a caller while the VM's share of the account's rate is not known. */
 #define RETRY_AFTER_DEFAULT_US (200 * PW_US_PER_MS)
 
-bool gw_account_admit(struct gateway *g, struct account *a, uint64_t *wait_us)
+void gw_account_count_arrival(struct gateway *g, struct account *a, bool urgent)
+{
+	a->arrival_count++;
+	if (!urgent)
+		return;
+	a->urgent_arrival_count++;
+	pw_demand_add_arrivals(&a->urgent_demand, 1, gateway_now_us(g));
+}
+
+struct pw_admission_decision gw_account_decide(struct gateway *g, struct account *a,
+					       const struct pw_admission_request *r, uint32_t ahead)
 {
 	uint64_t now_us = gateway_now_us(g);
+	const struct pw_admission_view v = {
+		.share = &a->share,
+		.tokens = a->tokens,
+		.urgent_demand_per_s = pw_demand_per_s_at(&a->urgent_demand, now_us),
+		.ahead = ahead,
+		.random = (uint32_t)pw_clock_random_u64(),
+	};
+	struct pw_admission_decision d = {
+		.verdict = PW_ADMISSION_REFUSE,
+		.retry_us = RETRY_AFTER_DEFAULT_US,
+	};
 
-	a->arrival_count++;
-	*wait_us = RETRY_AFTER_DEFAULT_US;
 	if (!a->has_share)
-		return false;
-	if (pw_share_bucket_take(&a->tokens, &a->share, now_us))
-		return true;
-	*wait_us = pw_share_bucket_wait_us(&a->tokens, &a->share);
-	return false;
+		return d;
+	d = pw_admission_decide(&v, r, now_us);
+	if (d.verdict == PW_ADMISSION_ADMIT)
+		(void)pw_share_bucket_take(&a->tokens, &a->share, now_us);
+	return d;
 }
 
 void gw_account_refund(struct account *a)
--- a/daemon/traffic/gateway_drain.c
+++ b/daemon/traffic/gateway_drain.c
@@ -151,6 +151,8 @@
 {
 	if (s->work)
 		return gw_work_state_name(s->work);
+	if (s->waiting)
+		return "waiting";
 	if (has_input)
 		return "unread";
 	return pw_stream_output_bytes(&s->stream) ? "answering" : NULL;
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -6,6 +6,7 @@
  *   gateway_drain.c     planned stops: the drain of the sessions, its log and counts
  *   gateway_session.c   caller sessions: statements, transaction, session variables, prepared
  *                       statements
+ *   gateway_admission.c operations that wait for the rate of their account
  *   gateway_account.c   rates of client accounts
  *   gateway_work.c      statements that are sent to a server: queueing, attempts, answer
  *   gateway_group.c     replicated databases: servers, primary, choice of the server
@@ -27,6 +28,7 @@
 #include "pw/core/clock.h"
 #include "pw/core/counter.h"
 #include "pw/core/stream.h"
+#include "pw/decide/admission.h"
 #include "pw/decide/answer.h"
 #include "pw/decide/change.h"
 #include "pw/decide/congestion.h"
@@ -130,6 +132,7 @@
 #define ANSWER_BUFFER_MAX_BYTES 65536
 
 struct session;
+struct waiting_operation;
 struct work;
 struct conn;
 struct group;
@@ -214,8 +217,10 @@
 	enum transaction_state transaction;
 	bool read_only; /**< the transaction was begun as read-only */
 	struct operation operation;
-	struct conn *conn;               /**< of the open transaction; NULL: none */
-	struct work *work;               /**< statement that is being run; NULL: none */
+	struct conn *conn; /**< of the open transaction; NULL: none */
+	struct work *work; /**< statement that is being run; NULL: none */
+	/** Operation that waits for a token of its account, with its statement; NULL: none. */
+	struct waiting_operation *waiting;
 	const char *statement_id;        /**< of the last statement received, for the log; valid
 					    only while that statement exists */
 	struct pw_position last_commit;  /**< log position of the session's last commit */
@@ -224,18 +229,25 @@
 	uint64_t last_activity_us;       /**< last message from the caller or last answer */
 	bool has_last_commit;
 	bool processing_input; /**< session_received() is on the stack */
+	bool admitted;         /**< the statement that is being handled has its token */
 	bool drain_served;     /**< an operation has ended since the drain began */
 	bool drain_refused;    /**< an operation was refused since the drain began */
 	bool closed;           /**< freed by the next tick */
 };
 
 struct account {
+	struct gateway *gateway;
 	char *name;
 	struct pw_share share; /**< of this task in the account's rate; set if `has_share` */
 	struct pw_share_bucket tokens;
-	bool has_share;         /**< the cluster task has sent the VM's share */
-	uint32_t arrival_count; /**< operations that arrived since the last report */
-	uint32_t in_flight;     /**< statements in flight at servers */
+	bool has_share;                 /**< the cluster task has sent the VM's share */
+	uint32_t arrival_count;         /**< operations that arrived since the last report */
+	uint32_t urgent_arrival_count;  /**< those of them with the highest priority */
+	struct pw_demand urgent_demand; /**< operations with the highest priority at this task */
+	GQueue waiting; /**< struct waiting_operation, in the order in which they get tokens */
+	struct pw_timer timer; /**< expected token of the first waiting operation */
+	bool serving;          /**< gw_admission_serve() is on the stack */
+	uint32_t in_flight;    /**< statements in flight at servers */
 };
 
 enum work_state {
@@ -448,20 +460,43 @@
 void gw_session_send_partial_answer(struct session *s, GByteArray *bytes);
 /** Marks the transaction as aborted: its connection was lost with no statement in flight. */
 void gw_session_handle_transaction_lost(struct session *s);
+/**
+ * Goes on with a statement that has waited for a token, which was taken if the operation is
+ * admitted, or refuses it. Takes ownership of the statement.
+ */
+void gw_session_resume(struct session *s, struct pw_caller_statement *statement,
+		       const struct pw_admission_decision *d);
+
+/* gateway_admission.c */
+/**
+ * Counts the operation that the statement begins and decides whether it gets a token. If it has to
+ * wait, takes ownership of the statement until the operation is resumed or cancelled.
+ */
+struct pw_admission_decision gw_admission_ask(struct session *s,
+					      struct pw_caller_statement *statement);
+/** Resumes the waiting operations of the account that get a token or cannot get one in time. */
+void gw_admission_serve(struct account *a);
+/** Does so for all accounts, since their shares may have changed. */
+void gw_admission_serve_all(struct gateway *g);
+/** Ends the wait of the session's operation, if it has one, and frees its statement. */
+void gw_admission_cancel(struct session *s);
 
 /* gateway_account.c */
 /** @return account of that name, created if needed */
 struct account *gw_account_get(struct gateway *g, const char *name);
 void gw_account_free(gpointer data);
-/** Reverses gw_account_admit() for an operation that was refused and was sent to no server. */
+/** Returns the token of an operation that was refused and was sent to no server. */
 void gw_account_refund(struct account *a);
+/** Counts an operation that arrives; `urgent`: no route has a higher priority. */
+void gw_account_count_arrival(struct gateway *g, struct account *a, bool urgent);
 /**
- * Counts an operation and charges it to the account.
+ * Decides about an operation, and takes the token if it is admitted.
  *
- * @param wait_us receives the time after which the caller may try again if the operation is refused
- * @return whether the operation is within the rate
+ * @param ahead number of waiting operations of the account that come before it
  */
-bool gw_account_admit(struct gateway *g, struct account *a, uint64_t *wait_us);
+struct pw_admission_decision gw_account_decide(struct gateway *g, struct account *a,
+					       const struct pw_admission_request *r,
+					       uint32_t ahead);
 /** Applies this VM's shares of rates (struct pw_account_share). */
 void gw_account_apply_shares(struct gateway *g, const GArray *shares);
 
--- a/daemon/traffic/gateway_session.c
+++ b/daemon/traffic/gateway_session.c
@@ -70,6 +70,7 @@
 	if (s->work)
 		gw_work_abandon(s->work);
 	s->work = NULL;
+	gw_admission_cancel(s);
 	release_conn(s);
 	g_hash_table_remove(g->sessions, s);
 	g_free(s->database);
@@ -125,12 +126,12 @@
 	if (pw_event_is_logged(PW_EVENT_REQUEST_REFUSED))
 		pw_event_log(PW_EVENT_REQUEST_REFUSED,
 			     "id=%s account=%s database=%s reason=%s text=\"%s\" rate=%.1f "
-			     "burst=%.1f contended=%d",
+			     "burst=%.1f contended=%d priority=%u",
 			     s->statement_id, s->account ? s->account->name : "", s->database,
 			     pw_reason_name(reason), text,
 			     s->account ? s->account->share.rate_per_s : 0,
 			     s->account ? s->account->share.burst : 0,
-			     s->account && s->account->share.contended);
+			     s->account && s->account->share.contended, s->operation.priority);
 
 	b = g_byte_array_new();
 	dialect(s)->put_error(b, reason, text);
@@ -280,21 +281,43 @@
 	return true;
 }
 
-/* Checks route, key and rate for a new operation. Returns false after sending an error. */
-static bool admit_operation(struct session *s)
+static void refuse_over_rate(struct session *s, uint64_t retry_us)
 {
 	char text[64];
-	uint64_t wait_us = 0;
 
-	if (!load_route(s))
-		return false;
-	if (is_keyless(s) || gw_account_admit(s->gateway, s->account, &wait_us))
-		return true;
 	pw_counter_inc(PW_COUNTER_REFUSED_RATE);
 	g_snprintf(text, sizeof(text), "retry_after_ms=%" PRIu64 " over the rate of the account",
-		   wait_us / PW_US_PER_MS);
+		   retry_us / PW_US_PER_MS);
 	send_error(s, PW_REASON_BUSY, text);
-	return false;
+}
+
+/*
+ * Checks route, key and rate for a new operation. Returns false after sending an error, or if the
+ * operation waits and holds the statement.
+ */
+static bool admit_operation(struct session *s, struct pw_caller_statement *statement)
+{
+	struct pw_admission_decision d;
+
+	if (!load_route(s))
+		return false;
+	if (s->admitted) {
+		s->admitted = false;
+		return true;
+	}
+	if (is_keyless(s))
+		return true;
+	d = gw_admission_ask(s, statement);
+	if (d.verdict == PW_ADMISSION_REFUSE)
+		refuse_over_rate(s, d.retry_us);
+	return d.verdict == PW_ADMISSION_ADMIT;
+}
+
+/* Frees a statement that was handled, unless it waits. */
+static void release_statement(const struct session *s, struct pw_caller_statement *statement)
+{
+	if (!s->waiting)
+		pw_caller_statement_free(statement);
 }
 
 static void free_prepared_statement(gpointer data)
@@ -352,7 +375,7 @@
 		send_error(s, PW_REASON_UNKNOWN_STATEMENT, "no prepared statement of that name");
 }
 
-static void begin_transaction(struct session *s, bool read_only)
+static void begin_transaction(struct session *s, struct pw_caller_statement *statement)
 {
 	if (s->transaction != TRANSACTION_NONE) {
 		send_error(s, PW_REASON_MALFORMED, "a transaction is already open");
@@ -362,10 +385,10 @@
 		refuse_draining(s);
 		return;
 	}
-	if (!admit_operation(s))
+	if (!admit_operation(s, statement))
 		return;
 	s->transaction = TRANSACTION_PENDING;
-	s->read_only = read_only;
+	s->read_only = statement->verb == PW_VERB_BEGIN_READ;
 	send_complete(s);
 }
 
@@ -424,7 +447,7 @@
 }
 
 /* Checks whether the statement may be sent to a server. Returns false after sending an error. */
-static bool check_statement(struct session *s, const struct pw_caller_statement *statement)
+static bool check_statement(struct session *s, struct pw_caller_statement *statement)
 {
 	if (statement->verb == PW_VERB_COMMIT && s->transaction == TRANSACTION_NONE) {
 		send_error(s, PW_REASON_MALFORMED, "no transaction is open");
@@ -442,7 +465,7 @@
 		return false;
 	}
 	if (s->transaction == TRANSACTION_NONE)
-		return admit_operation(s) && check_drain(s, statement->verb);
+		return admit_operation(s, statement) && check_drain(s, statement->verb);
 	/* A transaction keeps its route as it was at its begin, but not a withdrawn key. */
 	if (find_account(s, s->operation.open_to_all) != s->account) {
 		refuse_withdrawn_key(s);
@@ -457,12 +480,14 @@
 	struct work *w;
 
 	if (!check_statement(s, statement)) {
-		pw_caller_statement_free(statement);
+		release_statement(s, statement);
 		return;
 	}
 	pw_counter_inc(PW_COUNTER_REQUESTS);
 	clear_timer(s);
 	w = gw_work_new(s, statement);
+	/* The operation may have waited for a token. */
+	w->arrived_us = s->last_activity_us;
 	s->work = w;
 	gw_work_start(w);
 }
@@ -502,8 +527,8 @@
 	else if (statement->verb == PW_VERB_ROLLBACK)
 		roll_back_transaction(s);
 	else
-		begin_transaction(s, statement->verb == PW_VERB_BEGIN_READ);
-	pw_caller_statement_free(statement);
+		begin_transaction(s, statement);
+	release_statement(s, statement);
 }
 
 static void handle_message(struct session *s, struct pw_caller_message *message)
@@ -537,7 +562,7 @@
 	struct gateway *g = s->gateway;
 	uint64_t now_us = gateway_now_us(g);
 	const struct pw_drain_session view = {
-		.has_statement = s->work != NULL,
+		.has_statement = s->work || s->waiting,
 		.has_input = pw_drain_has_started(&g->drain) && has_input(s),
 		.has_output = pw_stream_output_bytes(&s->stream) > 0,
 		.has_transaction = s->transaction != TRANSACTION_NONE,
@@ -554,7 +579,7 @@
 /* Closes the session if its caller sends no more and no answer is outstanding. */
 static void close_if_input_ended(struct session *s)
 {
-	if (s->stream.input_ended && !s->work && !s->closed)
+	if (s->stream.input_ended && !s->work && !s->waiting && !s->closed)
 		close_after_output(s);
 }
 
@@ -568,7 +593,8 @@
 	}
 	s->processing_input = true;
 	/* One statement runs at a time; further ones wait in the input buffer. */
-	while (!s->closed && s->state != SESSION_CLOSING && !s->work && stream->input) {
+	while (!s->closed && s->state != SESSION_CLOSING && !s->work && !s->waiting &&
+	       stream->input) {
 		struct pw_caller_message message;
 		uint32_t used_bytes = 0;
 		int rc = dialect(s)->decode_next(&message, stream->input->data, stream->input->len,
@@ -605,7 +631,7 @@
 {
 	struct session *s = session_of(stream);
 
-	if (!s->work)
+	if (!s->work && !s->waiting)
 		end_session(s, true);
 }
 
@@ -661,7 +687,7 @@
 		return;
 	pw_event_log(PW_EVENT_KEY_WITHDRAWN, "account=%s key=%.8s", s->account->name, s->key_hash);
 	/* A statement in progress is answered; the next one, which may have arrived, is refused. */
-	if (s->work || s->transaction != TRANSACTION_NONE || has_input(s) ||
+	if (s->work || s->waiting || s->transaction != TRANSACTION_NONE || has_input(s) ||
 	    pw_stream_output_bytes(&s->stream))
 		return;
 	close_after_output(s);
@@ -675,6 +701,10 @@
 		g->drain_counts.stopped++;
 		gw_work_stop(s->work);
 	}
+	if (pw_drain_is_over(&g->drain, gateway_now_us(g)) && s->waiting) {
+		gw_admission_cancel(s);
+		refuse_draining(s);
+	}
 	close_if_drained(s);
 }
 
@@ -711,3 +741,24 @@
 	s->transaction = TRANSACTION_ABORTED_UNREPORTED;
 	clear_timer(s);
 }
+
+void gw_session_resume(struct session *s, struct pw_caller_statement *statement,
+		       const struct pw_admission_decision *d)
+{
+	struct account *account = s->account;
+
+	s->processing_input = true;
+	s->statement_id = statement->id;
+	if (d->verdict == PW_ADMISSION_ADMIT) {
+		s->admitted = true;
+		handle_statement(s, statement);
+	} else {
+		refuse_over_rate(s, d->retry_us);
+		pw_caller_statement_free(statement);
+	}
+	/* The key or the route was withdrawn meanwhile, or the VM drains. */
+	if (s->admitted)
+		gw_account_refund(account);
+	s->admitted = false;
+	session_received(&s->stream);
+}
