Shares: urgent demand of an account is covered first over all VMs

Seen by callers: a VM to which many operations of a lesser kind come gets the greater share of a contended rate, while urgent operations at another VM are refused.

Gateways count the arrivals with the highest priority of all routes apart, pulses tell them beside the demand (a build that does not know the field counts them as lesser demand), and above the rate a VM's share covers its urgent demand before the rest is divided by the lesser demand. Shares of VMs that know the same reports add up to the rate as before: test_share has cases, and a load at a large fleet with urgent demand at half of the VMs.

--- a/codec/include/pw/codec/pulse.h
+++ b/codec/include/pw/codec/pulse.h
@@ -37,7 +37,8 @@
 /** Demand of a client account at the sender. */
 struct pw_pulse_account {
 	char *name;
-	float demand_per_s; /**< operations per second */
+	float demand_per_s;        /**< operations per second */
+	float urgent_demand_per_s; /**< those with the highest priority of all routes */
 };
 
 struct pw_pulse {
@@ -79,11 +80,13 @@
 void pw_pulse_dispose(struct pw_pulse *p);
 void pw_pulse_add_group(struct pw_pulse *p, const char *name, uint64_t generation,
 			uint32_t unreachable_ms, bool is_reachable);
-void pw_pulse_add_account(struct pw_pulse *p, const char *name, float demand_per_s);
+void pw_pulse_add_account(struct pw_pulse *p, const char *name, float demand_per_s,
+			  float urgent_demand_per_s);
 /** Sets what the sender says about the primary of a group, which is added if it is new. */
 void pw_pulse_set_vote(struct pw_pulse *p, const struct pw_pulse_group *vote);
 /** Sets the demand for an account, which is added if it is new. */
-void pw_pulse_set_account(struct pw_pulse *p, const char *name, float demand_per_s);
+void pw_pulse_set_account(struct pw_pulse *p, const char *name, float demand_per_s,
+			  float urgent_demand_per_s);
 
 /**
  * Encodes a pulse. If it does not fit into a datagram, accounts are left out, the last ones first.
--- a/codec/src/pulse.c
+++ b/codec/src/pulse.c
@@ -50,9 +50,12 @@
 	g_array_append_val(p->groups, g);
 }
 
-void pw_pulse_add_account(struct pw_pulse *p, const char *name, float demand_per_s)
+void pw_pulse_add_account(struct pw_pulse *p, const char *name, float demand_per_s,
+			  float urgent_demand_per_s)
 {
-	struct pw_pulse_account a = { .name = g_strdup(name), .demand_per_s = demand_per_s };
+	struct pw_pulse_account a = { .name = g_strdup(name),
+				      .demand_per_s = demand_per_s,
+				      .urgent_demand_per_s = urgent_demand_per_s };
 
 	g_array_append_val(p->accounts, a);
 }
@@ -76,7 +79,8 @@
 		vote->heard_us;
 }
 
-void pw_pulse_set_account(struct pw_pulse *p, const char *name, float demand_per_s)
+void pw_pulse_set_account(struct pw_pulse *p, const char *name, float demand_per_s,
+			  float urgent_demand_per_s)
 {
 	for (guint i = 0; i < p->accounts->len; i++) {
 		struct pw_pulse_account *a =
@@ -84,10 +88,11 @@
 
 		if (strcmp(a->name, name) == 0) {
 			a->demand_per_s = demand_per_s;
+			a->urgent_demand_per_s = urgent_demand_per_s;
 			return;
 		}
 	}
-	pw_pulse_add_account(p, name, demand_per_s);
+	pw_pulse_add_account(p, name, demand_per_s, urgent_demand_per_s);
 }
 
 /* The protobuf-c message and its lists. The strings belong to the struct pw_pulse. */
@@ -150,6 +155,7 @@
 		wire->accounts[i] = (Pw__PulseAccount)PW__PULSE_ACCOUNT__INIT;
 		wire->accounts[i].name = a->name;
 		wire->accounts[i].demand_per_s = a->demand_per_s;
+		wire->accounts[i].urgent_demand_per_s = a->urgent_demand_per_s;
 		wire->account_pointers[i] = &wire->accounts[i];
 	}
 	wire->message.n_groups = p->groups->len;
@@ -225,7 +231,8 @@
 	}
 	for (size_t i = 0; i < message->n_accounts; i++)
 		pw_pulse_add_account(out, message->accounts[i]->name,
-				     message->accounts[i]->demand_per_s);
+				     message->accounts[i]->demand_per_s,
+				     message->accounts[i]->urgent_demand_per_s);
 	pw__pulse__free_unpacked(message, NULL);
 	return PW_OK;
 }
--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -315,8 +315,10 @@
 		const struct pw_account_arrivals *a =
 			&g_array_index(r->arrivals, struct pw_account_arrivals, i);
 
-		pw_demand_add_arrivals(&get_account_demand(c, a->account)->own, a->arrival_count,
-				       cluster_now_us(c));
+		struct account_demand *d = get_account_demand(c, a->account);
+
+		pw_demand_add_arrivals(&d->own, a->arrival_count, cluster_now_us(c));
+		pw_demand_add_arrivals(&d->own_urgent, a->urgent_arrival_count, cluster_now_us(c));
 	}
 	for (guint i = 0; i < r->reachability->len; i++) {
 		const struct pw_primary_reachability *reachability =
@@ -353,8 +355,10 @@
 	gpointer item;
 
 	g_hash_table_iter_init(&it, c->demands);
-	while (g_hash_table_iter_next(&it, NULL, &item))
+	while (g_hash_table_iter_next(&it, NULL, &item)) {
 		((struct account_demand *)item)->others_per_s = 0;
+		((struct account_demand *)item)->others_urgent_per_s = 0;
+	}
 	g_hash_table_iter_init(&it, c->members);
 	while (g_hash_table_iter_next(&it, NULL, &item)) {
 		const struct member *m = item;
@@ -368,8 +372,10 @@
 			struct account_demand *d = g_hash_table_lookup(c->demands, a->name);
 
 			/* compute_shares() adds the accounts of the catalogue. */
-			if (d)
-				d->others_per_s += a->demand_per_s;
+			if (!d)
+				continue;
+			d->others_per_s += a->demand_per_s;
+			d->others_urgent_per_s += a->urgent_demand_per_s;
 		}
 	}
 	return live_count;
@@ -401,6 +407,8 @@
 			.burst = a->burst,
 			.own_demand_per_s = pw_demand_per_s_at(&d->own, now_us),
 			.others_demand_per_s = d->others_per_s,
+			.own_urgent_demand_per_s = pw_demand_per_s_at(&d->own_urgent, now_us),
+			.others_urgent_demand_per_s = d->others_urgent_per_s,
 			.reporting_vm_count = reporting_vm_count,
 			.silent_vm_count = g_hash_table_size(c->members) - reporting_vm_count,
 		};
--- a/daemon/control/cluster.h
+++ b/daemon/control/cluster.h
@@ -48,6 +48,7 @@
 struct pw_account_arrivals {
 	char *account;
 	uint32_t arrival_count;
+	uint32_t urgent_arrival_count; /**< those with the highest priority of all routes */
 };
 
 /** Reachability of a group's primary from a gateway. */
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -159,6 +159,8 @@
 /* Demand of a client account at this VM. */
 struct account_demand {
 	struct pw_demand own;
+	struct pw_demand own_urgent;  /**< part of it with the highest priority of all routes */
+	double others_urgent_per_s;   /**< as others_per_s */
 	double rate_per_s;            /**< limit of the account in the catalogue */
 	double others_per_s;          /**< total of the other live members, as of the last tick */
 	double announced_per_s;       /**< demand in the last announcement */
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -97,7 +97,9 @@
 		if (pw_demand_should_report(demand_per_s,
 					    cluster_is_large_fleet(c) ? d->rate_per_s : 0,
 					    g_hash_table_size(c->members) + 1))
-			pw_pulse_add_account(p, name, (float)demand_per_s);
+			pw_pulse_add_account(
+				p, name, (float)demand_per_s,
+				(float)pw_demand_per_s_at(&d->own_urgent, cluster_now_us(c)));
 	}
 }
 
@@ -550,7 +552,8 @@
 		if (!pw_demand_should_announce(&view))
 			continue;
 		d->announced_per_s = view.own_per_s;
-		pw_pulse_add_account(p, name, (float)view.own_per_s);
+		pw_pulse_add_account(p, name, (float)view.own_per_s,
+				     (float)pw_demand_per_s_at(&d->own_urgent, now_us));
 	}
 }
 
@@ -662,7 +665,7 @@
 		const struct pw_pulse_account *a =
 			&g_array_index(p->accounts, struct pw_pulse_account, i);
 
-		pw_pulse_set_account(&m->pulse, a->name, a->demand_per_s);
+		pw_pulse_set_account(&m->pulse, a->name, a->demand_per_s, a->urgent_demand_per_s);
 	}
 }
 
--- a/daemon/traffic/gateway.c
+++ b/daemon/traffic/gateway.c
@@ -57,12 +57,16 @@
 	g_hash_table_iter_init(&it, g->accounts);
 	while (g_hash_table_iter_next(&it, NULL, &item)) {
 		struct account *a = item;
-		struct pw_account_arrivals entry = { .arrival_count = a->arrival_count };
+		struct pw_account_arrivals entry = {
+			.arrival_count = a->arrival_count,
+			.urgent_arrival_count = a->urgent_arrival_count,
+		};
 
 		if (!a->arrival_count)
 			continue;
 		entry.account = g_strdup(a->name);
 		a->arrival_count = 0;
+		a->urgent_arrival_count = 0;
 		g_array_append_val(r->arrivals, entry);
 	}
 	g_hash_table_iter_init(&it, g->groups);
--- a/decide/include/pw/decide/share.h
+++ b/decide/include/pw/decide/share.h
@@ -5,9 +5,10 @@
  * reports differ; in quota.h the VMs hand amounts to each other and never exceed the total.
  *
  * Each VM knows the demand that the others have reported. While the total demand is below the rate,
- * each VM gets its demand and an equal part of the remainder; above the rate, the rate is divided
- * in proportion to demand. A VM that has not reported recently keeps an equal share reserved, since
- * it may still serve. The shares of VMs that have the same reports add up to the rate.
+ * each VM gets its demand and an equal part of the remainder; above the rate, urgent demand is
+ * covered first, and the rest of the rate is divided in proportion to the lesser demand. A VM that
+ * has not reported recently keeps an equal share reserved, since it may still serve. The shares of
+ * VMs that have the same reports add up to the rate.
  *
  * An account within its rate is therefore not refused even if its requests are spread unevenly over
  * the VMs, and an account that sends several times its rate gets its rate.
@@ -22,7 +23,10 @@
 	double rate_per_s;
 	double burst;
 	double own_demand_per_s;
-	double others_demand_per_s;  /**< total of the other VMs that reported recently */
+	double others_demand_per_s; /**< total of the other VMs that reported recently */
+	/* Parts of these with the highest priority. */
+	double own_urgent_demand_per_s;
+	double others_urgent_demand_per_s;
 	uint32_t reporting_vm_count; /**< number of those VMs */
 	uint32_t silent_vm_count;    /**< number of members that have not reported recently */
 };
--- a/decide/src/share.c
+++ b/decide/src/share.c
@@ -61,6 +61,19 @@
 		    fmax(account_burst * LOW_DEMAND_BURSTS_MAX / members, variation));
 }
 
+/* Returns this VM's part: urgent demand is covered first, and the rest follows the lesser demand.
+ */
+static double contended_rate_per_s(const struct pw_share_input *in, double available)
+{
+	double own_urgent = fmin(in->own_urgent_demand_per_s, in->own_demand_per_s);
+	double urgent = own_urgent + fmin(in->others_urgent_demand_per_s, in->others_demand_per_s);
+	double lesser = in->own_demand_per_s + in->others_demand_per_s - urgent;
+
+	if (urgent >= available)
+		return urgent > 0 ? available * own_urgent / urgent : 0;
+	return own_urgent + (available - urgent) * (in->own_demand_per_s - own_urgent) / lesser;
+}
+
 struct pw_share pw_share_compute(const struct pw_share_input *in)
 {
 	uint32_t members = 1 + in->reporting_vm_count + in->silent_vm_count;
@@ -73,7 +86,7 @@
 					 demand > available + FLOOD_DEVIATIONS * sqrt(available) };
 
 	if (s.contended)
-		s.rate_per_s = available * in->own_demand_per_s / demand;
+		s.rate_per_s = contended_rate_per_s(in, available);
 	else
 		s.rate_per_s = fmax(in->own_demand_per_s +
 					    (available - demand) / (1 + in->reporting_vm_count),
--- a/tests/codec/test_pulse.c
+++ b/tests/codec/test_pulse.c
@@ -36,7 +36,7 @@
 	g->position = (struct pw_position){ .term = 4, .lsn = 5000 };
 	g->statement_sent_us = 123456700;
 	for (uint32_t i = 0; i < account_count; i++)
-		pw_pulse_add_account(p, "an account with a long name", 1.5F);
+		pw_pulse_add_account(p, "an account with a long name", 1.5F, 0.5F);
 }
 
 /* Guards against a field that is lost or changed by encoding and decoding. */
@@ -77,6 +77,8 @@
 	ck_assert_uint_eq(g_array_index(decoded.groups, struct pw_pulse_group, 0).unreachable_ms,
 			  250);
 	ck_assert_uint_eq(decoded.accounts->len, 2);
+	ck_assert(g_array_index(decoded.accounts, struct pw_pulse_account, 1).urgent_demand_per_s ==
+		  0.5F);
 	pw_pulse_dispose(&p);
 	pw_pulse_dispose(&decoded);
 }
--- a/tests/decide/test_share.c
+++ b/tests/decide/test_share.c
@@ -43,6 +43,35 @@
 	  { .rate_per_s = 100, .burst = 100, .own_demand_per_s = 300, .silent_vm_count = 1 },
 	  50,
 	  true },
+	{ "urgent demand is covered first",
+	  { .rate_per_s = 100,
+	    .burst = 100,
+	    .own_demand_per_s = 100,
+	    .others_demand_per_s = 300,
+	    .own_urgent_demand_per_s = 40,
+	    .others_urgent_demand_per_s = 0,
+	    .reporting_vm_count = 3 },
+	  50,
+	  true },
+	{ "the others of that account",
+	  { .rate_per_s = 100,
+	    .burst = 100,
+	    .own_demand_per_s = 300,
+	    .others_demand_per_s = 100,
+	    .others_urgent_demand_per_s = 40,
+	    .reporting_vm_count = 3 },
+	  50,
+	  true },
+	{ "urgent demand above the rate",
+	  { .rate_per_s = 100,
+	    .burst = 100,
+	    .own_demand_per_s = 150,
+	    .others_demand_per_s = 350,
+	    .own_urgent_demand_per_s = 50,
+	    .others_urgent_demand_per_s = 150,
+	    .reporting_vm_count = 3 },
+	  25,
+	  true },
 	{ "an account without a rate", { .own_demand_per_s = 5 }, 0, true },
 };
 
@@ -103,6 +132,8 @@
 	/* Exponent by which the first VMs get more of the demand than the last; 0: all get the
 	 * same. */
 	double skew;
+	/* Part of the demand that is urgent, at the VMs with an even number only. */
+	double urgent_fraction;
 	bool is_delayed; /* arrivals are counted each COUNT_US only, and reports arrive a tick later
 			  */
 };
@@ -131,10 +162,15 @@
 	  0.85, 0.4, .is_delayed = true },
 	{ "several times the rate in a partitioned fleet", 76, 0, 446, 446, 386, 2900, 0, 0.85, 0.4,
 	  .partitioned = 27, .skew = 1.5, .is_delayed = true },
+	{ "urgent demand at half of a large fleet", 76, 0, 446, 446, 386, 2900, 0, 0.85, 0.4,
+	  .skew = 1.5, .urgent_fraction = 0.13, .is_delayed = true },
 };
 
 struct vm {
 	struct pw_demand demand;
+	struct pw_demand urgent_demand;
+	uint32_t uncounted_urgent;
+	float known_urgent_per_s[VMS_MAX];
 	uint32_t uncounted;         /* arrivals that are not part of `demand` yet */
 	float known_per_s[VMS_MAX]; /* last reports of the others */
 	double announced_per_s;
@@ -174,14 +210,17 @@
 		   uint64_t now_us)
 {
 	double per_s = pw_demand_per_s_at(&vms[i].demand, now_us);
+	double urgent_per_s = pw_demand_per_s_at(&vms[i].urgent_demand, now_us);
 
 	if (l->vms > MESH_MAX && !pw_demand_should_report(per_s, l->rate_per_s, l->vms))
 		per_s = 0;
 	for (uint32_t k = 0; k < count; k++) {
 		uint32_t receiver = vms[i].next_receiver++ % l->vms;
 
-		if (are_connected(l, i, receiver))
-			vms[receiver].known_per_s[i] = (float)per_s;
+		if (!are_connected(l, i, receiver))
+			continue;
+		vms[receiver].known_per_s[i] = (float)per_s;
+		vms[receiver].known_urgent_per_s[i] = (float)(per_s > 0 ? urgent_per_s : 0);
 	}
 }
 
@@ -237,6 +276,9 @@
 		};
 
 		in.others_demand_per_s = sum_known(l, vms, i);
+		in.own_urgent_demand_per_s = pw_demand_per_s_at(&v->urgent_demand, now_us);
+		for (uint32_t k = 0; k < l->vms; k++)
+			in.others_urgent_demand_per_s += (double)v->known_urgent_per_s[k];
 		if (in.own_demand_per_s + in.others_demand_per_s <= l->rate_per_s)
 			v->within_rate_us = now_us;
 		next = pw_share_compute(&in);
@@ -259,6 +301,8 @@
 			continue;
 		pw_demand_add_arrivals(&vms[i].demand, vms[i].uncounted, now_us);
 		vms[i].uncounted = 0;
+		pw_demand_add_arrivals(&vms[i].urgent_demand, vms[i].uncounted_urgent, now_us);
+		vms[i].uncounted_urgent = 0;
 	}
 }
 
@@ -303,6 +347,9 @@
 				v->uncounted++;
 			else
 				pw_demand_add_arrivals(&v->demand, 1, now_us);
+			if ((v - vms) % 2 == 0 && l->urgent_fraction > 0 &&
+			    next_random() < l->urgent_fraction)
+				v->uncounted_urgent++;
 			if (bucket >= 1) {
 				bucket -= 1;
 				bucket_total += 1;
--- a/tests/fuzz/fuzz_pulse.c
+++ b/tests/fuzz/fuzz_pulse.c
@@ -93,7 +93,7 @@
 	p.needs_permit = true;
 	p.primaries_record = g_strdup("{\"fence\":1,\"primaries\":[]}");
 	pw_pulse_add_group(&p, "orders", 3, 250, true);
-	pw_pulse_add_account(&p, "amber", 1.5F);
+	pw_pulse_add_account(&p, "amber", 1.5F, 0.5F);
 	fuzz_add_seed(seeds, data, pw_pulse_encode(data, &p));
 	pw_pulse_dispose(&p);
 	pw_primaries_set(record, "orders", "i-1", NULL, 3);
