Evacuation, tests: store outage, leader lost, taken back within the grace, soak beside stops

Failures that no test played: two VMs whose store is silent or cut at the time of the request; a watch that reports nothing; the loss of the VM that leads the change; a request that is taken back before its time is over, with an open transaction. test_soak_fleet has a case (the last one, so that the indices of others stay) in which a zone is evacuated and taken back during a roll.

--- a/tests/include/evacuation_fleet.h
+++ b/tests/include/evacuation_fleet.h
@@ -80,6 +80,15 @@
 	return zone;
 }
 
+static inline bool has_zone(const char *server_id, const char *expected)
+{
+	char *zone = find_zone(server_id);
+	bool is_equal = strcmp(zone, expected) == 0;
+
+	g_free(zone);
+	return is_equal;
+}
+
 /* Starts a fleet whose database has its servers in so many zones. */
 static inline void start_fleet_in(const char *zone_count)
 {
@@ -87,7 +96,11 @@
 	start_platform();
 	inject_fault("zones", zone_count);
 	inject_fault("work", "20"); /* reads go to replicas if the primary is not much faster */
-	g_usleep(1500000);          /* the servers register again about once a second */
+	/* The servers register again about once a second. */
+	ck_assert(PW_HARNESS_WAIT_UNTIL(
+		has_zone("i-core-1", zones[0]) && has_zone("i-core-2", zones[1]) &&
+			has_zone("i-core-3", zone_count[0] == '2' ? zones[0] : zones[2]),
+		3000));
 	start_vms(VM_COUNT, platform->port);
 }
 
--- a/tests/platform/test_evacuation_faults_fleet.c
+++ b/tests/platform/test_evacuation_faults_fleet.c
@@ -105,12 +105,13 @@
 	char *busy, *id, *zone;
 	uint32_t own_count;
 
+	g_setenv("PW_EVACUATION_TIMEOUT", "2s", TRUE);
 	start_fleet_in_zones();
 	busy = find_replica();
 	id = begin_at_replica(&c);
 	zone = find_zone(id);
 	inject_fault("evacuate", zone);
-	g_usleep(2200000);
+	g_usleep(700000);
 	inject_fault("work", "700");
 	send_statement(c, "READ a");
 	g_usleep(100000);
@@ -162,6 +163,7 @@
 	char *primary, *first, *second, *zone;
 	uint32_t own_count;
 
+	g_setenv("PW_EVACUATION_TIMEOUT", "2s", TRUE);
 	start_fleet_in_zones();
 	primary = find_primary();
 	first = find_other_server(primary, 0);
@@ -170,7 +172,7 @@
 	inject_fault("dark", first);
 	inject_fault("dark", second);
 	inject_fault("evacuate", zone);
-	g_usleep(EVACUATION_MS * 1000);
+	g_usleep(2000000);
 	own_count = count_own(primary);
 	g_usleep(1000000);
 	inject_fault("light", first);
@@ -232,7 +234,7 @@
 	zone = find_zone(id);
 	play_old_reads();
 	inject_fault("evacuate", zone);
-	g_usleep(EVACUATION_MS * 1000);
+	g_usleep(3500000); /* within which each VM reads */
 	received = count_received_by_sample(id);
 	ck_assert_msg(!received, "older reads: %u statements reached %s", received, id);
 	play_empty_reads();
@@ -272,18 +274,127 @@
 {
 	uint32_t received;
 
+	g_setenv("PW_EVACUATION_TIMEOUT", "2s", TRUE);
 	start_fleet_in("2"); /* the third server is in the zone of the first */
 	inject_fault("evacuate", zones[1]);
 	inject_fault("zones", "3");
 	g_usleep(4500000);
 	inject_fault("evacuate", zones[2]);
-	g_usleep(EVACUATION_MS * 1000);
+	g_usleep(2000000);
 	received = count_received_by_sample("i-core-3");
 	ck_assert_msg(!received, "%u statements reached the zone", received);
 	stop_fleet();
 }
 END_TEST
 
+/* How VMs are cut off from the store, one after the other. */
+static const enum pw_harness_relay_mode outages[] = { PW_RELAY_STALL, PW_RELAY_DISCONNECT };
+
+/* A VM without the store at the time of the request must follow it once it reaches the store. */
+START_TEST(test_store_outage_of_some_vms)
+{
+	struct pw_harness_relay *relays[PW_ARRAY_LEN(outages)];
+	char *id, *zone;
+	uint32_t received;
+
+	start_fleet_in_zones();
+	for (uint32_t i = 0; i < PW_ARRAY_LEN(outages); i++) {
+		relays[i] = pw_harness_relay_new(platform->port);
+		pw_harness_kill(vms[i].process);
+		start_vm_with_store(i, pw_harness_relay_port(relays[i]));
+		ck_assert(PW_HARNESS_WAIT_UNTIL(is_ready(&vms[i]), READY_TIMEOUT_MS));
+	}
+	id = find_replica();
+	zone = find_zone(id);
+	for (uint32_t i = 0; i < PW_ARRAY_LEN(outages); i++)
+		pw_harness_relay_set_mode(relays[i], outages[i]);
+	inject_fault("evacuate", zone);
+	g_usleep(1500000);
+	for (uint32_t i = 0; i < PW_ARRAY_LEN(outages); i++)
+		pw_harness_relay_set_mode(relays[i], PW_RELAY_FORWARD);
+	g_usleep(EVACUATION_MS * 1000);
+	received = count_received_by_sample(id);
+	ck_assert_msg(!received, "%u statements reached %s", received, id);
+	for (uint32_t i = 0; i < PW_ARRAY_LEN(outages); i++)
+		pw_harness_relay_free(relays[i]);
+	g_free(zone);
+	g_free(id);
+	stop_fleet();
+}
+END_TEST
+
+/* Returns the number of the VM that leads a change; VM_COUNT: none does yet. */
+static uint32_t find_leader(void)
+{
+	uint32_t i = 0;
+
+	while (i < VM_COUNT && !count_log_lines(&vms[i], "name=failover_started"))
+		i++;
+	return i;
+}
+
+/* The zone of the primary must be left in time, and the primary replaced, without the leader. */
+START_TEST(test_leader_killed)
+{
+	struct client *c;
+	char *primary, *zone;
+	uint32_t leader, received;
+
+	start_fleet_in_zones();
+	primary = find_primary();
+	zone = find_zone(primary);
+	inject_fault("evacuate", zone);
+	ck_assert(PW_HARNESS_WAIT_UNTIL(find_leader() < VM_COUNT, 3000));
+	leader = find_leader();
+	pw_harness_kill(vms[leader].process);
+	g_usleep(EVACUATION_MS * 1000);
+	inject_fault("record", "clear");
+	c = open_session((leader + 1) % VM_COUNT, "desk");
+	(void)write_until_ok(&c, (leader + 1) % VM_COUNT, "WRITE b v", 10000);
+	received = count_received(primary);
+	ck_assert_msg(!received, "%u statements reached %s", received, primary);
+	ck_assert(has_new_primary(primary));
+	client_free(c);
+	g_free(zone);
+	g_free(primary);
+	stop_fleet();
+}
+END_TEST
+
+/* A request that is taken back before its time is over must leave the zone's servers in use. */
+START_TEST(test_returned_within_grace)
+{
+	struct client *open_transaction;
+	char *id, *zone;
+	uint32_t received;
+
+	start_fleet_in_zones();
+	g_free(find_replica());
+	id = begin_at_replica(&open_transaction);
+	zone = find_zone(id);
+	inject_fault("evacuate", zone);
+	ck_assert(PW_HARNESS_WAIT_UNTIL(have_all_logged("name=zone_evacuated"), 3000));
+	g_usleep(1000000);
+	inject_fault("return", zone);
+	ck_assert(PW_HARNESS_WAIT_UNTIL(have_all_logged("name=zone_returned"), 3000));
+	expect_answer(open_transaction, "READ a", "none ok T");
+	g_usleep(2000000); /* beyond the time from which nothing would be sent, within TxIdleMs */
+	expect_answer(open_transaction, "READ a", "none ok T");
+	expect_answer(open_transaction, "COMMIT", "ok I");
+	for (size_t i = 0; i < SERVER_COUNT; i++) {
+		if (strcmp(zones[i], zone) != 0)
+			inject_fault("evacuate", zones[i]);
+	}
+	g_usleep(EVACUATION_MS * 1000);
+	received = count_received_by_sample(id);
+	ck_assert_msg(received, "%s is not used again", id);
+	client_free(open_transaction);
+	g_free(zone);
+	g_free(id);
+	stop_fleet();
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("evacuation faults fleet");
@@ -296,5 +407,8 @@
 	tcase_add_test(tc, test_odd_reads);
 	tcase_add_test(tc, test_silent_watch);
 	tcase_add_test(tc, test_moved_server);
+	tcase_add_test(tc, test_store_outage_of_some_vms);
+	tcase_add_test(tc, test_leader_killed);
+	tcase_add_test(tc, test_returned_within_grace);
 	return pw_suite_run("evacuation faults fleet", tc);
 }
--- a/tests/platform/test_soak_fleet.c
+++ b/tests/platform/test_soak_fleet.c
@@ -60,6 +60,7 @@
 	uint32_t catalog_gap_ms;    /* 0: no change of the catalogue */
 	uint32_t primary_leaves_ms; /* after the first stop; 0: does not */
 	uint32_t replica_leaves_ms;
+	uint32_t evacuation_ms[2]; /* a zone is evacuated and taken back; 0: it is not */
 	uint32_t lag_ms;
 	uint32_t delay_ms[2]; /* range of the delay of connections in each direction */
 	bool presses;         /* callers of a stopping VM do not pause between operations */
@@ -134,6 +135,13 @@
 	  .stop_gap_ms = 1300,
 	  .second_signal_share = 0.25,
 	  .presses = true },
+	{ .label = "roll beside an evacuation",
+	  .work_ms = 20,
+	  .transaction_pause_ms = 400,
+	  .stop_count = 4,
+	  .stops_at_a_time = 1,
+	  .stop_gap_ms = 1300,
+	  .evacuation_ms = { 3000, 7000 } },
 };
 
 /* A statement or start of a session that got no whole answer. */
@@ -514,21 +522,37 @@
 	*due_ms = 0;
 }
 
+/* Injects a fault of a zone at `*due_ms` after the start. */
+static void change_zone(const char *fault, const char *zone, uint32_t *due_ms, gint64 start_us)
+{
+	if (!*due_ms || elapsed_ms(start_us) < *due_ms)
+		return;
+	inject_fault(fault, zone);
+	*due_ms = 0;
+}
+
 /* Plays the stops and the changes beside them until all VMs are ready again. */
-static void play(const struct soak_case *soak, struct stop *stops)
+static void play(const struct soak_case *soak, GRand *rand, struct stop *stops)
 {
 	gint64 start_us = g_get_monotonic_time();
 	uint32_t catalog_due_ms = WARM_UP_MS;
 	uint32_t primary_leaves_ms = soak->primary_leaves_ms;
 	uint32_t replica_leaves_ms = soak->replica_leaves_ms;
+	uint32_t evacuated_ms = soak->evacuation_ms[0], returned_ms = soak->evacuation_ms[1];
+	char zone[16];
 	bool active = true;
 
+	g_snprintf(zone, sizeof(zone), "zone-%d", evacuated_ms ? g_rand_int_range(rand, 1, 4) : 0);
+
 	while (active) {
 		active = false;
 		for (uint32_t i = 0; i < soak->stop_count; i++)
 			active |= advance_stop(&stops[i], start_us);
 		let_server_leave(find_primary, &primary_leaves_ms, start_us);
 		let_server_leave(find_replica, &replica_leaves_ms, start_us);
+		change_zone("evacuate", zone, &evacuated_ms, start_us);
+		change_zone("return", zone, &returned_ms, start_us);
+		active |= returned_ms != 0;
 		if (soak->catalog_gap_ms && elapsed_ms(start_us) >= catalog_due_ms) {
 			publish_catalog(BOTH_KEYS, 3000 + (int)catalog_due_ms % 7);
 			catalog_due_ms += soak->catalog_gap_ms;
@@ -652,7 +676,10 @@
 
 	drain_grace = "2200ms";
 	drain_timeout = "2800ms";
+	if (soak->evacuation_ms[0])
+		g_setenv("PW_EVACUATION_TIMEOUT", "5s", TRUE);
 	start_fleet_of(SOAK_VM_COUNT);
+	inject_fault("zones", soak->evacuation_ms[0] ? "3" : "1");
 	inject_fault("work", work);
 	inject_fault("slots", slots);
 	inject_fault("queue", queue);
@@ -704,7 +731,7 @@
 	if (soak->quarter_cpu)
 		ck_assert_int_eq(pthread_create(&limiter, NULL, limit_cpu, NULL), 0);
 	callers = start_callers(soak, seed);
-	play(soak, stops);
+	play(soak, rand, stops);
 	g_atomic_int_set(&finished, 1);
 	answered_count = join_callers(callers);
 	if (soak->quarter_cpu)
