Stand-in: failures at one server, at once

The fault "failures" takes the id of a server. A server that fails a part of its statements while it is well otherwise does so without the time of their work, as the platform's servers do; a failure of all servers still follows the work.

--- a/standins/platform/database.h
+++ b/standins/platform/database.h
@@ -72,7 +72,8 @@
  *   number of its bytes, and closes the connection; the statement has run;
  * - "split", with bytes:B, sends answers in packets of 1 to B bytes;
  * - "busy", with every:N, refuses every N-th read, write, commit and BEGIN with BUSY;
- * - "failures", with every:N, lets every N-th read or write fail with FAILED;
+ * - "failures", with every:N, and optionally server:ID, lets every N-th read or write fail with
+ *   FAILED; if ID is given, only at that server, and at once;
  * - "set-failures", with every:N, lets every N-th SET fail.
  *
  * The argument of "record" is "clear", which empties the record.
--- a/standins/platform/faults.c
+++ b/standins/platform/faults.c
@@ -145,6 +145,22 @@
 	{ NULL, NULL, 0 },
 };
 
+struct failures {
+	struct period period;
+	char server[SERVER_ID_SIZE];
+};
+
+static bool set_server(void *field, const char *value)
+{
+	return g_strlcpy(field, value, SERVER_ID_SIZE) < SERVER_ID_SIZE;
+}
+
+static const struct option failures_options[] = {
+	{ "every", set_number, offsetof(struct failures, period.every) },
+	{ "server", set_server, offsetof(struct failures, server) },
+	{ NULL, NULL, 0 },
+};
+
 static const struct option stutter_options[] = {
 	{ "every", set_number, offsetof(struct stutter, period.every) },
 	{ "delay_ms", set_number, offsetof(struct stutter, delay_ms) },
@@ -184,6 +200,18 @@
 	return set_options(field, split_options, value);
 }
 
+static bool set_failures(void *faults, const char *value)
+{
+	struct failures set = { 0 };
+	struct faults *f = faults;
+
+	if (!set_options(&set, failures_options, value))
+		return false;
+	f->failures = set.period;
+	memcpy(f->failing_server, set.server, SERVER_ID_SIZE);
+	return true;
+}
+
 static const struct option faults[] = {
 	{ "lag", set_milliseconds, offsetof(struct faults, lag_us) },
 	{ "promotion-delay", set_milliseconds, offsetof(struct faults, promotion_delay_us) },
@@ -202,7 +230,7 @@
 	{ "zones", set_count, offsetof(struct faults, zone_count) },
 	{ "split", set_split, offsetof(struct faults, split_bytes) },
 	{ "busy", set_period, offsetof(struct faults, busy) },
-	{ "failures", set_period, offsetof(struct faults, failures) },
+	{ "failures", set_failures, 0 },
 	{ "set-failures", set_period, offsetof(struct faults, set_failures) },
 };
 
@@ -228,6 +256,11 @@
 	return p->every && ++p->count % p->every == 0;
 }
 
+bool faults_fail_statement(struct faults *f, const char *server_id)
+{
+	return strcmp(f->failing_server, server_id) == 0 && faults_select(&f->failures);
+}
+
 uint64_t faults_random(struct faults *f, uint64_t limit)
 {
 	/* SplitMix64 */
--- a/standins/platform/faults.h
+++ b/standins/platform/faults.h
@@ -36,6 +36,9 @@
 	bool closes;            /**< the connection is closed after `bytes` */
 };
 
+/** Size of the id of a server, with its end. */
+#define SERVER_ID_SIZE 64
+
 /** Selects every so many events. */
 struct period {
 	uint64_t every; /**< 0: none */
@@ -69,9 +72,11 @@
 	struct stutter stutter;
 	struct period cut;
 	struct period busy;
-	struct period failures;     /**< reads and writes that fail; they have not run */
-	struct period set_failures; /**< SET statements that fail */
-	uint64_t random;            /**< state of the pseudo-random numbers */
+	struct period failures;              /**< reads and writes that fail; they have not run */
+	char failing_server[SERVER_ID_SIZE]; /**< id of the only server with `failures`; empty: all
+						have them */
+	struct period set_failures;          /**< SET statements that fail */
+	uint64_t random;                     /**< state of the pseudo-random numbers */
 };
 
 void faults_init(struct faults *f);
@@ -83,6 +88,13 @@
  */
 bool faults_set(struct faults *f, const char *name, const char *value);
 
+/**
+ * Counts a read or write.
+ *
+ * @param server_id empty: one that has run and fails if no server is given for `failures`
+ * @return whether it fails
+ */
+bool faults_fail_statement(struct faults *f, const char *server_id);
 /** Counts an event. @return whether it is selected */
 bool faults_select(struct period *p);
 
--- a/standins/platform/session.c
+++ b/standins/platform/session.c
@@ -451,8 +451,8 @@
 		return "LAGGING";
 	if (is_refused_by_role(c, s))
 		return "READONLY";
-	return s->kind != STATEMENT_OTHER && faults_select(&faults_of(c)->failures) ? "FAILED"
-										    : NULL;
+	return s->kind != STATEMENT_OTHER && faults_fail_statement(faults_of(c), "") ? "FAILED"
+										     : NULL;
 }
 
 /* Runs a statement, or answers it with an error if `code` is not NULL. */
@@ -509,6 +509,8 @@
 	record_add(d->record, s, c->server->id, c->account);
 	if (is_busy(c, s, is_full)) {
 		answer_statement(c, s, "BUSY");
+	} else if (has_run_time && faults_fail_statement(faults_of(c), c->server->id)) {
+		answer_statement(c, s, "FAILED");
 	} else if (f->run_time_us && has_run_time) {
 		c->pending = s;
 		pw_stream_pause(&c->stream, true);
