Learned speed of servers: kinds of work, failures, room and decay

What callers saw: a replica that failed at once looked fast and drew most reads; a server that had been slow while it was hardly asked was left alone after it was well again; a replica that was never asked lost against the primary.

Cause: one moving average of all answer times was all that the choice of a server knew. Failures, kinds of work and age of what was learned did not count.

decide/speed learns the usual time of each kind of work at a database and the factor of each server, as logarithms and without the round trip; the share of failures; and a limit of reads in flight where answers are frequent. What was learned decays, and a read tries the server again. decide/place takes these figures, shares reads at random among servers of nearly equal cost, and takes the random number as an argument. A read outside a transaction that fails at a server which fails clearly more than another one is tried there once. Events and counters: upstream_limited (4003), upstream_limited_total, upstream_trials_total, retry_read_failed_total.

--- a/core/include/pw/core/counter.h
+++ b/core/include/pw/core/counter.h
@@ -49,6 +49,8 @@
 	  "08007: no majority confirmed the primary")                                              \
 	X(RETRY_NOT_SENT, "retry_not_sent_total", "retries: no byte had reached an upstream")      \
 	X(RETRY_READ, "retry_read_total", "retries: read without an answer")                       \
+	X(RETRY_READ_FAILED, "retry_read_failed_total",                                            \
+	  "retries: the read failed at an upstream that fails many")                               \
 	X(RETRY_REFUSED_BY_UPSTREAM, "retry_refused_by_upstream_total",                            \
 	  "retries: the upstream refused to run it")                                               \
 	X(RETRY_BUDGET_EMPTY, "retry_budget_empty_total", "retries not made: budget used up")      \
@@ -97,6 +99,10 @@
 	  "bytes received from upstreams")                                                         \
 	X(UPSTREAM_BYTES_REMOTE, "upstream_bytes_remote_total",                                    \
 	  "bytes to and from upstreams in other regions")                                          \
+	X(UPSTREAM_TRIALS, "upstream_trials_total",                                                \
+	  "reads sent to upstreams that were not asked for a while")                               \
+	X(UPSTREAM_LIMITED, "upstream_limited_total",                                              \
+	  "times that the work at an upstream was limited because its answers took long")          \
 	X(HTTP_BYTES_SENT, "http_bytes_sent_total", "bytes of requests to the store")              \
 	X(HTTP_BYTES_RECEIVED, "http_bytes_received_total", "bytes of responses of the store")     \
 	X(STORE_READS, "store_reads_total", "range calls to the store")                            \
--- a/core/include/pw/core/event.h
+++ b/core/include/pw/core/event.h
@@ -53,6 +53,7 @@
 	X(RECORD_MALFORMED, 3033, G_LOG_LEVEL_WARNING, "record_malformed")     \
 	X(UPSTREAM_DOWN, 4001, G_LOG_LEVEL_WARNING, "upstream_down")           \
 	X(UPSTREAM_UP, 4002, G_LOG_LEVEL_MESSAGE, "upstream_up")               \
+	X(UPSTREAM_LIMITED, 4003, G_LOG_LEVEL_MESSAGE, "upstream_limited")     \
 	X(FAILOVER_STARTED, 4010, G_LOG_LEVEL_WARNING, "failover_started")     \
 	X(FAILOVER_DONE, 4011, G_LOG_LEVEL_MESSAGE, "failover_done")           \
 	X(FAILOVER_GIVEN_UP, 4012, G_LOG_LEVEL_WARNING, "failover_given_up")   \
--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -606,6 +606,7 @@
 {
 	clear_timeout(c);
 	c->server->backoff_us = 0;
+	gw_group_record_opened(c->server, c->sent_us);
 	set_state(c, CONN_IDLE);
 	if (c->work)
 		start_work(c);
@@ -863,7 +864,7 @@
 	struct conn *c = conn_of(stream);
 	GByteArray *b = g_byte_array_new();
 
-	gw_group_record_connected(c->server);
+	gw_group_record_connected(c->server, c->sent_us);
 	set_state(c, CONN_OPENING);
 	set_timeout(c, CONN_OPEN_TIMEOUT_US);
 	dialect(c)->put_open(b, c->server->group->name, c->account->name, c->server->id);
@@ -877,6 +878,8 @@
 	/* A server with too many connections may reset a new one without an error message. */
 	if (c->state == CONN_OPENING)
 		record_open_refusal(c, PW_REASON_CONNECTION_LIMIT);
+	else if (has_statement_in_flight(c))
+		gw_group_record_lost(c->server);
 	gw_conn_fail(c, "the connection to the server was lost");
 }
 
@@ -1023,9 +1026,7 @@
 {
 	struct conn *c = find_idle_conn(s, w);
 
-	pw_congestion_record_start(&s->congestion,
-				   s->latency_us ? s->latency_us : PW_LATENCY_INITIAL_US,
-				   gateway_now_us(s->group->gateway));
+	gw_group_record_start(s, w);
 	if (c) {
 		c->work = w;
 		w->conn = c;
--- a/daemon/traffic/gateway_group.c
+++ b/daemon/traffic/gateway_group.c
@@ -23,6 +23,7 @@
 	struct pw_stream stream;
 	struct pw_timer timer;
 	struct server *server;
+	uint64_t started_us;
 };
 
 struct group *gw_group_get(struct gateway *g, const char *name)
@@ -139,6 +140,7 @@
 		s->pause_until_us = 0;
 		s->silence = (struct pw_silence){ 0 };
 		s->congestion = (struct pw_congestion){ 0 };
+		s->speed = (struct pw_speed){ 0 };
 	}
 	s->started_ms = e->started_ms;
 	g_free(s->address);
@@ -347,6 +349,12 @@
 	       pw_congestion_may_start(&s->congestion, count_conns_in_use(s), now_us);
 }
 
+/* Whether the server takes another read well, as far as was learned. */
+static bool takes_read_well(const struct server *s, uint64_t now_us)
+{
+	return pw_speed_may_start(&s->speed, count_conns_in_use(s), now_us);
+}
+
 static bool is_avoided(const struct server *s, const struct work *w)
 {
 	return w->avoid_server_id && strcmp(w->avoid_server_id, s->id) == 0;
@@ -413,6 +421,25 @@
 	return s->latency_us ? s->latency_us : PW_LATENCY_INITIAL_US;
 }
 
+static struct pw_speed_work speed_work(const struct work *w)
+{
+	return (struct pw_speed_work){
+		.kind = w->is_commit || w->is_autocommit_write ? PW_SPEED_COMMIT
+			: w->writes                            ? PW_SPEED_WRITE
+							       : PW_SPEED_READ,
+		.route_class = pw_speed_route_class(w->operation.target_us),
+	};
+}
+
+static uint64_t expected_us(const struct server *s, const struct work *w, uint64_t now_us)
+{
+	uint64_t us = pw_speed_expected_us(&s->speed, &s->group->speed, speed_work(w), now_us);
+
+	return us ? us : PW_LATENCY_INITIAL_US;
+}
+
+static const struct pw_speed_work opening_work = { .kind = PW_SPEED_OPENING };
+
 /* Position that a replica needs for a read. */
 struct read_floor {
 	bool known; /**< false: the read has to run at the primary */
@@ -461,6 +488,18 @@
 	return count;
 }
 
+/* Estimates the time until the server has started so many statements like this one. */
+static uint64_t backlog_us(const struct server *s, const struct work *w, uint32_t waiting_count,
+			   uint64_t now_us)
+{
+	uint64_t window_us = pw_congestion_backlog_us(&s->congestion, waiting_count, latency_us(s));
+	uint64_t limit_us = w->needs_primary ? 0
+					     : pw_speed_backlog_us(&s->speed, waiting_count,
+								   expected_us(s, w, now_us));
+
+	return MAX(window_us, limit_us);
+}
+
 uint64_t gw_group_backlog_us(const struct work *w)
 {
 	const struct group *group = w->group;
@@ -476,13 +515,35 @@
 		    (w->needs_primary ? s != group->primary
 				      : s->leaving || !is_caught_up(s, &floor, now_us)))
 			continue;
-		min_backlog_us =
-			MIN(min_backlog_us,
-			    pw_congestion_backlog_us(&s->congestion, waiting_count, latency_us(s)));
+		min_backlog_us = MIN(min_backlog_us, backlog_us(s, w, waiting_count, now_us));
 	}
 	return min_backlog_us == UINT64_MAX ? 0 : min_backlog_us;
 }
 
+/* Describes what the choice of a server for the read needs to know of this one. */
+static struct pw_place_candidate read_candidate(const struct work *w, const struct server *s,
+						const struct read_floor *floor, uint64_t now_us)
+{
+	struct group *group = s->group;
+	bool is_primary = s == group->primary;
+	struct pw_place_candidate c = {
+		.is_usable = (is_primary ? is_primary_usable(group, w, now_us) && !is_avoided(s, w)
+					 : is_replica_usable(s, w, now_us)) &&
+			     may_start(s, now_us) && takes_read_well(s, now_us),
+		.is_primary = is_primary,
+		.caught_up = is_caught_up(s, floor, now_us),
+		.in_flight = s->in_flight,
+		.expected_us = expected_us(s, w, now_us),
+		.opening_us = pw_speed_expected_us(&s->speed, &group->speed, opening_work, now_us),
+		.failure_permille = pw_speed_failure_permille(&s->speed, now_us),
+		.trial_is_due = pw_speed_trial_is_due(&s->speed, now_us),
+		.distance = s->distance,
+	};
+
+	c.can_open_connection = gw_conn_is_available(s, w, &c.has_idle_connection);
+	return c;
+}
+
 static struct server *choose_read_server(const struct work *w)
 {
 	struct group *group = w->group;
@@ -493,27 +554,33 @@
 	int32_t best;
 
 	find_floor(&floor, w, now_us);
+	for (uint32_t i = 0; i < count; i++)
+		candidates[i] =
+			read_candidate(w, g_ptr_array_index(group->servers, i), &floor, now_us);
+	best = pw_place_choose_server(candidates, count, (uint32_t)pw_clock_random_u64());
+	if (best < 0)
+		return NULL;
+	if (candidates[best].trial_is_due)
+		pw_counter_inc(PW_COUNTER_UPSTREAM_TRIALS);
+	return g_ptr_array_index(group->servers, (guint)best);
+}
+
+bool gw_group_can_repeat_read(const struct work *w, const struct server *failed)
+{
+	const struct group *group = w->group;
+	uint64_t now_us = gateway_now_us(group->gateway);
+	struct read_floor floor;
 
-	for (uint32_t i = 0; i < count; i++) {
+	find_floor(&floor, w, now_us);
+	for (guint i = 0; i < group->servers->len; i++) {
 		const struct server *s = g_ptr_array_index(group->servers, i);
-		bool is_primary = s == group->primary;
-
-		candidates[i] = (struct pw_place_candidate){
-			.is_usable = is_primary ? is_primary_usable(group, w, now_us) &&
-							  !is_avoided(s, w)
-						: is_replica_usable(s, w, now_us),
-			.is_primary = is_primary,
-			.caught_up = is_caught_up(s, &floor, now_us),
-			.in_flight = s->in_flight,
-			.latency_us = latency_us(s),
-			.distance = s->distance,
-		};
-		candidates[i].is_usable = candidates[i].is_usable && may_start(s, now_us);
-		candidates[i].can_open_connection =
-			gw_conn_is_available(s, w, &candidates[i].has_idle_connection);
+		const struct pw_place_candidate c = read_candidate(w, s, &floor, now_us);
+
+		if (s != failed && pw_place_can_take_read(&c) &&
+		    pw_speed_fails_more(&failed->speed, &s->speed, now_us))
+			return true;
 	}
-	best = pw_place_choose_server(candidates, count);
-	return best < 0 ? NULL : g_ptr_array_index(group->servers, (guint)best);
+	return false;
 }
 
 struct server *gw_group_choose_server(const struct work *w)
@@ -541,6 +608,7 @@
 	BLOCKED_AVOIDED,
 	BLOCKED_LAGGING,
 	BLOCKED_WINDOW,
+	BLOCKED_SLOW,
 	BLOCKED_CONNECTIONS,
 	BLOCKED_NONE,
 };
@@ -555,6 +623,7 @@
 	[BLOCKED_AVOIDED] = "avoided",
 	[BLOCKED_LAGGING] = "lagging",
 	[BLOCKED_WINDOW] = "window",
+	[BLOCKED_SLOW] = "slow",
 	[BLOCKED_CONNECTIONS] = "connections",
 	[BLOCKED_NONE] = "none",
 };
@@ -583,6 +652,8 @@
 		return BLOCKED_LAGGING;
 	if (!may_start(s, now_us))
 		return BLOCKED_WINDOW;
+	if (!w->needs_primary && !takes_read_well(s, now_us))
+		return BLOCKED_SLOW;
 	return gw_conn_is_available(s, w, &has_idle_conn) ? BLOCKED_NONE : BLOCKED_CONNECTIONS;
 }
 
@@ -615,13 +686,14 @@
 	}
 }
 
-void gw_group_record_connected(struct server *s)
+void gw_group_record_connected(struct server *s, uint64_t sent_us)
 {
 	/*
 	 * The kernel accepts connections even if the server's process is stuck, so this does not
 	 * end the wait for an answer.
 	 */
 	s->last_contact_us = gateway_now_us(s->group->gateway);
+	pw_speed_record_round_trip(&s->speed, s->last_contact_us - sent_us);
 }
 
 /* Returns since when the server has left a message unanswered; 0: it has not. */
@@ -671,13 +743,70 @@
 	s->backoff_us = s->backoff_us ? MIN(s->backoff_us * 2, SERVER_BACKOFF_MAX_US)
 				      : SERVER_BACKOFF_INITIAL_US;
 	s->pause_until_us = now_us + s->backoff_us;
+	pw_speed_record_failure(&s->speed, now_us);
 	pw_mailbox_send(group->gateway->directory->catalog, pw_servers_refresh_msg());
 }
 
 void gw_group_record_server_busy(struct server *s)
 {
-	pw_congestion_record_refusal(&s->congestion, count_conns_in_use(s), latency_us(s),
-				     gateway_now_us(s->group->gateway));
+	uint64_t now_us = gateway_now_us(s->group->gateway);
+
+	pw_congestion_record_refusal(&s->congestion, count_conns_in_use(s), latency_us(s), now_us);
+	pw_speed_record_failure(&s->speed, now_us);
+}
+
+void gw_group_record_lost(struct server *s)
+{
+	pw_speed_record_failure(&s->speed, gateway_now_us(s->group->gateway));
+}
+
+void gw_group_record_start(struct server *s, const struct work *w)
+{
+	uint64_t now_us = gateway_now_us(s->group->gateway);
+
+	pw_congestion_record_start(&s->congestion, latency_us(s), now_us);
+	pw_speed_record_start(&s->speed, expected_us(s, w, now_us), now_us);
+}
+
+/* Records the time of an answer, and logs when the learned limit begins or ends. */
+static void record_speed(struct server *s, struct pw_speed_work work, uint64_t answer_us)
+{
+	bool was_limited = s->speed.limit_milli;
+
+	pw_speed_record_answer(&s->speed, &s->group->speed, work, answer_us, count_conns_in_use(s),
+			       gateway_now_us(s->group->gateway));
+	if (was_limited == (s->speed.limit_milli != 0))
+		return;
+	if (!was_limited)
+		pw_counter_inc(PW_COUNTER_UPSTREAM_LIMITED);
+	pw_event_log(PW_EVENT_UPSTREAM_LIMITED,
+		     "database=%s server=%s limit_milli=%u factor_log_milli=%d failure_permille=%u",
+		     s->group->name, s->id, s->speed.limit_milli, s->speed.factor_log_milli,
+		     s->speed.failure_permille);
+}
+
+void gw_group_record_opened(struct server *s, uint64_t sent_us)
+{
+	uint64_t opening_us = gateway_now_us(s->group->gateway) - sent_us;
+
+	/* Two round trips: the connect and the handshake. */
+	record_speed(s, opening_work, opening_us - MIN(opening_us, s->speed.round_trip_us));
+}
+
+static void record_answer_speed(struct server *s, const struct work *w, uint64_t answer_us)
+{
+	switch (w->reason) {
+	case PW_REASON_NONE:
+		record_speed(s, speed_work(w), answer_us);
+		break;
+	case PW_REASON_FAILED:
+	case PW_REASON_TIMEOUT:
+	case PW_REASON_OTHER:
+		pw_speed_record_failure(&s->speed, gateway_now_us(s->group->gateway));
+		break;
+	default:
+		break;
+	}
 }
 
 void gw_group_record_answer(struct server *s, struct conn *c, uint64_t sent_us,
@@ -687,6 +816,8 @@
 	uint64_t now_us = gateway_now_us(group->gateway);
 
 	s->latency_us = pw_latency_average_add(s->latency_us, now_us - sent_us);
+	if (c->work)
+		record_answer_speed(s, c->work, now_us - sent_us);
 	if (c->work && c->work->reason == PW_REASON_NONE)
 		pw_congestion_record_success(&s->congestion);
 	if (position)
@@ -713,7 +844,7 @@
 {
 	struct probe *probe = (struct probe *)stream;
 
-	gw_group_record_connected(probe->server);
+	gw_group_record_connected(probe->server, probe->started_us);
 	end_probe(probe);
 }
 
@@ -750,6 +881,7 @@
 		return;
 	probe = g_new0(struct probe, 1);
 	probe->server = s;
+	probe->started_us = gateway_now_us(g);
 	probe->timer.ops = &probe_timer_ops;
 	if (pw_stream_connect(&probe->stream, &probe_ops, g->task.loop, s->address)) {
 		g_free(probe);
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -37,6 +37,7 @@
 #include "pw/decide/place.h"
 #include "pw/decide/share.h"
 #include "pw/decide/silence.h"
+#include "pw/decide/speed.h"
 
 /*
  * Maximum number of sessions of a task. It leaves file descriptors for servers, the store and other
@@ -288,6 +289,8 @@
 	bool sent;                /**< the current attempt was sent */
 	bool sent_before;         /**< an earlier attempt was sent */
 	bool charged;             /**< it starts an operation, which was charged to its account */
+	bool is_repeated;         /**< it failed at a server that fails many, and is tried at
+				     another one */
 	bool answer_started;      /**< parts of the answer were sent to the caller */
 };
 
@@ -347,7 +350,8 @@
 	GPtrArray *conns;
 	struct pw_replica_lag replica_lag;
 	struct pw_position position; /**< greatest position that it returned */
-	uint64_t latency_us;         /**< average time to an answer; 0: no answer yet */
+	uint64_t latency_us;         /**< average time to an answer, for `congestion`; 0: no answer
+					yet */
 	uint64_t pause_until_us;     /**< gets no new statements until then */
 	uint64_t full_until_us;      /**< too many connections: none is opened until then */
 	uint64_t backoff_us;         /**< pause after the last failure; 0: no failure since a
@@ -356,6 +360,7 @@
 	struct pw_silence silence;
 	uint32_t in_flight; /**< statements in flight */
 	struct pw_congestion congestion;
+	struct pw_speed speed;
 	uint64_t leaving_since_us;   /**< when this task learned that `leaving` is set */
 	uint64_t evacuation_stop_us; /**< its zone is evacuated, and nothing is sent to it from then
 					on; UINT64_MAX: not evacuated */
@@ -392,6 +397,7 @@
 	uint64_t drain_until_us;    /**< while `changing`: work at the primary ends by then */
 	bool settled; /**< while `changing`: nothing of this task runs at the primary any more */
 	struct pw_history history;
+	struct pw_speed_group speed;           /**< what the servers usually take */
 	uint64_t primary_last_answer_us;       /**< when the primary last sent bytes; 0: never */
 	uint64_t primary_unreachable_since_us; /**< first failure since its last answer; 0: none */
 	bool dispatching;    /**< gw_work_dispatch_waiting() is on the stack, or the task
@@ -563,6 +569,11 @@
 uint64_t gw_group_primary_ready_us(const struct group *group);
 /** @return server that can take the statement now, or NULL */
 struct server *gw_group_choose_server(const struct work *w);
+/**
+ * @return whether another server, which fails fewer statements, can take a read that has failed at
+ *         this one
+ */
+bool gw_group_can_repeat_read(const struct work *w, const struct server *failed);
 /** @return why the server that comes nearest to taking the statement does not, for the log */
 const char *gw_group_blocking_reason(const struct work *w);
 /** @return whether any server may be sent another statement */
@@ -581,6 +592,12 @@
  * waiting statements.
  */
 void gw_group_tick(struct group *group);
+/** Records that the statement is started at the server. */
+void gw_group_record_start(struct server *s, const struct work *w);
+/** Records that the server has accepted a connection whose connect was started at `sent_us`. */
+void gw_group_record_opened(struct server *s, uint64_t sent_us);
+/** Records that a connection was lost with a statement on it. */
+void gw_group_record_lost(struct server *s);
 /** Records an answer of a server. `sent_us` is when its statement was sent. */
 void gw_group_record_answer(struct server *s, struct conn *c, uint64_t sent_us,
 			    const struct pw_position *position);
@@ -590,8 +607,12 @@
 void gw_group_record_server_busy(struct server *s);
 /** Records that bytes were received from the server. */
 void gw_group_record_received(struct server *s);
-/** Records a TCP connect to the server; whether its process answers is not known. */
-void gw_group_record_connected(struct server *s);
+/**
+ * Records a TCP connect to the server; whether its process answers is not known.
+ *
+ * @param sent_us when the connect was started
+ */
+void gw_group_record_connected(struct server *s, uint64_t sent_us);
 /**
  * @return whether an answer on the connection is certain to come from the current primary: the
  * generation is current, no change is in progress whose drain has ended, and this VM may use
--- a/daemon/traffic/gateway_work.c
+++ b/daemon/traffic/gateway_work.c
@@ -517,6 +517,29 @@
 	send_answer(w, position);
 }
 
+/* Rolls back what an error has left open at the server. */
+static void end_failed_state(struct conn *c, enum pw_session_state state)
+{
+	if (state == PW_SESSION_IDLE)
+		return;
+	c->session = NULL;
+	gw_conn_roll_back(c);
+}
+
+/*
+ * Whether a read that the server has answered with an error is tried at another server. A read has
+ * no effect, so it may run again.
+ */
+static bool should_repeat_read(const struct work *w, const struct server *failed)
+{
+	uint64_t now_us = gateway_now_us(gateway_of(w));
+
+	return (w->reason == PW_REASON_FAILED || w->reason == PW_REASON_OTHER) && !w->is_repeated &&
+	       !w->writes && !w->needs_primary && !w->answer_started &&
+	       now_us < w->arrived_us + w->operation.timeout_us &&
+	       gw_group_can_repeat_read(w, failed);
+}
+
 void gw_work_handle_answer(struct work *w, struct conn *c, enum pw_session_state state,
 			   const struct pw_position *position)
 {
@@ -532,13 +555,16 @@
 	gw_work_record_refusal(c, w->reason);
 	if (was_not_run(w->reason) && (!in_transaction || w->begins_transaction) && !w->is_commit &&
 	    !w->answer_started) {
-		if (state != PW_SESSION_IDLE) {
-			c->session = NULL;
-			gw_conn_roll_back(c);
-		}
+		end_failed_state(c, state);
 		retry(w, server, PW_COUNTER_RETRY_REFUSED_BY_UPSTREAM);
 		return;
 	}
+	if (!in_transaction && should_repeat_read(w, server)) {
+		end_failed_state(c, state);
+		w->is_repeated = true;
+		retry(w, server, PW_COUNTER_RETRY_READ_FAILED);
+		return;
+	}
 	count_read(w, c);
 	if (w->reason == PW_REASON_NONE)
 		record_commit(w, c, position);
--- a/decide/include/pw/decide/place.h
+++ b/decide/include/pw/decide/place.h
@@ -1,7 +1,7 @@
 /**
  * @file place.h
- * Choice of the server for a read. The choice takes into account that replicas may lag or be slow,
- * that servers are at different distances, and that the primary is needed for writes.
+ * Choice of the server for a read. The choice takes into account that replicas may lag, be slow or
+ * fail, that servers are at different distances, and that the primary is needed for writes.
  */
 #ifndef PW_DECIDE_PLACE_H
 #define PW_DECIDE_PLACE_H
@@ -25,22 +25,41 @@
 	/** A connection can be opened, perhaps after an idle one was closed. */
 	bool can_open_connection;
 	uint32_t in_flight; /**< statements of this VM in flight at the server */
-	uint64_t latency_us;
+	/** Expected time to an answer (pw_speed_expected_us()). */
+	uint64_t expected_us;
+	uint64_t opening_us;       /**< expected time to open a connection */
+	uint32_t failure_permille; /**< share of requests that are expected to fail */
+	bool trial_is_due;         /**< it was not asked for long; see pw_speed_trial_is_due() */
 	enum pw_distance distance;
 };
 
 /* Costs, each expressed as an equivalent latency. */
-/** Opening a connection: it keeps the server busy for about 12 ms and takes a round trip. */
+/** Opening a connection, while its time is not known: it keeps a server busy for about 12 ms. */
 #define PW_PLACE_OPEN_COST_US UINT64_C(15000)
 /** Reading from the primary: reads delay the writes queued behind them. */
 #define PW_PLACE_PRIMARY_COST_US UINT64_C(30000)
 /** Reading from another region: a read sends about 1.5 KB over the link between regions. */
 #define PW_PLACE_REMOTE_COST_US UINT64_C(40000)
 
-/** @return index of the cheapest of the servers that can take a read now; -1 if none can */
-int32_t pw_place_choose_server(const struct pw_place_candidate *servers, uint32_t count);
+/** A failed request: its caller waits and asks again. */
+#define PW_PLACE_FAILURE_COST_US UINT64_C(200000)
 
-/** Latency assumed for a server before its first answer. */
+/** One of this many reads tries a server for which a trial is due. */
+#define PW_PLACE_READS_PER_TRIAL UINT32_C(16)
+
+/** @return whether the server can take a read now */
+bool pw_place_can_take_read(const struct pw_place_candidate *s);
+/**
+ * Chooses one of the servers that can take a read now: the cheapest, or one that is hardly dearer,
+ * so that servers that are equal share the load; or one for which a trial is due.
+ *
+ * @param random number that decides among them
+ * @return its index; -1 if no server can take a read
+ */
+int32_t pw_place_choose_server(const struct pw_place_candidate *servers, uint32_t count,
+			       uint32_t random);
+
+/** Latency assumed for a server before the first answer of its group. */
 #define PW_LATENCY_INITIAL_US UINT64_C(25000)
 
 /**
