Memory budget of callers: gateway, streams, administration bodies

Each session has limits of its own, but no limit on their sum.

Streams add the sizes of their buffers to totals of their owner. A session handles no further message while 64 KiB of its answers wait; reading of an answer from its server stops at 2 MiB; state above the budget is refused with TOOLARGE; if the budget is exceeded, sessions are closed, those without progress and the largest first. Sessions leave descriptors for servers and the store. Large blocks are mapped by themselves and free memory is given back. Connections to servers with more than 64 KiB of state are not used again. Bodies at the administration address have a limit in all.

--- a/core/include/pw/core/counter.h
+++ b/core/include/pw/core/counter.h
@@ -35,6 +35,16 @@
 	X(REFUSED_UNSUPPORTED, "refused_unsupported_total", "refused: statement is not supported") \
 	X(REFUSED_PROTOCOL, "refused_protocol_total", "refused: malformed or oversized message")   \
 	X(REFUSED_LIMIT, "refused_limit_total", "refused: connection or memory limit")             \
+	X(REFUSED_STATE, "refused_state_total",                                                    \
+	  "refused: memory limit of variables and prepared statements")                            \
+	X(CLOSED_MEMORY_INPUT, "closed_memory_input_total",                                        \
+	  "caller connections closed: messages over the memory limit")                             \
+	X(CLOSED_MEMORY_OUTPUT, "closed_memory_output_total",                                      \
+	  "caller connections closed: answers over the memory limit")                              \
+	X(CLOSED_MEMORY_STATE, "closed_memory_state_total",                                        \
+	  "caller connections closed: state of sessions over the memory limit")                    \
+	X(CLOSED_NOT_READING, "closed_not_reading_total",                                          \
+	  "caller connections closed: answers not read in time")                                   \
 	X(LOGINS_DROPPED, "logins_dropped_total",                                                  \
 	  "connections closed before their login: too many logins at once")                        \
 	X(REFUSED_TLS, "refused_tls_total", "refused: no TLS")                                     \
--- a/core/include/pw/core/event.h
+++ b/core/include/pw/core/event.h
@@ -31,6 +31,7 @@
 	X(LISTENING, 1020, G_LOG_LEVEL_MESSAGE, "listening")                   \
 	X(RELOAD_IGNORED, 1021, G_LOG_LEVEL_MESSAGE, "reload_ignored")         \
 	X(TRAFFIC, 1022, G_LOG_LEVEL_INFO, "traffic")                          \
+	X(MEMORY_PRESSURE, 1023, G_LOG_LEVEL_WARNING, "memory_pressure")       \
 	X(TLS_LOADED, 1030, G_LOG_LEVEL_MESSAGE, "tls_loaded")                 \
 	X(TLS_FAILED, 1031, G_LOG_LEVEL_WARNING, "tls_failed")                 \
 	X(CONFIG_APPLIED, 2001, G_LOG_LEVEL_MESSAGE, "config_applied")         \
--- a/core/include/pw/core/stream.h
+++ b/core/include/pw/core/stream.h
@@ -36,9 +36,13 @@
 	struct pw_transport *transport;
 	struct pw_loop *loop;
 	struct pw_source source;
-	GByteArray *input;   /**< received and not yet consumed; NULL while empty, which keeps idle
-			     connections small */
-	GByteArray *output;  /**< not yet written; NULL while empty */
+	GByteArray *input;  /**< received and not yet consumed; NULL while empty, which keeps idle
+			    connections small */
+	GByteArray *output; /**< not yet written; NULL while empty */
+	uint32_t input_size_bytes;    /**< allocated for `input`, as far as it was used */
+	uint32_t output_size_bytes;   /**< likewise for `output` */
+	uint64_t *input_total_bytes;  /**< see pw_stream_set_totals(); NULL: not counted */
+	uint64_t *output_total_bytes; /**< likewise */
 	uint64_t sent_bytes; /**< output accepted by the transports since the stream was opened */
 	uint32_t read_limit_bytes; /**< reading pauses while the input buffer holds this much */
 	uint32_t discarded_bytes;  /**< input that came after the sending side was shut down */
@@ -119,6 +123,15 @@
 /** @return whether the socket has input that was not read yet */
 bool pw_stream_has_unread_input(const struct pw_stream *s);
 
+/**
+ * Adds the sizes of the buffers, now and with every change, to totals of the owner.
+ *
+ * @param input_total_bytes  outlives the stream; may be the same as the other one
+ * @param output_total_bytes likewise
+ */
+void pw_stream_set_totals(struct pw_stream *s, uint64_t *input_total_bytes,
+			  uint64_t *output_total_bytes);
+
 uint32_t pw_stream_input_bytes(const struct pw_stream *s);
 uint32_t pw_stream_output_bytes(const struct pw_stream *s);
 
--- a/core/src/stream.c
+++ b/core/src/stream.c
@@ -151,6 +151,49 @@
 	s->ops->closed(s);
 }
 
+/* A buffer above this size is replaced when at most a quarter of it is still in use. */
+#define BUFFER_KEEP_BYTES 16384
+
+/* Records the size of a buffer: it grows with its content and is then kept. */
+static void record_size(const GByteArray *buffer, uint32_t *size_bytes, uint64_t *total_bytes)
+{
+	uint32_t new_size_bytes = buffer ? MAX(*size_bytes, buffer->len) : 0;
+
+	if (total_bytes)
+		*total_bytes += (uint64_t)new_size_bytes - *size_bytes;
+	*size_bytes = new_size_bytes;
+}
+
+static void record_input_size(struct pw_stream *s)
+{
+	record_size(s->input, &s->input_size_bytes, s->input_total_bytes);
+}
+
+static void record_output_size(struct pw_stream *s)
+{
+	record_size(s->output, &s->output_size_bytes, s->output_total_bytes);
+}
+
+/* Removes bytes from the start of a buffer. Frees it, or makes it smaller, if little is left. */
+static void remove_bytes(GByteArray **buffer, uint32_t *size_bytes, uint64_t *total_bytes,
+			 uint32_t count_bytes)
+{
+	GByteArray *b = *buffer;
+
+	if (count_bytes >= b->len) {
+		g_byte_array_unref(b);
+		*buffer = NULL;
+	} else if (*size_bytes > BUFFER_KEEP_BYTES && b->len - count_bytes <= *size_bytes / 4) {
+		*buffer = g_byte_array_new();
+		g_byte_array_append(*buffer, b->data + count_bytes, b->len - count_bytes);
+		g_byte_array_unref(b);
+		record_size(NULL, size_bytes, total_bytes);
+	} else {
+		g_byte_array_remove_range(b, 0, count_bytes);
+	}
+	record_size(*buffer, size_bytes, total_bytes);
+}
+
 /* Writes as much output as the socket accepts. Returns false if the connection has failed. */
 static bool write_output(struct pw_stream *s)
 {
@@ -161,12 +204,7 @@
 		if (n < 0)
 			return n == PW_EAGAIN;
 		s->sent_bytes += (uint64_t)n;
-		if ((guint)n < s->output->len) {
-			g_byte_array_remove_range(s->output, 0, (guint)n);
-		} else {
-			g_byte_array_unref(s->output);
-			s->output = NULL;
-		}
+		remove_bytes(&s->output, &s->output_size_bytes, s->output_total_bytes, (uint32_t)n);
 	}
 	return true;
 }
@@ -189,6 +227,7 @@
 	if (!s->input)
 		s->input = g_byte_array_new();
 	g_byte_array_append(s->input, chunk, (guint)n);
+	record_input_size(s);
 	return true;
 }
 
@@ -363,6 +402,8 @@
 	close(s->source.fd);
 	g_clear_pointer(&s->input, g_byte_array_unref);
 	g_clear_pointer(&s->output, g_byte_array_unref);
+	record_input_size(s);
+	record_output_size(s);
 	s->loop = NULL;
 	s->open = false;
 }
@@ -376,6 +417,7 @@
 	if (!s->output)
 		s->output = g_byte_array_new();
 	g_byte_array_append(s->output, data, size_bytes);
+	record_output_size(s);
 	/*
 	 * A failed write is ignored here. The loop repeats it and then calls `closed`, which must
 	 * not run inside this call, since it may free the stream.
@@ -385,6 +427,15 @@
 	update_events(s);
 }
 
+void pw_stream_set_totals(struct pw_stream *s, uint64_t *input_total_bytes,
+			  uint64_t *output_total_bytes)
+{
+	s->input_total_bytes = input_total_bytes;
+	s->output_total_bytes = output_total_bytes;
+	*input_total_bytes += s->input_size_bytes;
+	*output_total_bytes += s->output_size_bytes;
+}
+
 void pw_stream_shutdown(struct pw_stream *s)
 {
 	if (s->shutdown_when_sent)
@@ -406,11 +457,7 @@
 {
 	if (!s->input)
 		return;
-	if (size_bytes >= s->input->len) {
-		g_byte_array_unref(s->input);
-		s->input = NULL;
-	} else if (size_bytes) {
-		g_byte_array_remove_range(s->input, 0, size_bytes);
-	}
+	if (size_bytes)
+		remove_bytes(&s->input, &s->input_size_bytes, s->input_total_bytes, size_bytes);
 	update_events(s);
 }
--- a/daemon/control/admin.c
+++ b/daemon/control/admin.c
@@ -30,6 +30,8 @@
 #define READY_WITHOUT_LEASE_US UINT64_C(1000000)
 /* Maximum number of open connections. It bounds the memory: each buffers at most one document. */
 #define CONNECTIONS_MAX 32
+/* Maximum size of the bodies of all requests together. */
+#define BODIES_MAX_BYTES (4 * PW_DOCUMENT_MAX_BYTES)
 /* Idle time after which a connection is closed. */
 #define CONNECTION_TIMEOUT_S 10
 
@@ -52,6 +54,7 @@
 	struct pw_tls_files tls;
 	struct pw_timer tls_timer;   /**< next check of the TLS files */
 	GHashTable *status_sections; /**< name -> JSON value as text */
+	uint32_t bodies_bytes;       /**< size of the bodies of all requests */
 	GHashTable *pending_changes; /**< tag -> struct api_request that waits for the store */
 	const struct pw_document *document;
 	uint64_t last_tag;
@@ -332,6 +335,30 @@
 	return respond_text(req->connection, MHD_HTTP_NOT_FOUND, "no such path\n");
 }
 
+/* Frees the body of a request, and takes its size from that of all. */
+static void drop_body(struct api_request *req)
+{
+	req->admin->bodies_bytes -= req->body->len;
+	g_byte_array_unref(req->body);
+	req->body = NULL;
+}
+
+/* Adds a part of the body. The whole body is dropped if it gets too large. */
+static void add_to_body(struct api_request *req, const char *data, size_t size_bytes)
+{
+	if (req->body_too_large)
+		return;
+	if (req->body->len + size_bytes > PW_DOCUMENT_MAX_BYTES ||
+	    req->admin->bodies_bytes + size_bytes > BODIES_MAX_BYTES) {
+		req->body_too_large = true;
+		drop_body(req);
+		req->body = g_byte_array_new();
+		return;
+	}
+	g_byte_array_append(req->body, (const guint8 *)data, (guint)size_bytes);
+	req->admin->bodies_bytes += (uint32_t)size_bytes;
+}
+
 /* Called by the library after the headers, for each part of the body, and once without data. */
 static enum MHD_Result handle_request(void *data, struct MHD_Connection *connection,
 				      const char *url, const char *method, const char *version,
@@ -351,10 +378,7 @@
 		return MHD_YES;
 	}
 	if (*upload_size) {
-		if (req->body->len + *upload_size > PW_DOCUMENT_MAX_BYTES)
-			req->body_too_large = true;
-		else
-			g_byte_array_append(req->body, (const guint8 *)upload, (guint)*upload_size);
+		add_to_body(req, upload, *upload_size);
 		*upload_size = 0;
 		return MHD_YES;
 	}
@@ -373,7 +397,7 @@
 		return;
 	if (req->change_tag)
 		g_hash_table_remove(req->admin->pending_changes, &req->change_tag);
-	g_byte_array_unref(req->body);
+	drop_body(req);
 	g_free(req->response_text);
 	g_free(req);
 	*state = NULL;
--- a/daemon/control/metrics.c
+++ b/daemon/control/metrics.c
@@ -11,6 +11,7 @@
 #include "pw/core/counter.h"
 #include "pw/core/error.h"
 #include "pw/core/event.h"
+#include "pw/core/gauge.h"
 #include "pw/core/histogram.h"
 
 /* Maximum number of open connections, and the idle time after which one is closed. */
@@ -40,6 +41,15 @@
 				       info->name, info->help, info->name, info->name,
 				       pw_counter_get(i));
 	}
+	for (int i = 0; i < PW_GAUGE_COUNT; i++) {
+		const struct pw_gauge_info *info = pw_gauge_info(i);
+
+		g_string_append_printf(s,
+				       "# HELP pimentowing_%s %s\n# TYPE pimentowing_%s gauge\n"
+				       "pimentowing_%s %" PRIu64 "\n",
+				       info->name, info->help, info->name, info->name,
+				       pw_gauge_get(i));
+	}
 	g_string_append_printf(
 		s,
 		"# HELP pimentowing_log_lines_dropped_total lines that the reader of "
--- a/daemon/directory.h
+++ b/daemon/directory.h
@@ -39,6 +39,8 @@
 	char *zone_regions;      /**< ZONE=REGION, separated by commas; may be NULL or empty */
 	uint64_t rate_window_us; /**< window in which an account may use its rate and burst */
 	uint64_t evacuation_timeout_us; /**< an evacuation is in force after it; 0: not followed */
+	uint32_t memory_limit_mb; /**< memory that the process may use, in 10^6 bytes; 0: all of
+				     the machine's */
 	uint32_t gateway_task_count;
 	uint32_t front_task_count;
 	uint32_t group_task_count;
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -8,6 +9,12 @@
 
 #define EXIT_INVALID_SETTINGS 2
 
+/*
+ * Blocks from this size on are mapped by themselves and go back to the system when they are freed.
+ * Without a fixed value the allocator raises it with each large block that is freed.
+ */
+#define MAPPED_BLOCK_MIN_BYTES (128 * 1024)
+
 /** GLib log levels, in the order of the choices of --log-level. */
 static const GLogLevelFlags glib_log_levels[] = {
 	G_LOG_LEVEL_WARNING,
@@ -52,6 +59,7 @@
 	int status = EXIT_SUCCESS;
 
 	(void)argc;
+	(void)mallopt(M_MMAP_THRESHOLD, MAPPED_BLOCK_MIN_BYTES);
 	pw_findings_new(&f);
 	if (pw_settings_parse(&s, &pw_process_settings_spec, argv, envp, &args, f)) {
 		status = print_findings(f);
--- a/daemon/traffic/gateway.c
+++ b/daemon/traffic/gateway.c
@@ -107,7 +107,7 @@
 
 		if (fd < 0)
 			return;
-		if (g_hash_table_size(g->sessions) < GATEWAY_SESSIONS_MAX) {
+		if (g_hash_table_size(g->sessions) < g->sessions_max) {
 			gw_session_accept(g, fd);
 		} else {
 			pw_counter_inc(PW_COUNTER_REFUSED_LIMIT);
@@ -137,6 +137,7 @@
 		gw_group_tick(item);
 	if (now_us >= g->next_report_us)
 		gateway_send_report(g);
+	gw_memory_tick(g, now_us);
 	gw_drain_continue(g);
 }
 
@@ -228,6 +229,7 @@
 	g->caller_dialect = g->directory->binding->caller;
 	g->server_dialect = g->directory->binding->server;
 	g->member_count = 1;
+	gw_memory_init(g);
 	g->listener.ops = &listener_ops;
 	g->listener.fd = -1;
 	g->tick_timer.ops = &tick_ops;
@@ -284,6 +286,7 @@
 	gw_drain_abort(g);
 	close_conns(g);
 	pw_loop_timer_clear(t->loop, &g->tick_timer);
+	gw_memory_dispose(g);
 	if (g->listener.fd >= 0) {
 		pw_loop_unwatch(t->loop, &g->listener);
 		close(g->listener.fd);
--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -61,6 +61,7 @@
 			       gateway_now_us(gateway_of(c)));
 	pw_stream_send(&c->stream, b->data, b->len);
 	g_byte_array_unref(b);
+	gw_memory_check(gateway_of(c));
 }
 
 static bool has_statement_in_flight(const struct conn *c)
@@ -162,10 +163,21 @@
 /* Whether the connection has to be closed instead of being used again. */
 static bool must_discard(const struct conn *c)
 {
-	return c->discard_when_idle || c->server->leaving || !c->server->registered ||
+	return c->discard_when_idle || c->state_bytes > CONN_STATE_KEEP_MAX_BYTES ||
+	       c->server->leaving || !c->server->registered ||
 	       pw_answer_history_is_full(c->history);
 }
 
+/* Forgets the variables and prepared statements of the connection. */
+static void clear_session_state(struct conn *c)
+{
+	gateway_of(c)->memory.used_bytes[PW_MEMORY_STATE] -= c->prepared_bytes;
+	c->prepared_bytes = 0;
+	c->state_bytes = 0;
+	g_clear_pointer(&c->variables, g_hash_table_unref);
+	g_clear_pointer(&c->prepared_names, g_hash_table_unref);
+}
+
 /* Closes the socket and removes the connection from its server. */
 static void close_conn(struct conn *c)
 {
@@ -179,8 +191,7 @@
 	clear_timeout(c);
 	pw_stream_dispose(&c->stream);
 	g_ptr_array_remove_fast(c->server->conns, c);
-	g_clear_pointer(&c->variables, g_hash_table_unref);
-	g_clear_pointer(&c->prepared_names, g_hash_table_unref);
+	clear_session_state(c);
 	reset_answer(c);
 	g_clear_pointer(&c->history, pw_answer_history_free);
 	gateway_free_later(g, c);
@@ -275,8 +286,7 @@
 {
 	dialect(c)->put_reset(b);
 	c->control_answers_pending++;
-	g_clear_pointer(&c->variables, g_hash_table_unref);
-	g_clear_pointer(&c->prepared_names, g_hash_table_unref);
+	clear_session_state(c);
 }
 
 /* Appends messages that give the connection exactly the variables of the session. */
@@ -299,6 +309,7 @@
 		dialect(c)->put_set(b, name, value);
 		c->control_answers_pending++;
 		g_hash_table_replace(c->variables, g_strdup(name), g_bytes_ref(value));
+		c->state_bytes += g_bytes_get_size(value);
 	}
 }
 
@@ -330,6 +341,7 @@
 static void put_prepare(struct conn *c, const struct prepared_statement *p, GByteArray *b)
 {
 	char *name = g_strdup_printf("p%u", ++c->last_prepared_number);
+	uint64_t size_bytes = g_bytes_get_size(p->text);
 
 	if (!c->prepared_names)
 		c->prepared_names = g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
@@ -337,6 +349,9 @@
 	dialect(c)->put_prepare(b, name, p->writes, p->text);
 	c->control_answers_pending++;
 	g_hash_table_insert(c->prepared_names, prepared_key(p), name);
+	c->state_bytes += size_bytes;
+	c->prepared_bytes += size_bytes;
+	gateway_of(c)->memory.used_bytes[PW_MEMORY_STATE] += size_bytes;
 }
 
 /* Whether variables or a prepared statement have to be set before the statement can be sent. */
@@ -745,6 +760,16 @@
 	}
 }
 
+/* Stops reading while the caller does not take what it was sent. No answer is owed meanwhile. */
+static void pause_for_caller(struct conn *c)
+{
+	if (pw_stream_output_bytes(&c->work->session->stream) <= ANSWER_PAUSE_BYTES)
+		return;
+	c->reading_paused = true;
+	c->unanswered_since_us = 0;
+	pw_stream_pause(&c->stream, true);
+}
+
 static void handle_row(struct conn *c, const struct pw_reply *r)
 {
 	struct work *w = c->work;
@@ -761,7 +786,11 @@
 	if (w->answer->len > ANSWER_BUFFER_MAX_BYTES && !w->writes && !w->is_commit) {
 		w->answer_started = true;
 		gw_session_send_partial_answer(w->session, w->answer);
+		pause_for_caller(c);
 	}
+	gw_work_count_answer(w);
+	if (w->answer->len > ANSWER_WHOLE_MAX_BYTES)
+		gw_conn_fail(c, "the answer is too large");
 }
 
 /* Records why the server did not accept the connection. */
@@ -829,9 +858,10 @@
 static void conn_received(struct pw_stream *stream)
 {
 	struct conn *c = conn_of(stream);
+	struct gateway *g = gateway_of(c);
 
 	gw_group_record_received(c->server);
-	while (!c->closed && stream->input) {
+	while (!c->closed && !c->reading_paused && stream->input) {
 		struct pw_reply r;
 		uint32_t used_bytes = 0;
 		int rc = dialect(c)->decode_next(&r, stream->input->data, stream->input->len,
@@ -857,6 +887,18 @@
 		handle_reply(c, &r);
 		pw_reply_dispose(&r);
 	}
+	gw_memory_check(g);
+}
+
+void gw_conn_resume(struct conn *c)
+{
+	if (!c->reading_paused || c->closed)
+		return;
+	c->reading_paused = false;
+	pw_silence_record_sent(&c->server->silence, &c->unanswered_since_us,
+			       gateway_now_us(gateway_of(c)));
+	pw_stream_pause(&c->stream, false);
+	conn_received(&c->stream);
 }
 
 static void conn_connected(struct pw_stream *stream)
@@ -1012,6 +1054,8 @@
 		g_free(c);
 		return NULL;
 	}
+	pw_stream_set_totals(&c->stream, &g->memory.used_bytes[PW_MEMORY_OUTPUT],
+			     &g->memory.used_bytes[PW_MEMORY_INPUT]);
 	pw_stream_set_keepalive(&c->stream, KEEPALIVE_IDLE_S, KEEPALIVE_INTERVAL_S,
 				KEEPALIVE_PROBES, KEEPALIVE_UNACKED_TIMEOUT_MS);
 	c->state = CONN_CONNECTING;
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -4,6 +4,7 @@
  *
  *   gateway.c           the task: messages, listener, timers
  *   gateway_drain.c     planned stops: the drain of the sessions, its log and counts
+ *   gateway_memory.c    memory of the sessions: which ones are closed for it
  *   gateway_session.c   caller sessions: statements, transaction, session variables, prepared
  *                       statements
  *   gateway_admission.c operations that wait for the rate of their account
@@ -34,6 +35,7 @@
 #include "pw/decide/congestion.h"
 #include "pw/decide/drain.h"
 #include "pw/decide/history.h"
+#include "pw/decide/memory.h"
 #include "pw/decide/place.h"
 #include "pw/decide/share.h"
 #include "pw/decide/silence.h"
@@ -44,6 +46,8 @@
  * VMs.
  */
 #define GATEWAY_SESSIONS_MAX 3500
+/* Descriptors that sessions leave free, or a quarter of all if that is less. */
+#define GATEWAY_DESCRIPTORS_RESERVED 700
 /* Interval of the checks of queues, silent servers, idle connections and draining sessions. */
 #define GATEWAY_TICK_INTERVAL_US (50 * PW_US_PER_MS)
 /* Longest interval between reports to the cluster task, see gateway_send_report(). */
@@ -132,6 +136,18 @@
  */
 #define ANSWER_BUFFER_MAX_BYTES 65536
 
+/*
+ * Reading from a server pauses while this much of the answer waits for the caller. It is more than
+ * the largest message, so that an answer with one row never holds up its connection.
+ */
+#define ANSWER_PAUSE_BYTES (2 * PW_DIALECT_MESSAGE_MAX_BYTES)
+/* Maximum size of an answer that is kept until it is complete. */
+#define ANSWER_WHOLE_MAX_BYTES (4 * PW_DIALECT_MESSAGE_MAX_BYTES)
+/* A connection with more variables and prepared statements than this is not used again. */
+#define CONN_STATE_KEEP_MAX_BYTES 65536
+/* What the buffer of a caller's messages may hold beside one that is incomplete. */
+#define SESSION_INPUT_AHEAD_BYTES 65536
+
 struct session;
 struct waiting_operation;
 struct work;
@@ -160,6 +176,12 @@
 	GPtrArray *deferred_servers; /**< struct server to be freed by the next tick */
 	int64_t settled_revision;    /**< last revision of `primaries` for which every group was
 					settled */
+	struct pw_memory_budget memory;                 /**< of the callers of this task */
+	uint64_t reported_bytes[PW_MEMORY_CLASS_COUNT]; /**< this task's part of the gauges */
+	uint32_t sessions_max;        /**< limit on sessions, by the descriptors of the process */
+	uint32_t memory_closed_count; /**< sessions closed for memory since it was last logged */
+	uint64_t next_memory_check_us;
+	struct pw_timer memory_timer; /**< due at once when the budget is exceeded */
 	struct pw_timer tick_timer;
 	struct pw_timer drain_timer;
 	uint64_t next_report_us;
@@ -228,9 +250,14 @@
 	uint64_t last_commit_generation; /**< generation of the primary that committed */
 	uint64_t last_commit_us;         /**< when the answer to that commit came */
 	uint64_t last_activity_us;       /**< last message from the caller or last answer */
+	uint64_t state_bytes;            /**< of variables and prepared statements */
+	uint64_t last_input_us;          /**< when bytes of the caller were last received */
+	uint64_t last_output_us;         /**< when the caller was last seen to take output */
+	uint64_t checked_sent_bytes;     /**< output written by then */
 	bool has_last_commit;
 	bool processing_input; /**< session_received() is on the stack */
 	bool admitted;         /**< the statement that is being handled has its token */
+	bool output_paused;    /**< no message is handled until the output is written */
 	bool drain_served;     /**< an operation has ended since the drain began */
 	bool drain_refused;    /**< an operation was refused since the drain began */
 	bool closed;           /**< freed by the next tick */
@@ -276,6 +303,8 @@
 	char *avoid_server_id; /**< of the server that refused or failed the last attempt, which may
 				  be gone by now; NULL: none */
 	GByteArray *answer;    /**< rows not yet sent to the caller; NULL: none so far */
+	uint64_t input_bytes;  /**< of the statement, counted in the memory budget */
+	uint64_t answer_bytes; /**< of `answer`, as counted in the memory budget */
 	char *signature;       /**< of the answer, as the server gave it */
 	enum pw_reason reason; /**< why it failed; PW_REASON_NONE: it has not failed */
 	char *error;           /**< text for `reason`; may be NULL */
@@ -316,6 +345,8 @@
 	GHashTable *variables;   /**< name -> value set at the server; NULL: none */
 	GHashTable *prepared_names; /**< GBytes: text with the prefix "r" (reads) or "w" (writes) ->
 				    name of the prepared statement at the server; NULL: none */
+	uint64_t state_bytes;       /**< of `variables` and `prepared_names` */
+	uint64_t prepared_bytes;    /**< of `prepared_names`, counted in the memory budget */
 	uint32_t last_prepared_number;     /**< in the newest name of a prepared statement */
 	uint32_t control_answers_pending;  /**< outstanding answers to the proxy's own resets, SETs
 					    and  PREPAREs */
@@ -337,6 +368,7 @@
 					  rollback behind the control statements */
 	bool begin_refusal_ambiguous;  /**< CONN_BEGINNING: an error may be that of a statement
 					  before the begin, whose answer a copy has taken */
+	bool reading_paused;           /**< the answer waits for its caller */
 	bool discard_when_idle; /**< its state is uncertain, so it is closed instead of reused */
 	bool closed;            /**< freed by the next tick */
 };
@@ -446,6 +478,18 @@
  */
 void gw_drain_record_close(const struct session *s, bool by_caller, bool has_input);
 
+/* gateway_memory.c */
+/** Sets the budget of the task and the limit on sessions. */
+void gw_memory_init(struct gateway *g);
+/** Has sessions closed before the next wait for events if the callers hold too much. */
+void gw_memory_check(struct gateway *g);
+/**
+ * Called by the tick: closes sessions whose callers take no output, reports the memory in use, and
+ * gives free memory back to the system.
+ */
+void gw_memory_tick(struct gateway *g, uint64_t now_us);
+void gw_memory_dispose(struct gateway *g);
+
 /* gateway_session.c */
 /** Creates the session of an accepted connection; takes over its socket. */
 void gw_session_accept(struct gateway *g, int32_t fd);
@@ -464,6 +508,10 @@
 void gw_session_send_answer(struct session *s, struct work *w, const struct pw_position *position);
 /** Sends a part of an answer and empties its buffer. */
 void gw_session_send_partial_answer(struct session *s, GByteArray *bytes);
+/** @return what the session holds, with its statement and the connection that it uses */
+struct pw_memory_holder gw_session_memory(struct session *s);
+/** @return whether its caller has taken none of the waiting output for too long */
+bool gw_session_has_stalled_output(struct session *s);
 /** Marks the transaction as aborted: its connection was lost with no statement in flight. */
 void gw_session_handle_transaction_lost(struct session *s);
 /**
@@ -507,6 +555,8 @@
 void gw_account_apply_shares(struct gateway *g, const GArray *shares);
 
 /* gateway_work.c */
+/** Counts the buffered answer in the memory budget, after each change of it. */
+void gw_work_count_answer(struct work *w);
 /** Takes ownership of the caller's statement. */
 struct work *gw_work_new(struct session *s, struct pw_caller_statement *statement);
 /** Sends the statement to a server, or queues or refuses it. */
@@ -628,6 +678,8 @@
 void gw_group_server_free(struct server *s);
 
 /* gateway_conn.c */
+/** Reads on from the server once the caller has taken the answer so far. */
+void gw_conn_resume(struct conn *c);
 /**
  * @param has_idle_conn receives whether an idle connection that it can use is open
  * @return whether the statement has, or its account may open, a connection to the server now
--- a/daemon/traffic/gateway_session.c
+++ b/daemon/traffic/gateway_session.c
@@ -76,6 +76,8 @@
 	g_free(s->database);
 	g_clear_pointer(&s->variables, g_hash_table_unref);
 	g_clear_pointer(&s->prepared_statements, g_hash_table_unref);
+	g->memory.used_bytes[PW_MEMORY_STATE] -= s->state_bytes;
+	s->state_bytes = 0;
 	gateway_free_later(g, s);
 }
 
@@ -92,6 +94,7 @@
 	s->state = SESSION_CLOSING;
 	release_conn(s);
 	set_timer(s, SESSION_CLOSE_TIMEOUT_US);
+	pw_stream_consume(&s->stream, UINT32_MAX);
 	pw_stream_shutdown(&s->stream);
 }
 
@@ -339,10 +342,45 @@
 	return true;
 }
 
+/* Memory of a variable or a prepared statement, beside its value or text. */
+#define STATE_ENTRY_BYTES 128
+
+static uint64_t entry_bytes(const char *name, const GBytes *value)
+{
+	return STATE_ENTRY_BYTES + strlen(name) + g_bytes_get_size((GBytes *)(uintptr_t)value);
+}
+
+/* Counts what the session keeps in place of `removed_bytes`. */
+static void count_state(struct session *s, uint64_t added_bytes, uint64_t removed_bytes)
+{
+	s->state_bytes += added_bytes - removed_bytes;
+	s->gateway->memory.used_bytes[PW_MEMORY_STATE] += added_bytes - removed_bytes;
+}
+
+/* Sends an error and returns true if the session may not keep the value. */
+static bool refuse_if_too_much_state(struct session *s, uint64_t added_bytes,
+				     uint64_t removed_bytes)
+{
+	if (added_bytes <= removed_bytes ||
+	    pw_memory_may_keep(&s->gateway->memory, s->state_bytes, added_bytes - removed_bytes))
+		return false;
+	pw_counter_inc(PW_COUNTER_REFUSED_STATE);
+	send_error(s, PW_REASON_TOO_LARGE,
+		   "the variables and prepared statements of the sessions are too large");
+	return true;
+}
+
 static void set_variable(struct session *s, struct pw_caller_statement *statement)
 {
-	if (refuse_if_too_many_names(s, s->variables))
+	const GBytes *old =
+		s->variables ? g_hash_table_lookup(s->variables, statement->name) : NULL;
+	uint64_t added_bytes = entry_bytes(statement->name, statement->argument);
+	uint64_t removed_bytes = old ? entry_bytes(statement->name, old) : 0;
+
+	if (refuse_if_too_many_names(s, s->variables) ||
+	    refuse_if_too_much_state(s, added_bytes, removed_bytes))
 		return;
+	count_state(s, added_bytes, removed_bytes);
 	if (!s->variables)
 		s->variables = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 						     (GDestroyNotify)g_bytes_unref);
@@ -353,10 +391,17 @@
 
 static void prepare_statement(struct session *s, struct pw_caller_statement *statement)
 {
-	struct prepared_statement *p;
+	struct prepared_statement *p =
+		s->prepared_statements
+			? g_hash_table_lookup(s->prepared_statements, statement->name)
+			: NULL;
+	uint64_t added_bytes = entry_bytes(statement->name, statement->argument);
+	uint64_t removed_bytes = p ? entry_bytes(statement->name, p->text) : 0;
 
-	if (refuse_if_too_many_names(s, s->prepared_statements))
+	if (refuse_if_too_many_names(s, s->prepared_statements) ||
+	    refuse_if_too_much_state(s, added_bytes, removed_bytes))
 		return;
+	count_state(s, added_bytes, removed_bytes);
 	if (!s->prepared_statements)
 		s->prepared_statements = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 							       free_prepared_statement);
@@ -369,10 +414,18 @@
 
 static void deallocate_statement(struct session *s, struct pw_caller_statement *statement)
 {
-	if (s->prepared_statements && g_hash_table_remove(s->prepared_statements, statement->name))
-		send_complete(s);
-	else
+	const struct prepared_statement *p =
+		s->prepared_statements
+			? g_hash_table_lookup(s->prepared_statements, statement->name)
+			: NULL;
+
+	if (!p) {
 		send_error(s, PW_REASON_UNKNOWN_STATEMENT, "no prepared statement of that name");
+		return;
+	}
+	count_state(s, 0, entry_bytes(statement->name, p->text));
+	g_hash_table_remove(s->prepared_statements, statement->name);
+	send_complete(s);
 }
 
 static void begin_transaction(struct session *s, struct pw_caller_statement *statement)
@@ -579,10 +632,22 @@
 /* Closes the session if its caller sends no more and no answer is outstanding. */
 static void close_if_input_ended(struct session *s)
 {
-	if (s->stream.input_ended && !s->work && !s->waiting && !s->closed)
+	if (s->stream.input_ended && !s->work && !s->waiting && !s->closed && !s->output_paused)
 		close_after_output(s);
 }
 
+/* Whether the session may handle its next message. Stops reading while its answers wait. */
+static bool may_handle(struct session *s)
+{
+	bool may = pw_memory_may_handle(pw_stream_output_bytes(&s->stream));
+
+	if (s->output_paused == !may)
+		return may;
+	s->output_paused = !may;
+	pw_stream_pause(&s->stream, !may);
+	return may;
+}
+
 static void session_received(struct pw_stream *stream)
 {
 	struct session *s = session_of(stream);
@@ -591,10 +656,12 @@
 		pw_stream_consume(stream, UINT32_MAX);
 		return;
 	}
+	s->last_input_us = gateway_now_us(s->gateway);
 	s->processing_input = true;
+	stream->read_limit_bytes = SESSION_INPUT_AHEAD_BYTES;
 	/* One statement runs at a time; further ones wait in the input buffer. */
 	while (!s->closed && s->state != SESSION_CLOSING && !s->work && !s->waiting &&
-	       stream->input) {
+	       stream->input && may_handle(s)) {
 		struct pw_caller_message message;
 		uint32_t used_bytes = 0;
 		int rc = dialect(s)->decode_next(&message, stream->input->data, stream->input->len,
@@ -617,8 +684,22 @@
 		pw_caller_message_dispose(&message);
 	}
 	s->processing_input = false;
+	/* Applies the limit on reading, which may have changed. */
+	pw_stream_pause(stream, s->output_paused);
 	close_if_input_ended(s);
 	close_if_drained(s);
+	gw_memory_check(s->gateway);
+}
+
+/* The caller has taken all answers: goes on with its next message. */
+static void session_output_written(struct pw_stream *stream)
+{
+	struct session *s = session_of(stream);
+
+	if (s->work && s->work->conn)
+		gw_conn_resume(s->work->conn);
+	if (!s->closed && s->output_paused && may_handle(s))
+		session_received(stream);
 }
 
 static void session_stream_closed(struct pw_stream *stream)
@@ -631,12 +712,13 @@
 {
 	struct session *s = session_of(stream);
 
-	if (!s->work && !s->waiting)
+	if (!s->work && !s->waiting && !s->output_paused)
 		end_session(s, true);
 }
 
 static const struct pw_stream_ops stream_ops = {
 	.received = session_received,
+	.output_written = session_output_written,
 	.closed = session_stream_closed,
 	.input_ended = session_input_ended,
 };
@@ -669,12 +751,52 @@
 		g_free(s);
 		return;
 	}
+	pw_stream_set_totals(&s->stream, &g->memory.used_bytes[PW_MEMORY_INPUT],
+			     &g->memory.used_bytes[PW_MEMORY_OUTPUT]);
 	pw_counter_inc(PW_COUNTER_CALLER_CONNECTIONS);
 	s->last_activity_us = gateway_now_us(g);
 	g_hash_table_add(g->sessions, s);
 	set_timer(s, SESSION_OPEN_TIMEOUT_US);
 }
 
+/* Returns when the caller last took output, as far as the calls of this function have seen. */
+static uint64_t update_last_output_us(struct session *s)
+{
+	if (s->checked_sent_bytes != s->stream.sent_bytes || !s->stream.output)
+		s->last_output_us = gateway_now_us(s->gateway);
+	s->checked_sent_bytes = s->stream.sent_bytes;
+	return s->last_output_us;
+}
+
+bool gw_session_has_stalled_output(struct session *s)
+{
+	uint64_t last_us = update_last_output_us(s);
+
+	return pw_memory_has_stalled_output(pw_stream_output_bytes(&s->stream),
+					    gateway_now_us(s->gateway) - last_us);
+}
+
+struct pw_memory_holder gw_session_memory(struct session *s)
+{
+	const struct work *w = s->work;
+	const struct conn *c = w && w->conn ? w->conn : s->conn;
+	uint64_t last_output_us = s->stream.output ? update_last_output_us(s) : 0;
+
+	return (struct pw_memory_holder){
+		.owner = s,
+		.bytes = {
+			[PW_MEMORY_INPUT] = s->stream.input_size_bytes + (w ? w->input_bytes : 0) +
+					    (c ? c->stream.output_size_bytes : 0),
+			[PW_MEMORY_OUTPUT] = s->stream.output_size_bytes +
+					     (w ? w->answer_bytes : 0) +
+					     (c ? c->stream.input_size_bytes : 0),
+			[PW_MEMORY_STATE] = s->state_bytes + (c ? c->prepared_bytes : 0),
+		},
+		.idle_us = gateway_now_us(s->gateway) - MAX(s->last_input_us, last_output_us),
+		.is_in_flight = w && w->conn,
+	};
+}
+
 void gw_session_check_key(struct session *s)
 {
 	const struct pw_catalog_route *r;
@@ -712,6 +834,7 @@
 {
 	pw_stream_send(&s->stream, bytes->data, bytes->len);
 	g_byte_array_set_size(bytes, 0);
+	gw_memory_check(s->gateway);
 }
 
 void gw_session_send_answer(struct session *s, struct work *w, const struct pw_position *position)
--- a/daemon/traffic/gateway_work.c
+++ b/daemon/traffic/gateway_work.c
@@ -22,6 +22,21 @@
 	return statement->verb == PW_VERB_COMMIT;
 }
 
+/* Size of a statement that is held until it is answered. */
+static uint64_t statement_bytes(const struct pw_caller_statement *statement)
+{
+	return statement->argument ? g_bytes_get_size(statement->argument) : 0;
+}
+
+void gw_work_count_answer(struct work *w)
+{
+	struct gateway *g = gateway_of(w);
+	uint64_t bytes = w->answer ? w->answer->len : 0;
+
+	g->memory.used_bytes[PW_MEMORY_OUTPUT] += bytes - w->answer_bytes;
+	w->answer_bytes = bytes;
+}
+
 struct work *gw_work_new(struct session *s, struct pw_caller_statement *statement)
 {
 	struct work *w = g_new0(struct work, 1);
@@ -51,6 +66,8 @@
 				    QUEUE_WAIT_MIN_US);
 	w->charged = is_autocommit || w->begins_transaction;
 	w->state = WORK_RUNNING;
+	w->input_bytes = statement_bytes(statement);
+	s->gateway->memory.used_bytes[PW_MEMORY_INPUT] += w->input_bytes;
 	return w;
 }
 
@@ -69,8 +86,9 @@
 	struct gateway *g = gateway_of(w);
 
 	end_work(w);
-	if (w->answer)
-		g_byte_array_unref(w->answer);
+	g->memory.used_bytes[PW_MEMORY_INPUT] -= w->input_bytes;
+	g_clear_pointer(&w->answer, g_byte_array_unref);
+	gw_work_count_answer(w);
 	pw_caller_statement_free(w->statement);
 	g_free(w->signature);
 	g_free(w->error);
@@ -334,6 +352,7 @@
 	g_clear_pointer(&w->signature, g_free);
 	if (w->answer)
 		g_byte_array_set_size(w->answer, 0);
+	gw_work_count_answer(w);
 	if (!w->session) {
 		free_work(w);
 		return;
@@ -373,6 +392,8 @@
 	w->session = NULL;
 	if (w->state == WORK_WAITING)
 		free_work(w);
+	else if (w->conn && w->conn->reading_paused)
+		gw_conn_fail(w->conn, "the caller has disconnected within its answer");
 	/* A running one keeps its connection, which is rolled back after the answer if needed. */
 }
 
