Memory budget of callers: front tasks

With the PostgreSQL protocol each account has a limit of memory, but several accounts together had none (test_crowds: up to 112.5 MB with a limit of 64). The front tasks count what all callers hold, and close callers by decide/memory if that exceeds their part of the budget. Buffers count as they were allocated.

--- a/daemon/control/admin.c
+++ b/daemon/control/admin.c
@@ -31,7 +31,7 @@
 /* Maximum number of open connections. It bounds the memory: each buffers at most one document. */
 #define CONNECTIONS_MAX 32
 /* Maximum size of the bodies of all requests together. */
-#define BODIES_MAX_BYTES (4 * PW_DOCUMENT_MAX_BYTES)
+#define BODIES_MAX_BYTES (UINT64_C(4) * PW_DOCUMENT_MAX_BYTES)
 /* Idle time after which a connection is closed. */
 #define CONNECTION_TIMEOUT_S 10
 
--- a/daemon/traffic/front.c
+++ b/daemon/traffic/front.c
@@ -140,6 +140,7 @@
 {
 	struct caller *c = caller_of(s);
 
+	c->last_input_us = pw_loop_now_us(c->front->task.loop);
 	switch (c->state) {
 	case CALLER_STARTUP:
 	case CALLER_PASSWORD:
--- a/daemon/traffic/front_private.h
+++ b/daemon/traffic/front_private.h
@@ -21,6 +21,7 @@
 #include "pw/codec/pg.h"
 #include "pw/core/stream.h"
 #include "pw/core/tls.h"
+#include "pw/decide/memory.h"
 #include "pw/decide/statement.h"
 #include "request.h"
 
@@ -73,6 +74,12 @@
 	const struct pw_document *document; /**< NULL until the first snapshot */
 	GHashTable *callers_by_session;     /**< session id -> struct caller */
 	GHashTable *usage_by_account;       /**< user name -> struct account_usage */
+	struct pw_memory_budget memory; /**< of the callers of this task; what they hold of any kind
+					   counts as input */
+	uint64_t reported_bytes;        /**< this task's part of the gauge */
+	uint32_t memory_closed_count;   /**< callers closed for memory since it was last logged */
+	struct pw_timer memory_timer;   /**< due at once when the budget is exceeded */
+	struct pw_timer memory_report_timer; /**< next report of the memory in use */
 	GQueue pending_logins;        /**< struct caller that has not logged in, oldest first */
 	uint64_t next_session_number; /**< number in the next session id */
 	uint64_t next_request_number; /**< number in the next request id */
@@ -141,7 +148,8 @@
 	uint32_t prepared_bytes;             /**< size of their Parse messages */
 	struct account_usage *account_usage; /**< of its account; NULL: not logged in */
 	GList *login_link;      /**< node in `pending_logins` of the front task; NULL: not in it */
-	uint64_t memory_bytes;  /**< memory that is included in `account_usage` */
+	uint64_t memory_bytes;  /**< memory that is included in `account_usage` and `memory` */
+	uint64_t last_input_us; /**< when bytes of the caller were last received */
 	uint64_t request_id;    /**< id of the outstanding request; 0: none */
 	uint64_t idle_since_us; /**< end of the last request or of the login; before that, time of
 				   the connect */
--- a/tests/core/test_stream.c
+++ b/tests/core/test_stream.c
@@ -418,6 +418,58 @@
 }
 END_TEST
 
+static void keep_input(struct pw_stream *s)
+{
+	(void)s;
+}
+
+static const struct pw_stream_ops keep_ops = {
+	.received = keep_input,
+	.closed = pw_stream_dispose,
+};
+
+/* Size of the bytes that are sent in each direction, above what the socket takes at once. */
+#define TOTALS_OUTPUT_BYTES 4194304
+#define TOTALS_INPUT_BYTES  65536
+
+/* Guards against buffers that are not counted, or that stay large when little is left in them. */
+START_TEST(test_totals_follow_buffers)
+{
+	struct pw_loop *loop;
+	struct pw_stream s;
+	uint64_t input_bytes = 0, output_bytes = 0;
+	uint8_t *data = g_malloc0(TOTALS_OUTPUT_BYTES);
+	int fds[2];
+
+	ck_assert_int_eq(pw_loop_new(&loop), 0);
+	ck_assert_int_eq(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fds), 0);
+	ck_assert_int_eq(pw_stream_init(&s, &keep_ops, loop, fds[0]), 0);
+	pw_stream_set_totals(&s, &input_bytes, &output_bytes);
+	pw_stream_send(&s, data, TOTALS_OUTPUT_BYTES);
+	ck_assert_uint_eq(output_bytes, TOTALS_OUTPUT_BYTES);
+	for (uint32_t sent = 0; sent < TOTALS_INPUT_BYTES;) {
+		ssize_t n = send(fds[1], data, TOTALS_INPUT_BYTES - sent, 0);
+
+		if (n > 0)
+			sent += (uint32_t)n;
+		s.source.ops->ready(&s.source, EPOLLIN);
+	}
+	while (pw_stream_input_bytes(&s) < TOTALS_INPUT_BYTES)
+		s.source.ops->ready(&s.source, EPOLLIN);
+	ck_assert_uint_eq(input_bytes, TOTALS_INPUT_BYTES);
+	pw_stream_consume(&s, TOTALS_INPUT_BYTES / 2);
+	ck_assert_uint_eq(input_bytes, TOTALS_INPUT_BYTES);
+	pw_stream_consume(&s, TOTALS_INPUT_BYTES / 2 - 1);
+	ck_assert_uint_eq(input_bytes, 1);
+	pw_stream_dispose(&s);
+	ck_assert_uint_eq(input_bytes, 0);
+	ck_assert_uint_eq(output_bytes, 0);
+	close(fds[1]);
+	pw_loop_free(loop);
+	g_free(data);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("stream");
@@ -427,5 +479,6 @@
 	tcase_add_test(tc, test_close_during_handshake);
 	tcase_add_loop_test(tc, test_unread_output, 0, 2);
 	tcase_add_loop_test(tc, test_reload, 0, PW_ARRAY_LEN(reload_cases));
+	tcase_add_test(tc, test_totals_follow_buffers);
 	return pw_suite_run("stream", tc);
 }
