--- a/daemon/traffic/gateway_admission.c
+++ b/daemon/traffic/gateway_admission.c
@@ -6,7 +6,8 @@
 	struct account *account;
 	struct pw_caller_statement *statement;
 	struct pw_admission_request request;
-	GList link; /* node in the list of `account` */
+	uint64_t input_bytes; /* of the statement, counted in the memory budget */
+	GList link;           /* node in the list of `account` */
 };
 
 static bool is_most_urgent(const struct gateway *g, uint32_t priority)
@@ -71,6 +72,7 @@
 
 	g_queue_unlink(&w->account->waiting, &w->link);
 	s->waiting = NULL;
+	s->gateway->memory.used_bytes[PW_MEMORY_INPUT] -= w->input_bytes;
 	if (!w->account->waiting.length)
 		pw_loop_timer_clear(s->gateway->task.loop, &w->account->timer);
 	gateway_free_later(s->gateway, w);
@@ -150,6 +152,8 @@
 	w->session = s;
 	w->account = a;
 	w->statement = statement;
+	w->input_bytes = gw_work_statement_bytes(statement);
+	g->memory.used_bytes[PW_MEMORY_INPUT] += w->input_bytes;
 	w->request = r;
 	w->link.data = w;
 	s->waiting = w;
@@ -167,3 +171,8 @@
 	if (s->waiting)
 		pw_caller_statement_free(remove_from_queue(s)->statement);
 }
+
+uint64_t gw_admission_input_bytes(const struct session *s)
+{
+	return s->waiting ? s->waiting->input_bytes : 0;
+}
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -534,6 +534,8 @@
 void gw_admission_serve_all(struct gateway *g);
 /** Ends the wait of the session's operation, if it has one, and frees its statement. */
 void gw_admission_cancel(struct session *s);
+/** @return size of the statement that the session's waiting operation holds */
+uint64_t gw_admission_input_bytes(const struct session *s);
 
 /* gateway_account.c */
 /** @return account of that name, created if needed */
@@ -555,6 +557,8 @@
 void gw_account_apply_shares(struct gateway *g, const GArray *shares);
 
 /* gateway_work.c */
+/** @return memory that the statement takes */
+uint64_t gw_work_statement_bytes(const struct pw_caller_statement *statement);
 /** Counts the buffered answer in the memory budget, after each change of it. */
 void gw_work_count_answer(struct work *w);
 /** Takes ownership of the caller's statement. */
--- a/daemon/traffic/gateway_session.c
+++ b/daemon/traffic/gateway_session.c
@@ -786,6 +786,7 @@
 		.owner = s,
 		.bytes = {
 			[PW_MEMORY_INPUT] = s->stream.input_size_bytes + (w ? w->input_bytes : 0) +
+					    gw_admission_input_bytes(s) +
 					    (c ? c->stream.output_size_bytes : 0),
 			[PW_MEMORY_OUTPUT] = s->stream.output_size_bytes +
 					     (w ? w->answer_bytes : 0) +
--- a/daemon/traffic/gateway_work.c
+++ b/daemon/traffic/gateway_work.c
@@ -23,7 +23,7 @@
 }
 
 /* Size of a statement that is held until it is answered. */
-static uint64_t statement_bytes(const struct pw_caller_statement *statement)
+uint64_t gw_work_statement_bytes(const struct pw_caller_statement *statement)
 {
 	return statement->argument ? g_bytes_get_size(statement->argument) : 0;
 }
@@ -66,7 +66,7 @@
 				    QUEUE_WAIT_MIN_US);
 	w->charged = is_autocommit || w->begins_transaction;
 	w->state = WORK_RUNNING;
-	w->input_bytes = statement_bytes(statement);
+	w->input_bytes = gw_work_statement_bytes(statement);
 	s->gateway->memory.used_bytes[PW_MEMORY_INPUT] += w->input_bytes;
 	return w;
 }
