Memory budget: memory that no session holds costs no session

Closing a session does not free what it has at a server: its statement, and the prepared texts of the connection. The next check closed further sessions for it, down to the smallest. Such connections are now closed first, and after sessions were closed.

pw_memory_choose() closed small sessions in flight before small ones that were not, and holders of a class that was inside its limit by then (two cases of test_memory, "ab, not ba" and 3 chosen instead of 2).

--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -338,10 +338,13 @@
 	return name;
 }
 
+/* Memory of a prepared statement at a server, beside its text. */
+#define PREPARED_ENTRY_BYTES 128
+
 static void put_prepare(struct conn *c, const struct prepared_statement *p, GByteArray *b)
 {
 	char *name = g_strdup_printf("p%u", ++c->last_prepared_number);
-	uint64_t size_bytes = g_bytes_get_size(p->text);
+	uint64_t size_bytes = PREPARED_ENTRY_BYTES + g_bytes_get_size(p->text);
 
 	if (!c->prepared_names)
 		c->prepared_names = g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
@@ -1117,6 +1120,17 @@
 	return true;
 }
 
+bool gw_conn_holds_unowned_memory(const struct conn *c)
+{
+	const struct work *w = c->work;
+
+	if (c->closed || c->session || (w && w->session))
+		return false;
+	return c->prepared_bytes || c->stream.input_size_bytes + c->stream.output_size_bytes +
+						    (w ? w->input_bytes + w->answer_bytes : 0) >
+					    PW_MEMORY_SMALL_BYTES;
+}
+
 void gw_conn_close_idle(struct server *s, bool all)
 {
 	uint64_t now_us = gateway_now_us(s->group->gateway);
--- a/daemon/traffic/gateway_memory.c
+++ b/daemon/traffic/gateway_memory.c
@@ -43,16 +43,50 @@
 	gw_session_close(s);
 }
 
-/* Closes the sessions that hold most, until the callers are within the budget. */
-static void memory_timer_expired(struct pw_timer *t, uint64_t now_us)
+static void add_unowned(GPtrArray *found, const struct server *s)
+{
+	for (guint i = 0; i < s->conns->len; i++) {
+		struct conn *c = g_ptr_array_index(s->conns, i);
+
+		if (gw_conn_holds_unowned_memory(c))
+			g_ptr_array_add(found, c);
+	}
+}
+
+/*
+ * Closes connections to servers that hold memory for no session. With each, waiting statements may
+ * start at others of them.
+ */
+static void free_unowned(struct gateway *g)
+{
+	GPtrArray *found = g_ptr_array_new();
+	GHashTableIter it;
+	gpointer item;
+
+	g_hash_table_iter_init(&it, g->groups);
+	while (g_hash_table_iter_next(&it, NULL, &item)) {
+		const struct group *group = item;
+
+		for (guint i = 0; i < group->servers->len; i++)
+			add_unowned(found, g_ptr_array_index(group->servers, i));
+	}
+	for (guint i = 0; i < found->len; i++) {
+		struct conn *c = g_ptr_array_index(found, i);
+
+		if (gw_conn_holds_unowned_memory(c))
+			gw_conn_fail(c, "the memory limit of callers is exceeded");
+	}
+	g_ptr_array_unref(found);
+}
+
+/* Closes the sessions that hold most. */
+static void close_largest(struct gateway *g)
 {
-	struct gateway *g = (struct gateway *)((char *)t - offsetof(struct gateway, memory_timer));
 	GArray *holders = g_array_new(FALSE, FALSE, sizeof(struct pw_memory_holder));
 	GHashTableIter it;
 	gpointer item;
 	uint32_t count;
 
-	(void)now_us;
 	g_hash_table_iter_init(&it, g->sessions);
 	while (g_hash_table_iter_next(&it, &item, NULL)) {
 		struct pw_memory_holder h = gw_session_memory(item);
@@ -65,6 +99,22 @@
 	g_array_unref(holders);
 }
 
+/*
+ * Frees memory until the callers are within the budget. What a closed session had at a server
+ * remains with the connection, so it is freed at once: it would count against other sessions.
+ */
+static void memory_timer_expired(struct pw_timer *t, uint64_t now_us)
+{
+	struct gateway *g = (struct gateway *)((char *)t - offsetof(struct gateway, memory_timer));
+
+	(void)now_us;
+	free_unowned(g);
+	if (!pw_memory_is_over(&g->memory))
+		return;
+	close_largest(g);
+	free_unowned(g);
+}
+
 static const struct pw_timer_ops memory_timer_ops = { .expire = memory_timer_expired };
 
 void gw_memory_init(struct gateway *g)
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -682,6 +682,11 @@
 void gw_group_server_free(struct server *s);
 
 /* gateway_conn.c */
+/**
+ * @return whether the connection holds prepared texts, or a large statement or answer, for no
+ * session: it is not in use, or the caller of its statement has left
+ */
+bool gw_conn_holds_unowned_memory(const struct conn *c);
 /** Reads on from the server once the caller has taken the answer so far. */
 void gw_conn_resume(struct conn *c);
 /**
--- a/decide/include/pw/decide/memory.h
+++ b/decide/include/pw/decide/memory.h
@@ -78,8 +78,8 @@
 /**
  * Chooses the sessions to close so that every class that is over its limit falls to seven eighths
  * of it. Among those that hold memory of such a class, in this order: larger than
- * PW_MEMORY_SMALL_BYTES and not in flight, in flight, small; within each, those without progress
- * for PW_MEMORY_STALL_US first, then the largest.
+ * PW_MEMORY_SMALL_BYTES and not in flight, larger and in flight, small and not in flight, small and
+ * in flight; within each, those without progress for PW_MEMORY_STALL_US first, then the largest.
  *
  * @param holders array of struct pw_memory_holder; sorted, so that the chosen ones come first
  * @return number of holders to close
--- a/decide/src/memory.c
+++ b/decide/src/memory.c
@@ -125,9 +125,9 @@
 static int rank_of(const struct pw_memory_holder *h, uint64_t relief)
 {
 	if (!relief)
-		return 3;
+		return 4;
 	if (relief < PW_MEMORY_SMALL_BYTES)
-		return 2;
+		return h->is_in_flight ? 3 : 2;
 	return h->is_in_flight ? 1 : 0;
 }
 
@@ -146,25 +146,32 @@
 	return (relief_x < relief_y) - (relief_x > relief_y);
 }
 
+static void subtract_holder(struct excess *e, const struct pw_memory_holder *h)
+{
+	for (int i = 0; i < PW_MEMORY_CLASS_COUNT; i++) {
+		e->bytes[i] = subtract(e->bytes[i], h->bytes[i]);
+		e->total_bytes = subtract(e->total_bytes, h->bytes[i]);
+	}
+}
+
 uint32_t pw_memory_choose(const struct pw_memory_budget *b, GArray *holders)
 {
 	struct excess e = find_excess(b);
-	const struct excess all = e;
+	struct pw_memory_holder *all = (struct pw_memory_holder *)(void *)holders->data;
 	uint32_t count = 0;
 
 	if (!has_excess(&e))
 		return 0;
 	g_array_sort_with_data(holders, compare_holders, &e);
-	for (; count < holders->len && has_excess(&e); count++) {
-		const struct pw_memory_holder *h =
-			&g_array_index(holders, struct pw_memory_holder, count);
-
-		if (!relief_bytes(h, &all))
-			break;
-		for (int i = 0; i < PW_MEMORY_CLASS_COUNT; i++) {
-			e.bytes[i] = subtract(e.bytes[i], h->bytes[i]);
-			e.total_bytes = subtract(e.total_bytes, h->bytes[i]);
-		}
+	for (guint i = 0; i < holders->len && has_excess(&e); i++) {
+		struct pw_memory_holder h = all[i];
+
+		/* Skips those that hold only memory of classes that are inside the limit by now. */
+		if (!relief_bytes(&h, &e))
+			continue;
+		subtract_holder(&e, &h);
+		all[i] = all[count];
+		all[count++] = h;
 	}
 	return count;
 }
--- a/tests/decide/test_memory.c
+++ b/tests/decide/test_memory.c
@@ -110,6 +110,11 @@
 	  { { 'a', 10, 5000, false }, { 'b', 9000, 0, true } },
 	  1,
 	  "b" },
+	{ "small one in flight behind other small ones",
+	  PW_MEMORY_INPUT,
+	  { { 'a', 12, 5000, true }, { 'b', 10, 0, false } },
+	  1,
+	  "ba" },
 	{ "as many as needed",
 	  PW_MEMORY_INPUT,
 	  { { 'a', 1500, 0, false },
@@ -154,6 +159,28 @@
 }
 END_TEST
 
+/* Guards against closing holders of a class that is inside its limit once others are closed. */
+START_TEST(test_choose_by_class)
+{
+	struct pw_memory_budget b = new_budget();
+	GArray *holders = g_array_new(FALSE, TRUE, sizeof(struct pw_memory_holder));
+	struct pw_memory_holder first = { .owner = "a", .bytes = { [PW_MEMORY_INPUT] = 6 * MIB } };
+	struct pw_memory_holder kept = { .owner = "b", .bytes = { [PW_MEMORY_INPUT] = 5 * MIB } };
+	struct pw_memory_holder second = { .owner = "c", .bytes = { [PW_MEMORY_STATE] = 4 * MIB } };
+
+	g_array_append_val(holders, kept);
+	g_array_append_val(holders, second);
+	g_array_append_val(holders, first);
+	b.total_limit_bytes = UINT64_MAX;
+	b.used_bytes[PW_MEMORY_INPUT] = b.limit_bytes[PW_MEMORY_INPUT] + 1;
+	b.used_bytes[PW_MEMORY_STATE] = b.limit_bytes[PW_MEMORY_STATE] + 1;
+	ck_assert_uint_eq(pw_memory_choose(&b, holders), 2);
+	ck_assert_str_eq(g_array_index(holders, struct pw_memory_holder, 0).owner, "a");
+	ck_assert_str_eq(g_array_index(holders, struct pw_memory_holder, 1).owner, "c");
+	g_array_unref(holders);
+}
+END_TEST
+
 /* Callers of the simulation: a crowd, and ordinary ones that send and finish small messages. */
 #define SIM_CALLERS_MAX    200
 #define SIM_ORDINARY_COUNT 20
@@ -292,6 +319,7 @@
 	tcase_add_test(tc, test_tasks_share);
 	tcase_add_loop_test(tc, test_keep, 0, PW_ARRAY_LEN(keep_cases));
 	tcase_add_loop_test(tc, test_choose, 0, PW_ARRAY_LEN(choose_cases));
+	tcase_add_test(tc, test_choose_by_class);
 	tcase_add_loop_test(tc, test_crowd, 0, PW_ARRAY_LEN(sim_cases));
 	tcase_add_test(tc, test_trim);
 	tcase_add_test(tc, test_stalled_output);
