Explain: which server a statement would get now, and why

The gateway makes the statement's state as for a caller (gw_work_new()) and chooses with gw_group_find_server(), which gw_group_choose_server() calls, so there is no second decision. Nothing is sent; the account's rate is not part of it.

Ruled out: answering from the admin task's copies of the lists, since load, lag and connections are known to gateway tasks only.

A first form of test_explain_fleet expected that a session with a position that no server has yet reads at the primary; the gateway tries a replica first, because its estimated lag has decayed to 0.

--- a/ctl/api_http.c
+++ b/ctl/api_http.c
@@ -98,6 +98,43 @@
 	return rc;
 }
 
+static void append_argument(GString *path, const char *name, const char *value)
+{
+	char *escaped = g_uri_escape_string(value, NULL, FALSE);
+
+	g_string_append_printf(path, "%s=%s", name, escaped);
+	g_free(escaped);
+}
+
+static int http_explain(struct ctl_api_client *a, json_t **out, const char *address,
+			const struct ctl_explain_query *q)
+{
+	GString *response = g_string_new(NULL), *path = g_string_new("/v1/explain?");
+	int rc;
+
+	append_argument(path, "account", q->account);
+	append_argument(path, "&database", q->database);
+	append_argument(path, "&kind", q->kind);
+	if (q->position)
+		append_argument(path, "&position", q->position);
+	rc = http_get((struct http_api_client *)a, response, address, path->str);
+	if (rc == PW_OK) {
+		*out = json_loadb(response->str, response->len, 0, NULL);
+		if (!json_is_object(*out)) {
+			json_decref(*out);
+			*out = NULL;
+			rc = pw_error_set(PW_EINVALID,
+					  "%s: the response is not a valid explanation", address);
+		}
+	} else if (rc == PW_EINVALID && response->len &&
+		   g_utf8_validate(response->str, (gssize)response->len, NULL)) {
+		rc = pw_error_set(PW_EINVALID, "%s: %.200s", address, g_strchomp(response->str));
+	}
+	g_string_free(path, TRUE);
+	g_string_free(response, TRUE);
+	return rc;
+}
+
 static void http_sleep(struct ctl_api_client *a, uint64_t duration_us)
 {
 	g_usleep(duration_us);
@@ -115,6 +152,7 @@
 
 static const struct ctl_api_client_ops http_ops = {
 	.get_status = http_get_status,
+	.explain = http_explain,
 	.sleep = http_sleep,
 	.free = http_free,
 };
--- a/ctl/command.h
+++ b/ctl/command.h
@@ -38,6 +38,7 @@
 	uint64_t wait_timeout_us; /**< time limit of `wait` */
 	bool wait;                /**< after a change, wait until all proxies report its revision */
 	bool json;                /**< write JSON instead of text */
+	char *position; /**< explain: position of the session's last commit; NULL: it has none */
 };
 
 /** Settings, connections and output of one run of the program. */
@@ -75,6 +76,7 @@
 extern const struct ctl_command ctl_apply_command;
 extern const struct ctl_command ctl_show_command;
 extern const struct ctl_command ctl_status_command;
+extern const struct ctl_command ctl_explain_command;
 extern const struct ctl_command ctl_key_new_command;
 extern const struct ctl_command ctl_key_withdraw_command;
 extern const struct ctl_command ctl_drain_command;
--- a/ctl/document_store.h
+++ b/ctl/document_store.h
@@ -6,6 +6,7 @@
 #ifndef PW_CTL_DOCUMENT_STORE_H
 #define PW_CTL_DOCUMENT_STORE_H
 
+#include <jansson.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -50,6 +51,14 @@
 	bool draining; /**< the document drains the VM, or the proxy is being stopped */
 };
 
+/** A statement whose server is asked for. */
+struct ctl_explain_query {
+	const char *account;
+	const char *database;
+	const char *kind;
+	const char *position; /**< of the session's last commit; NULL: it has none */
+};
+
 struct ctl_api_client;
 
 struct ctl_api_client_ops {
@@ -62,6 +71,14 @@
 	 */
 	int (*get_status)(struct ctl_api_client *a, struct ctl_proxy_status *out,
 			  const char *address);
+	/**
+	 * Asks a proxy which server a statement would get now.
+	 *
+	 * @param out receives the answer, an object that the caller releases
+	 * @return as `get_status`; the message has the reason that the proxy gives
+	 */
+	int (*explain)(struct ctl_api_client *a, json_t **out, const char *address,
+		       const struct ctl_explain_query *q);
 	/** Waits between two rounds of status requests; returns at once in tests. */
 	void (*sleep)(struct ctl_api_client *a, uint64_t duration_us);
 	void (*free)(struct ctl_api_client *a);
@@ -83,7 +100,7 @@
 int ctl_document_store_open(struct ctl_document_store **out, char **addresses, const char *service);
 
 /**
- * Creates a client of the administration API over HTTP (GET /v1/status).
+ * Creates a client of the administration API over HTTP (GET /v1/status, /v1/explain).
  *
  * @param token   bearer token of the operator, or NULL
  * @param ca_path file of trusted certificates for HTTPS, a string that outlives the client; NULL
--- a/daemon/control/admin.c
+++ b/daemon/control/admin.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "../directory.h"
+#include "../traffic/explain.h"
 #include "../traffic/front.h"
 #include "../traffic/request.h"
 #include "catalog.h"
@@ -55,7 +56,7 @@
 	struct pw_timer tls_timer;   /**< next check of the TLS files */
 	GHashTable *status_sections; /**< name -> JSON value as text */
 	uint32_t bodies_bytes;       /**< size of the bodies of all requests */
-	GHashTable *pending_changes; /**< tag -> struct api_request that waits for the store */
+	GHashTable *pending_changes; /**< tag -> struct api_request that waits for another task */
 	const struct pw_document *document;
 	uint64_t last_tag;
 	uint64_t fresh_until_us; /**< the document in force is fresh until then */
@@ -306,6 +307,61 @@
 	return MHD_YES;
 }
 
+static const char *query_argument(struct api_request *req, const char *name)
+{
+	return MHD_lookup_connection_value(req->connection, MHD_GET_ARGUMENT_KIND, name);
+}
+
+/* Parses a log position, TERM.NUMBER. */
+static bool parse_position(struct pw_position *out, const char *text)
+{
+	char **parts = g_strsplit(text, ".", 3);
+	int64_t term, lsn;
+	bool ok = g_strv_length(parts) == 2 &&
+		  pw_number_parse_signed(&term, parts[0], 0, INT64_MAX) &&
+		  pw_number_parse_signed(&lsn, parts[1], 0, INT64_MAX);
+
+	g_strfreev(parts);
+	if (ok)
+		*out = (struct pw_position){ .term = (uint64_t)term, .lsn = (uint64_t)lsn };
+	return ok;
+}
+
+/* Asks the first gateway task which server a statement would get; its answer resumes the request.
+ */
+static enum MHD_Result get_explain(struct api_request *req)
+{
+	struct admin *a = req->admin;
+	const char *position = query_argument(req, "position");
+	struct pw_explain_query q = {
+		.account = query_argument(req, "account"),
+		.database = query_argument(req, "database"),
+		.kind = query_argument(req, "kind"),
+		.has_position = position != NULL,
+	};
+
+	if (req->response_text)
+		return respond(req->connection, req->response_status,
+			       req->response_status == MHD_HTTP_OK ? "application/json"
+								   : "text/plain; charset=utf-8",
+			       req->response_text, 0);
+	if (!a->directory->gateway_count)
+		return respond_text(req->connection, MHD_HTTP_NOT_FOUND,
+				    "this binding has no gateway tasks\n");
+	if (!q.account || !q.database || !q.kind)
+		return respond_text(req->connection, MHD_HTTP_BAD_REQUEST,
+				    "account, database and kind are needed\n");
+	if (position && !parse_position(&q.position, position))
+		return respond_text(req->connection, MHD_HTTP_BAD_REQUEST,
+				    "the position has to be TERM.NUMBER\n");
+	req->change_tag = ++a->last_tag;
+	g_hash_table_insert(a->pending_changes, &req->change_tag, req);
+	MHD_suspend_connection(req->connection);
+	pw_mailbox_send(a->directory->gateways[0],
+			pw_explain_msg_new(a->task.inbox, req->change_tag, &q));
+	return MHD_YES;
+}
+
 /* Methods and paths of the API. */
 static const struct {
 	const char *method;
@@ -317,6 +373,7 @@
 	{ "GET", "/readyz", true, get_ready },
 	{ "GET", "/metrics", false, get_metrics },
 	{ "GET", "/v1/status", false, get_status },
+	{ "GET", "/v1/explain", false, get_explain },
 	{ "GET", "/v1/document", false, get_document },
 	{ "PUT", "/v1/document", false, put_document },
 };
@@ -456,21 +513,62 @@
 	}
 }
 
-static void handle_store_result(struct admin *a, const struct pw_store_result_msg *m)
+/* Returns the request that waits for the answer with this tag; NULL: it was ended. */
+static struct api_request *take_pending(struct admin *a, uint64_t tag)
 {
-	struct api_request *req = g_hash_table_lookup(a->pending_changes, &m->tag);
+	struct api_request *req = g_hash_table_lookup(a->pending_changes, &tag);
 
 	if (!req)
-		return;
-	g_hash_table_remove(a->pending_changes, &m->tag);
+		return NULL;
+	g_hash_table_remove(a->pending_changes, &tag);
 	req->change_tag = 0;
-	set_change_response(req, m->result);
-	pw_event_log(PW_EVENT_ADMIN_CHANGE, "object=document status=%u", req->response_status);
+	return req;
+}
+
+static void resume(struct api_request *req)
+{
+	struct admin *a = req->admin;
+
 	MHD_resume_connection(req->connection);
 	for (size_t i = 0; i < G_N_ELEMENTS(a->daemons); i++)
 		run_daemon(&a->daemons[i]);
 }
 
+static void handle_store_result(struct admin *a, const struct pw_store_result_msg *m)
+{
+	struct api_request *req = take_pending(a, m->tag);
+
+	if (!req)
+		return;
+	set_change_response(req, m->result);
+	pw_event_log(PW_EVENT_ADMIN_CHANGE, "object=document status=%u", req->response_status);
+	resume(req);
+}
+
+static void handle_explained(struct admin *a, struct pw_explained_msg *m)
+{
+	struct api_request *req = take_pending(a, m->tag);
+
+	if (!req)
+		return;
+	switch (m->code) {
+	case PW_OK:
+		req->response_status = MHD_HTTP_OK;
+		break;
+	case PW_ENOTFOUND:
+		req->response_status = MHD_HTTP_NOT_FOUND;
+		break;
+	case PW_EINVALID:
+		req->response_status = MHD_HTTP_BAD_REQUEST;
+		break;
+	default:
+		req->response_status = MHD_HTTP_SERVICE_UNAVAILABLE;
+		break;
+	}
+	req->response_text = g_steal_pointer(&m->text);
+	resume(req);
+}
+
 static void admin_receive(struct pw_task *t, struct pw_msg *m)
 {
 	struct admin *a = (struct admin *)t;
@@ -500,6 +598,8 @@
 		a->draining = true;
 	} else if (m->ops == &pw_store_result_msg_ops) {
 		handle_store_result(a, (struct pw_store_result_msg *)m);
+	} else if (m->ops == &pw_explained_msg_ops) {
+		handle_explained(a, (struct pw_explained_msg *)m);
 	}
 	pw_msg_free(m);
 }
--- a/daemon/traffic/gateway.c
+++ b/daemon/traffic/gateway.c
@@ -210,6 +210,8 @@
 	} else if (m->ops == &pw_shares_msg_ops) {
 		gw_account_apply_shares(g, ((struct pw_shares_msg *)m)->shares);
 		gw_admission_serve_all(g);
+	} else if (m->ops == &pw_explain_msg_ops) {
+		gw_explain(g, (struct pw_explain_msg *)m);
 	} else if (m->ops == &pw_drain_ops) {
 		gw_drain_start(g);
 	} else if (m->ops == &pw_drain_end_ops) {
--- a/daemon/traffic/gateway_group.c
+++ b/daemon/traffic/gateway_group.c
@@ -544,7 +544,7 @@
 	return c;
 }
 
-static struct server *choose_read_server(const struct work *w)
+static struct server *find_read_server(const struct work *w, bool *is_trial)
 {
 	struct group *group = w->group;
 	uint64_t now_us = gateway_now_us(group->gateway);
@@ -560,8 +560,7 @@
 	best = pw_place_choose_server(candidates, count, (uint32_t)pw_clock_random_u64());
 	if (best < 0)
 		return NULL;
-	if (candidates[best].trial_is_due)
-		pw_counter_inc(PW_COUNTER_UPSTREAM_TRIALS);
+	*is_trial = candidates[best].trial_is_due;
 	return g_ptr_array_index(group->servers, (guint)best);
 }
 
@@ -583,20 +582,30 @@
 	return false;
 }
 
-struct server *gw_group_choose_server(const struct work *w)
+struct server *gw_group_find_server(const struct work *w, bool *is_trial)
 {
 	struct group *group = w->group;
 	uint64_t now_us = gateway_now_us(group->gateway);
-	bool has_idle_conn;
+	bool has_idle_conn, ignored;
 
 	if (!w->needs_primary)
-		return choose_read_server(w);
+		return find_read_server(w, is_trial ? is_trial : &ignored);
 	if (!is_primary_usable(group, w, now_us) || !may_start(group->primary, now_us) ||
 	    !gw_conn_is_available(group->primary, w, &has_idle_conn))
 		return NULL;
 	return group->primary;
 }
 
+struct server *gw_group_choose_server(const struct work *w)
+{
+	bool is_trial = false;
+	struct server *s = gw_group_find_server(w, &is_trial);
+
+	if (is_trial)
+		pw_counter_inc(PW_COUNTER_UPSTREAM_TRIALS);
+	return s;
+}
+
 /* Why a server does not take a statement, ordered by how near it comes to taking it. */
 enum blocking_reason {
 	BLOCKED_UNREGISTERED,
@@ -657,6 +666,26 @@
 	return gw_conn_is_available(s, w, &has_idle_conn) ? BLOCKED_NONE : BLOCKED_CONNECTIONS;
 }
 
+void gw_group_view_server(struct server_view *v, const struct work *w, const struct server *s)
+{
+	uint64_t now_us = gateway_now_us(s->group->gateway);
+	struct pw_place_candidate *c = &v->candidate;
+	struct read_floor floor;
+
+	find_floor(&floor, w, now_us);
+	*c = read_candidate(w, s, &floor, now_us);
+	if (w->needs_primary)
+		c->is_usable = c->is_primary && is_primary_usable(s->group, w, now_us) &&
+			       may_start(s, now_us);
+	if (w->needs_primary && !c->is_primary)
+		v->blocking_reason = "replica";
+	else if (w->needs_primary && c->is_usable && c->can_open_connection)
+		v->blocking_reason = blocking_reason_names[BLOCKED_NONE];
+	else
+		v->blocking_reason =
+			blocking_reason_names[find_blocking_reason(w, s, &floor, now_us)];
+}
+
 const char *gw_group_blocking_reason(const struct work *w)
 {
 	const struct group *group = w->group;
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -5,6 +5,7 @@
  *   gateway.c           the task: messages, listener, timers
  *   gateway_drain.c     planned stops: the drain of the sessions, its log and counts
  *   gateway_memory.c    memory of the sessions: which ones are closed for it
+ *   gateway_explain.c   which server would get a statement, for operators
  *   gateway_session.c   caller sessions: statements, transaction, session variables, prepared
  *                       statements
  *   gateway_admission.c operations that wait for the rate of their account
@@ -25,6 +26,7 @@
 #include "../control/cluster.h"
 #include "../directory.h"
 #include "drain_log.h"
+#include "explain.h"
 #include "gateway.h"
 #include "pw/core/clock.h"
 #include "pw/core/counter.h"
@@ -490,7 +492,13 @@
 void gw_memory_tick(struct gateway *g, uint64_t now_us);
 void gw_memory_dispose(struct gateway *g);
 
+/* gateway_explain.c */
+/** Answers a question which server would get a statement. */
+void gw_explain(struct gateway *g, const struct pw_explain_msg *m);
+
 /* gateway_session.c */
+/** @return the present settings of the route for a new operation */
+struct operation gw_session_operation(struct gateway *g, const struct pw_catalog_route *r);
 /** Creates the session of an accepted connection; takes over its socket. */
 void gw_session_accept(struct gateway *g, int32_t fd);
 /** Closes the session at once and rolls its transaction back. */
@@ -599,6 +607,12 @@
  * @return false if the statement has to run at the primary
  */
 bool gw_work_find_floor(const struct work *w, struct pw_position *floor, uint64_t *observed_us);
+/**
+ * @return whether the statement is not expected to start before its deadline: either it has to run
+ *         at the primary, which is expected to be unavailable until after that, or the servers
+ *         refuse work and too many statements wait for them
+ */
+bool gw_work_cannot_start_in_time(const struct work *w);
 
 /* gateway_group.c */
 /** @return group of that name, created if needed */
@@ -621,8 +635,22 @@
 void gw_group_apply_positions(struct gateway *g, const GPtrArray *positions);
 /** @return when the primary is expected to accept work; the current time if it does */
 uint64_t gw_group_primary_ready_us(const struct group *group);
-/** @return server that can take the statement now, or NULL */
+/**
+ * Finds the server that can take the statement now.
+ *
+ * @param is_trial receives whether the server was not asked for long; may be NULL
+ * @return server, or NULL
+ */
+struct server *gw_group_find_server(const struct work *w, bool *is_trial);
+/** Like gw_group_find_server(), for a statement that is then started; counts trials. */
 struct server *gw_group_choose_server(const struct work *w);
+/** What the choice of a server for a statement knows of one of them. */
+struct server_view {
+	struct pw_place_candidate candidate;
+	const char *blocking_reason; /**< why it cannot take the statement; "none": it can */
+};
+/** Describes a server as the choice for the statement sees it. */
+void gw_group_view_server(struct server_view *v, const struct work *w, const struct server *s);
 /**
  * @return whether another server, which fails fewer statements, can take a read that has failed at
  *         this one
--- a/daemon/traffic/gateway_session.c
+++ b/daemon/traffic/gateway_session.c
@@ -250,6 +250,19 @@
 					   : "the key was withdrawn");
 }
 
+struct operation gw_session_operation(struct gateway *g, const struct pw_catalog_route *r)
+{
+	return (struct operation){
+		.group = gw_group_get(g, r->group),
+		.consistency = r->consistency,
+		.stale_age_us = r->stale_age_ms * PW_US_PER_MS,
+		.timeout_us = r->timeout_ms * PW_US_PER_MS,
+		.target_us = r->target_latency_ms * PW_US_PER_MS,
+		.priority = r->priority,
+		.open_to_all = r->open_to_all,
+	};
+}
+
 /*
  * Copies the current settings of the route and the session's account for a new operation, so that a
  * change of the route or of the keys takes effect with the next operation. Returns false after
@@ -272,15 +285,7 @@
 		return false;
 	}
 	s->account = account;
-	s->operation = (struct operation){
-		.group = gw_group_get(g, r->group),
-		.consistency = r->consistency,
-		.stale_age_us = r->stale_age_ms * PW_US_PER_MS,
-		.timeout_us = r->timeout_ms * PW_US_PER_MS,
-		.target_us = r->target_latency_ms * PW_US_PER_MS,
-		.priority = r->priority,
-		.open_to_all = r->open_to_all,
-	};
+	s->operation = gw_session_operation(g, r);
 	return true;
 }
 
--- a/daemon/traffic/gateway_work.c
+++ b/daemon/traffic/gateway_work.c
@@ -227,12 +227,7 @@
 
 static const struct pw_timer_ops queue_timer_ops = { .expire = queue_timer_expired };
 
-/*
- * Whether the statement is not expected to start before its deadline: either it has to run at the
- * primary, which is expected to be unavailable until after that, or the servers refuse work and too
- * many statements wait for them.
- */
-static bool cannot_start_in_time(const struct work *w)
+bool gw_work_cannot_start_in_time(const struct work *w)
 {
 	struct pw_position floor;
 	uint64_t observed_us, now_us = gateway_now_us(gateway_of(w));
@@ -251,7 +246,7 @@
 	struct gateway *g = gateway_of(w);
 
 	/* A statement that cannot be served in time is refused at once, with a retry time. */
-	if (is_drain_over(w) || cannot_start_in_time(w)) {
+	if (is_drain_over(w) || gw_work_cannot_start_in_time(w)) {
 		refuse_no_server(w);
 		return;
 	}
--- a/tests/ctl/test_api.c
+++ b/tests/ctl/test_api.c
@@ -18,6 +18,21 @@
 	char *request_line; /**< method, path and value of the Authorization header */
 };
 
+/* Returns the query's values, as the server decodes them; an empty text if there are none. */
+static char *join_arguments(struct MHD_Connection *c)
+{
+	static const char *const names[] = { "account", "database", "kind", "position" };
+	GString *text = g_string_new(NULL);
+
+	for (size_t i = 0; i < PW_ARRAY_LEN(names); i++) {
+		const char *value = MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, names[i]);
+
+		if (value)
+			g_string_append_printf(text, "%c%s", text->len ? '|' : ' ', value);
+	}
+	return g_string_free(text, FALSE);
+}
+
 static enum MHD_Result handle_request(void *cls, struct MHD_Connection *c, const char *url,
 				      const char *method, const char *version, const char *data,
 				      size_t *data_size_bytes, void **state)
@@ -26,6 +41,7 @@
 	const char *token = MHD_lookup_connection_value(c, MHD_HEADER_KIND, "Authorization");
 	struct MHD_Response *r;
 	enum MHD_Result result;
+	char *arguments;
 
 	/*
 	 * libmicrohttpd calls this function first with only the headers; the response is queued in
@@ -36,7 +52,10 @@
 		return MHD_YES;
 	}
 	g_free(s->request_line);
-	s->request_line = g_strdup_printf("%s %s %s", method, url, token ? token : "-");
+	arguments = join_arguments(c);
+	s->request_line =
+		g_strdup_printf("%s %s%s %s", method, url, arguments, token ? token : "-");
+	g_free(arguments);
 	r = MHD_create_response_from_buffer(strlen(s->body), (void *)(uintptr_t)s->body,
 					    MHD_RESPMEM_PERSISTENT);
 	result = MHD_queue_response(c, s->status, r);
@@ -112,10 +131,64 @@
 }
 END_TEST
 
+static const struct {
+	const char *label;
+	unsigned status;
+	const char *body;
+	int result;
+	const char *message; /**< part of the error message; NULL: no error */
+} explain_cases[] = {
+	{ "answer", 200, "{\"vm\":\"vm1\"}", PW_OK, NULL },
+	{ "not an object", 200, "[]", PW_EINVALID, "not a valid explanation" },
+	{ "not JSON", 200, "ok", PW_EINVALID, "not a valid explanation" },
+	{ "unknown account", 404, "no such account\n", PW_EINVALID, ": no such account" },
+	{ "unknown kind", 400, "the kind has to be read\n", PW_EINVALID, "the kind has to be" },
+	{ "no text", 500, "", PW_EINVALID, "HTTP status 500" },
+	{ "text that is not UTF-8", 500, "\xff", PW_EINVALID, "HTTP status 500" },
+	{ "wrong token", 401, "no", PW_EDENIED, "token" },
+};
+
+/* Guards against an answer of the API that hides why a statement cannot be explained. */
+START_TEST(test_explain)
+{
+	struct sockaddr_in loopback = {
+		.sin_family = AF_INET,
+		.sin_addr = { .s_addr = htonl(INADDR_LOOPBACK) },
+	};
+	struct http_script s = { .status = explain_cases[_i].status,
+				 .body = explain_cases[_i].body };
+	const struct ctl_explain_query q = { "a b", "d&x=1", "read", "3.7" };
+	struct MHD_Daemon *server =
+		MHD_start_daemon(MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL, NULL, handle_request, &s,
+				 MHD_OPTION_SOCK_ADDR, &loopback, MHD_OPTION_END);
+	struct ctl_api_client *a;
+	json_t *out = NULL;
+	char *address;
+	int rc;
+
+	ck_assert_ptr_nonnull(server);
+	address = g_strdup_printf("127.0.0.1:%u",
+				  MHD_get_daemon_info(server, MHD_DAEMON_INFO_BIND_PORT)->port);
+	ck_assert_int_eq(ctl_api_client_open(&a, NULL, NULL), PW_OK);
+	rc = a->ops->explain(a, &out, address, &q);
+	ck_assert_msg(
+		rc == explain_cases[_i].result &&
+			(rc == PW_OK || strstr(pw_error_message(), explain_cases[_i].message)),
+		"%s: %d: %s", explain_cases[_i].label, rc, pw_error_message());
+	ck_assert_str_eq(s.request_line, "GET /v1/explain a b|d&x=1|read|3.7 -");
+	a->ops->free(a);
+	MHD_stop_daemon(server);
+	json_decref(out);
+	g_free(s.request_line);
+	g_free(address);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("api");
 
 	tcase_add_loop_test(tc, test_calls, 0, PW_ARRAY_LEN(cases));
+	tcase_add_loop_test(tc, test_explain, 0, PW_ARRAY_LEN(explain_cases));
 	return pw_suite_run("api", tc);
 }
--- a/tests/ctl/test_command.c
+++ b/tests/ctl/test_command.c
@@ -102,6 +102,23 @@
 	return PW_OK;
 }
 
+#define EXPLAINED(server)                                                                      \
+	"{\"vm\":\"vm1\",\"waiting\":2,\"server\":" server                                     \
+	",\"connection\":null,\"reason\":\"waits\","                                           \
+	"\"servers\":[{\"server\":\"a\",\"primary\":true,\"usable\":false,\"caught_up\":true," \
+	"\"in_flight\":3,\"expected_us\":12500,\"failure_permille\":15,\"distance\":\"zone\"," \
+	"\"connection\":\"new\",\"blocked\":\"paused\"}]}"
+
+static int fake_explain(struct ctl_api_client *a, json_t **out, const char *address,
+			const struct ctl_explain_query *q)
+{
+	(void)a;
+	if (strcmp(address, "127.0.0.1:9") == 0)
+		return pw_error_set(PW_EUNAVAILABLE, "%s: no answer", address);
+	*out = json_loads(strcmp(q->kind, "odd") == 0 ? "{}" : EXPLAINED("null"), 0, NULL);
+	return PW_OK;
+}
+
 static void fake_sleep(struct ctl_api_client *a, uint64_t duration_us)
 {
 	((struct fake_api_client *)a)->revision++;
@@ -109,6 +126,7 @@
 
 static const struct ctl_api_client_ops fake_ops = {
 	.get_status = fake_get_status,
+	.explain = fake_explain,
 	.sleep = fake_sleep,
 };
 
@@ -580,6 +598,50 @@
 }
 END_TEST
 
+static char *first_address[] = { (char *)"127.0.0.1:1", NULL };
+
+static const struct {
+	const char *label;
+	const char *kind;
+	char **addresses;
+	bool json;
+	enum ctl_exit status;
+	const char *out; /**< part of standard output */
+	const char *err; /**< part of standard error; "": none is written */
+} explain_cases[] = {
+	{ "table", "read", first_address, false, CTL_DONE,
+	  "127.0.0.1:1 vm=vm1 server=- connection=- waiting=2: waits\n  SERVER", "" },
+	{ "figures of a server", "read", first_address, false, CTL_DONE,
+	  "  a                    primary  no      yes             3        12.5       1.5 zone "
+	  "         new        paused\n",
+	  "" },
+	{ "JSON", "read", first_address, true, CTL_DONE, "{\"proxies\":[{\"vm\":\"vm1\"", "" },
+	{ "a proxy that does not answer", "read", partly_unreachable_addresses, false, CTL_FAILED,
+	  "127.0.0.1:1 vm=vm1", "127.0.0.1:9: no answer" },
+	{ "an answer without the figures", "odd", first_address, false, CTL_FAILED, "",
+	  "not a valid explanation" },
+};
+
+/* Guards against figures in wrong columns, and against a failed answer that is not shown. */
+START_TEST(test_explain)
+{
+	struct fixture x;
+	char *args[] = { (char *)"amber", (char *)"db", (char *)(uintptr_t)explain_cases[_i].kind,
+			 NULL };
+
+	fixture_init(&x, NULL, "");
+	x.ctl.settings.api_addresses = explain_cases[_i].addresses;
+	x.ctl.settings.json = explain_cases[_i].json;
+	ck_assert_int_eq(ctl_explain_command.ops->run(&ctl_explain_command, &x.ctl, args),
+			 explain_cases[_i].status);
+	ck_assert_msg(strstr(x.ctl.out->str, explain_cases[_i].out) &&
+			      strstr(x.ctl.err->str, explain_cases[_i].err) &&
+			      (explain_cases[_i].err[0] || !x.ctl.err->len),
+		      "%s:\n%s%s", explain_cases[_i].label, x.ctl.out->str, x.ctl.err->str);
+	fixture_dispose(&x);
+}
+END_TEST
+
 static void check_manual_mentions(const char *page, const char *word)
 {
 	char **parts = g_strsplit(word, "-", -1);
@@ -623,6 +685,7 @@
 	tcase_add_loop_test(tc, test_key_withdraw, 0, PW_ARRAY_LEN(withdraw_cases));
 	tcase_add_loop_test(tc, test_drain, 0, PW_ARRAY_LEN(drain_cases));
 	tcase_add_loop_test(tc, test_output, 0, PW_ARRAY_LEN(output_cases));
+	tcase_add_loop_test(tc, test_explain, 0, PW_ARRAY_LEN(explain_cases));
 	tcase_add_test(tc, test_manual);
 	return pw_suite_run("command", tc);
 }
