--- a/daemon/directory.h
+++ b/daemon/directory.h
@@ -38,6 +38,7 @@
 	char *promoter_address;  /**< IP:PORT for promotion requests; NULL: not set */
 	char *zone_regions;      /**< ZONE=REGION, separated by commas; may be NULL or empty */
 	uint64_t rate_window_us; /**< window in which an account may use its rate and burst */
+	bool learn_server_speed; /**< the choice of servers goes by their learned speed */
 	uint64_t evacuation_timeout_us; /**< an evacuation is in force after it; 0: not followed */
 	uint32_t memory_limit_mb; /**< memory that the process may use, in 10^6 bytes; 0: all of
 				     the machine's */
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -147,6 +147,12 @@
 		  "of the machine",
 	  .unit = "MB",
 	  FIELD(memory_limit_mb) },
+	{ .ops = &pw_setting_bool,
+	  .flag = "learn-server-speed",
+	  .env_variable = "PW_LEARN_SERVER_SPEED",
+	  .help = "choose servers by their speed and failures as learned from their answers, with "
+		  "a binding that has gateway tasks; otherwise by their average latency",
+	  FIELD(learn_server_speed) },
 	{ .ops = &pw_setting_u32,
 	  .flag = "gateway-tasks",
 	  .env_variable = "PW_GATEWAY_TASKS",
--- a/daemon/traffic/gateway_group.c
+++ b/daemon/traffic/gateway_group.c
@@ -431,10 +431,18 @@
 	};
 }
 
+/* Whether the choice of a server goes by the learned speed, not by the average latency alone. */
+static bool learns_speed(const struct group *group)
+{
+	return group->gateway->directory->settings->learn_server_speed;
+}
+
 static uint64_t expected_us(const struct server *s, const struct work *w, uint64_t now_us)
 {
 	uint64_t us = pw_speed_expected_us(&s->speed, &s->group->speed, speed_work(w), now_us);
 
+	if (!learns_speed(s->group))
+		return latency_us(s);
 	return us ? us : PW_LATENCY_INITIAL_US;
 }
 
@@ -536,7 +544,7 @@
 		.expected_us = expected_us(s, w, now_us),
 		.opening_us = pw_speed_expected_us(&s->speed, &group->speed, opening_work, now_us),
 		.failure_permille = pw_speed_failure_permille(&s->speed, now_us),
-		.trial_is_due = pw_speed_trial_is_due(&s->speed, now_us),
+		.trial_is_due = learns_speed(group) && pw_speed_trial_is_due(&s->speed, now_us),
 		.distance = s->distance,
 	};
 
@@ -557,7 +565,9 @@
 	for (uint32_t i = 0; i < count; i++)
 		candidates[i] =
 			read_candidate(w, g_ptr_array_index(group->servers, i), &floor, now_us);
-	best = pw_place_choose_server(candidates, count, (uint32_t)pw_clock_random_u64());
+	best = learns_speed(group)
+		       ? pw_place_choose_server(candidates, count, (uint32_t)pw_clock_random_u64())
+		       : pw_place_choose_cheapest(candidates, count);
 	if (best < 0)
 		return NULL;
 	*is_trial = candidates[best].trial_is_due;
@@ -722,7 +732,8 @@
 	 * end the wait for an answer.
 	 */
 	s->last_contact_us = gateway_now_us(s->group->gateway);
-	pw_speed_record_round_trip(&s->speed, s->last_contact_us - sent_us);
+	if (learns_speed(s->group))
+		pw_speed_record_round_trip(&s->speed, s->last_contact_us - sent_us);
 }
 
 /* Returns since when the server has left a message unanswered; 0: it has not. */
@@ -757,6 +768,12 @@
 	[FAILURE_SILENT] = "silent",
 };
 
+static void record_speed_failure(struct server *s)
+{
+	if (learns_speed(s->group))
+		pw_speed_record_failure(&s->speed, gateway_now_us(s->group->gateway));
+}
+
 void gw_group_record_server_failure(struct server *s, enum server_failure failure)
 {
 	struct group *group = s->group;
@@ -772,7 +789,7 @@
 	s->backoff_us = s->backoff_us ? MIN(s->backoff_us * 2, SERVER_BACKOFF_MAX_US)
 				      : SERVER_BACKOFF_INITIAL_US;
 	s->pause_until_us = now_us + s->backoff_us;
-	pw_speed_record_failure(&s->speed, now_us);
+	record_speed_failure(s);
 	pw_mailbox_send(group->gateway->directory->catalog, pw_servers_refresh_msg());
 }
 
@@ -781,12 +798,12 @@
 	uint64_t now_us = gateway_now_us(s->group->gateway);
 
 	pw_congestion_record_refusal(&s->congestion, count_conns_in_use(s), latency_us(s), now_us);
-	pw_speed_record_failure(&s->speed, now_us);
+	record_speed_failure(s);
 }
 
 void gw_group_record_lost(struct server *s)
 {
-	pw_speed_record_failure(&s->speed, gateway_now_us(s->group->gateway));
+	record_speed_failure(s);
 }
 
 void gw_group_record_start(struct server *s, const struct work *w)
@@ -794,7 +811,8 @@
 	uint64_t now_us = gateway_now_us(s->group->gateway);
 
 	pw_congestion_record_start(&s->congestion, latency_us(s), now_us);
-	pw_speed_record_start(&s->speed, expected_us(s, w, now_us), now_us);
+	if (learns_speed(s->group))
+		pw_speed_record_start(&s->speed, expected_us(s, w, now_us), now_us);
 }
 
 /* Records the time of an answer, and logs when the learned limit begins or ends. */
@@ -802,6 +820,8 @@
 {
 	bool was_limited = s->speed.limit_milli;
 
+	if (!learns_speed(s->group))
+		return;
 	pw_speed_record_answer(&s->speed, &s->group->speed, work, answer_us, count_conns_in_use(s),
 			       gateway_now_us(s->group->gateway));
 	if (was_limited == (s->speed.limit_milli != 0))
@@ -831,7 +851,7 @@
 	case PW_REASON_FAILED:
 	case PW_REASON_TIMEOUT:
 	case PW_REASON_OTHER:
-		pw_speed_record_failure(&s->speed, gateway_now_us(s->group->gateway));
+		record_speed_failure(s);
 		break;
 	default:
 		break;
--- a/decide/include/pw/decide/place.h
+++ b/decide/include/pw/decide/place.h
@@ -49,6 +49,8 @@
 
 /** @return whether the server can take a read now */
 bool pw_place_can_take_read(const struct pw_place_candidate *s);
+/** @return index of the cheapest of the servers that can take a read now; -1 if none can */
+int32_t pw_place_choose_cheapest(const struct pw_place_candidate *servers, uint32_t count);
 /**
  * Chooses one of the servers that can take a read now: the cheapest, or one that is hardly dearer,
  * so that servers that are equal share the load; or one for which a trial is due.
--- a/decide/src/place.c
+++ b/decide/src/place.c
@@ -37,7 +37,7 @@
 	return -1;
 }
 
-static int32_t find_cheapest(const struct pw_place_candidate *servers, uint32_t count)
+int32_t pw_place_choose_cheapest(const struct pw_place_candidate *servers, uint32_t count)
 {
 	int32_t best = -1;
 
@@ -61,7 +61,7 @@
 int32_t pw_place_choose_server(const struct pw_place_candidate *servers, uint32_t count,
 			       uint32_t random)
 {
-	int32_t cheapest = find_cheapest(servers, count);
+	int32_t cheapest = pw_place_choose_cheapest(servers, count);
 	int32_t trial = random % PW_PLACE_READS_PER_TRIAL ? -1 : find_trial(servers, count);
 	uint32_t equal_count = 1, skip_count;
 
--- a/tests/platform/test_speed_fleet.c
+++ b/tests/platform/test_speed_fleet.c
@@ -71,6 +71,7 @@
 {
 	TCase *tc = tcase_create("speed fleet");
 
+	g_setenv("PW_LEARN_SERVER_SPEED", "true", FALSE);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	tcase_add_loop_test(tc, test_failing_server_is_avoided, 0, PW_ARRAY_LEN(cases));
 	tcase_add_test(tc, test_failing_statement_is_reported);
