Memory budget: texts of connections not in use do not refuse others

A caller whose prepared text of 60,000 bytes fits was refused with TOOLARGE while connections that no session used held the state of callers that had left (test_texts_of_idle_connections; on all 3 checks of the suite fail, with the limit at 1 MB). Such connections are closed before state is refused.

--- a/daemon/traffic/gateway_memory.c
+++ b/daemon/traffic/gateway_memory.c
@@ -53,11 +53,7 @@
 	}
 }
 
-/*
- * Closes connections to servers that hold memory for no session. With each, waiting statements may
- * start at others of them.
- */
-static void free_unowned(struct gateway *g)
+void gw_memory_free_unowned(struct gateway *g)
 {
 	GPtrArray *found = g_ptr_array_new();
 	GHashTableIter it;
@@ -73,6 +69,7 @@
 	for (guint i = 0; i < found->len; i++) {
 		struct conn *c = g_ptr_array_index(found, i);
 
+		/* Waiting statements may have started at it since. */
 		if (gw_conn_holds_unowned_memory(c))
 			gw_conn_fail(c, "the memory limit of callers is exceeded");
 	}
@@ -108,11 +105,11 @@
 	struct gateway *g = (struct gateway *)((char *)t - offsetof(struct gateway, memory_timer));
 
 	(void)now_us;
-	free_unowned(g);
+	gw_memory_free_unowned(g);
 	if (!pw_memory_is_over(&g->memory))
 		return;
 	close_largest(g);
-	free_unowned(g);
+	gw_memory_free_unowned(g);
 }
 
 static const struct pw_timer_ops memory_timer_ops = { .expire = memory_timer_expired };
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -485,6 +485,8 @@
 void gw_memory_init(struct gateway *g);
 /** Has sessions closed before the next wait for events if the callers hold too much. */
 void gw_memory_check(struct gateway *g);
+/** Closes connections to servers that hold memory for no session. Starts waiting statements. */
+void gw_memory_free_unowned(struct gateway *g);
 /**
  * Called by the tick: closes sessions whose callers take no output, reports the memory in use, and
  * gives free memory back to the system.
--- a/daemon/traffic/gateway_session.c
+++ b/daemon/traffic/gateway_session.c
@@ -362,12 +362,22 @@
 	s->gateway->memory.used_bytes[PW_MEMORY_STATE] += added_bytes - removed_bytes;
 }
 
+/* Whether the session may keep so much more, once connections not in use have made room for it. */
+static bool may_keep(struct session *s, uint64_t size_bytes)
+{
+	struct gateway *g = s->gateway;
+
+	if (pw_memory_may_keep(&g->memory, s->state_bytes, size_bytes))
+		return true;
+	gw_memory_free_unowned(g);
+	return pw_memory_may_keep(&g->memory, s->state_bytes, size_bytes);
+}
+
 /* Sends an error and returns true if the session may not keep the value. */
 static bool refuse_if_too_much_state(struct session *s, uint64_t added_bytes,
 				     uint64_t removed_bytes)
 {
-	if (added_bytes <= removed_bytes ||
-	    pw_memory_may_keep(&s->gateway->memory, s->state_bytes, added_bytes - removed_bytes))
+	if (added_bytes <= removed_bytes || may_keep(s, added_bytes - removed_bytes))
 		return false;
 	pw_counter_inc(PW_COUNTER_REFUSED_STATE);
 	send_error(s, PW_REASON_TOO_LARGE,
--- a/tests/platform/test_memory_fleet.c
+++ b/tests/platform/test_memory_fleet.c
@@ -6,12 +6,12 @@
 
 #include "platform_fleet.h"
 
-/* `--memory-limit` of the proxy in MB: 400,000 bytes for input, 280,000 for state. */
-#define MEMORY_LIMIT_MB "2"
+/* `--memory-limit` of the proxy in MB: 200,000 bytes for input, 140,000 for state. */
+#define MEMORY_LIMIT_MB "1"
 /* Less than a connection to a server may keep, so that it is used again. */
 #define LARGE_BYTES      60000
 #define CROWD_COUNT      16
-#define TEXT_CROWD_COUNT 6
+#define TEXT_CROWD_COUNT 5
 #define ROUNDS           20
 #define ROUND_US         50000
 #define TINY_COUNT       200
@@ -56,10 +56,11 @@
 	g_free(actual);
 }
 
-/* Guards against sessions that are closed for prepared texts of connections not in use. */
+/* Guards against sessions that are closed or refused for texts of connections not in use. */
 START_TEST(test_texts_of_idle_connections)
 {
 	struct client *ordinary, *crowd[TEXT_CROWD_COUNT];
+	char *text, *actual;
 
 	start_one_vm();
 	ordinary = open_ordinary();
@@ -81,6 +82,11 @@
 		expect_served(ordinary, "READ a");
 		g_usleep(ROUND_US);
 	}
+	text = new_large_statement("PREPARE q READ ", 0);
+	actual = run_statement(ordinary, text);
+	ck_assert_msg(strcmp(actual, "done I") == 0, "a prepared text: %s", actual);
+	g_free(actual);
+	g_free(text);
 	client_free(ordinary);
 	stop_fleet();
 }
