Memory budget: a slow reader may use what the budget has left

A session stopped handling its messages with 64 KiB of unread answers. The threshold is half of what the budget has left now, 64 KiB at least.

--- a/daemon/traffic/gateway_conn.c
+++ b/daemon/traffic/gateway_conn.c
@@ -766,7 +766,10 @@
 /* Stops reading while the caller does not take what it was sent. No answer is owed meanwhile. */
 static void pause_for_caller(struct conn *c)
 {
-	if (pw_stream_output_bytes(&c->work->session->stream) <= ANSWER_PAUSE_BYTES)
+	uint64_t output_bytes = pw_stream_output_bytes(&c->work->session->stream);
+
+	if (output_bytes <= ANSWER_PAUSE_BYTES ||
+	    pw_memory_may_handle(&gateway_of(c)->memory, output_bytes))
 		return;
 	c->reading_paused = true;
 	c->unanswered_since_us = 0;
--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -139,7 +139,7 @@
 #define ANSWER_BUFFER_MAX_BYTES 65536
 
 /*
- * Reading from a server pauses while this much of the answer waits for the caller. It is more than
+ * Reading from a server never pauses with less than this of the answer waiting. It is more than
  * the largest message, so that an answer with one row never holds up its connection.
  */
 #define ANSWER_PAUSE_BYTES (2 * PW_DIALECT_MESSAGE_MAX_BYTES)
--- a/daemon/traffic/gateway_session.c
+++ b/daemon/traffic/gateway_session.c
@@ -654,7 +654,7 @@
 /* Whether the session may handle its next message. Stops reading while its answers wait. */
 static bool may_handle(struct session *s)
 {
-	bool may = pw_memory_may_handle(pw_stream_output_bytes(&s->stream));
+	bool may = pw_memory_may_handle(&s->gateway->memory, pw_stream_output_bytes(&s->stream));
 
 	if (s->output_paused == !may)
 		return may;
--- a/decide/include/pw/decide/memory.h
+++ b/decide/include/pw/decide/memory.h
@@ -14,7 +14,7 @@
 
 /** A holder below this size is closed only if no larger one is left. */
 #define PW_MEMORY_SMALL_BYTES UINT32_C(16384)
-/** A session handles no further message while this much of its output waits for the caller. */
+/** A session with less output than this that waits for the caller may handle its next message. */
 #define PW_MEMORY_OUTPUT_PAUSE_BYTES UINT32_C(65536)
 /** A session is closed if its caller has taken none of its waiting output for this long. */
 #define PW_MEMORY_OUTPUT_TIMEOUT_US UINT64_C(30000000)
@@ -58,8 +58,12 @@
 /** @return whether a class or all of them together are over their limit */
 bool pw_memory_is_over(const struct pw_memory_budget *b);
 
-/** @return whether a session with this much waiting output may handle its next message */
-bool pw_memory_may_handle(uint64_t output_bytes);
+/**
+ * Decides whether a session may handle its next message: while less output of it waits for the
+ * caller than half of what the budget has left. A single caller that reads slowly may have a third
+ * of the limit, and many share it.
+ */
+bool pw_memory_may_handle(const struct pw_memory_budget *b, uint64_t output_bytes);
 
 /**
  * Decides whether a session may keep more state. One session may have half of the class's limit.
--- a/decide/src/memory.c
+++ b/decide/src/memory.c
@@ -51,9 +51,18 @@
 	return is_total_over(b);
 }
 
-bool pw_memory_may_handle(uint64_t output_bytes)
+static uint64_t subtract(uint64_t a, uint64_t b)
+{
+	return a > b ? a - b : 0;
+}
+
+bool pw_memory_may_handle(const struct pw_memory_budget *b, uint64_t output_bytes)
 {
-	return output_bytes < PW_MEMORY_OUTPUT_PAUSE_BYTES;
+	uint64_t left_bytes =
+		MIN(subtract(b->limit_bytes[PW_MEMORY_OUTPUT], b->used_bytes[PW_MEMORY_OUTPUT]),
+		    subtract(b->total_limit_bytes, pw_memory_used_bytes(b)));
+
+	return output_bytes < MAX(PW_MEMORY_OUTPUT_PAUSE_BYTES, left_bytes / 2);
 }
 
 bool pw_memory_may_keep(const struct pw_memory_budget *b, uint64_t held_bytes, uint64_t added_bytes)
@@ -82,11 +91,6 @@
 	uint64_t total_bytes;
 };
 
-static uint64_t subtract(uint64_t a, uint64_t b)
-{
-	return a > b ? a - b : 0;
-}
-
 static struct excess find_excess(const struct pw_memory_budget *b)
 {
 	struct excess e = { 0 };
--- a/tests/decide/test_memory.c
+++ b/tests/decide/test_memory.c
@@ -32,7 +32,7 @@
 	b.used_bytes[PW_MEMORY_STATE] = UINT64_C(3500) * 2 * KIB;
 	ck_assert(!pw_memory_is_over(&b));
 	ck_assert(pw_memory_may_keep(&b, 0, MIB));
-	ck_assert(pw_memory_may_handle(0));
+	ck_assert(pw_memory_may_handle(&b, 8 * MIB));
 }
 END_TEST
 
@@ -304,7 +304,11 @@
 /* Guards against sessions whose callers never take their answers. */
 START_TEST(test_stalled_output)
 {
-	ck_assert(!pw_memory_may_handle(PW_MEMORY_OUTPUT_PAUSE_BYTES));
+	struct pw_memory_budget b = new_budget();
+
+	b.used_bytes[PW_MEMORY_OUTPUT] = b.limit_bytes[PW_MEMORY_OUTPUT];
+	ck_assert(!pw_memory_may_handle(&b, PW_MEMORY_OUTPUT_PAUSE_BYTES));
+	ck_assert(pw_memory_may_handle(&b, PW_MEMORY_OUTPUT_PAUSE_BYTES - 1));
 	ck_assert(!pw_memory_has_stalled_output(0, 10 * PW_MEMORY_OUTPUT_TIMEOUT_US));
 	ck_assert(!pw_memory_has_stalled_output(1, PW_MEMORY_OUTPUT_TIMEOUT_US - 1));
 	ck_assert(pw_memory_has_stalled_output(1, PW_MEMORY_OUTPUT_TIMEOUT_US));
