--- a/daemon/traffic/gateway_private.h
+++ b/daemon/traffic/gateway_private.h
@@ -142,9 +142,9 @@
  * Reading from a server never pauses with less than this of the answer waiting. It is more than
  * the largest message, so that an answer with one row never holds up its connection.
  */
-#define ANSWER_PAUSE_BYTES (2 * PW_DIALECT_MESSAGE_MAX_BYTES)
+#define ANSWER_PAUSE_BYTES (UINT64_C(2) * PW_DIALECT_MESSAGE_MAX_BYTES)
 /* Maximum size of an answer that is kept until it is complete. */
-#define ANSWER_WHOLE_MAX_BYTES (4 * PW_DIALECT_MESSAGE_MAX_BYTES)
+#define ANSWER_WHOLE_MAX_BYTES (UINT64_C(4) * PW_DIALECT_MESSAGE_MAX_BYTES)
 /* A connection with more variables and prepared statements than this is not used again. */
 #define CONN_STATE_KEEP_MAX_BYTES 65536
 /* What the buffer of a caller's messages may hold beside one that is incomplete. */
