--- a/daemon/control/catalog.c
+++ b/daemon/control/catalog.c
@@ -4,12 +4,12 @@
 #include <string.h>
 
 #include "../directory.h"
+#include "catalog_evacuation.h"
 #include "pw/core/clock.h"
 #include "pw/core/counter.h"
 #include "pw/core/error.h"
 #include "pw/core/event.h"
 #include "pw/core/histogram.h"
-#include "pw/decide/evacuation.h"
 #include "pw/decide/follow.h"
 #include "pw/decide/registry.h"
 #include "store.h"
@@ -51,13 +51,12 @@
 	struct pw_catalog *catalog;
 	struct pw_server_list *servers;
 	struct pw_server_list *published_servers; /**< `servers` with evacuated zones marked */
-	GHashTable *evacuations;                  /**< zone -> struct pw_evacuation */
-	GHashTable *evacuations_read;             /**< set of zones on the pages read so far */
-	GHashTable *registry_states;              /**< server id -> struct pw_registry_state */
-	GPtrArray *entries_read;  /**< struct pw_server_entry of the pages read so far */
-	char *last_key_read;      /**< last key of these pages; NULL: at the start */
-	GHashTable *refused_keys; /**< set of logged entries that the last read refused */
-	GHashTable *refused_read; /**< the same for the pages read so far */
+	struct pw_evacuations *evacuations;
+	GHashTable *registry_states; /**< server id -> struct pw_registry_state */
+	GPtrArray *entries_read;     /**< struct pw_server_entry of the pages read so far */
+	char *last_key_read;         /**< last key of these pages; NULL: at the start */
+	GHashTable *refused_keys;    /**< set of logged entries that the last read refused */
+	GHashTable *refused_read;    /**< the same for the pages read so far */
 	struct pw_timer catalog_timer;
 	struct pw_timer servers_timer;
 	/** When the first server without an entry ends to be used; UINT64_MAX: all have entries. */
@@ -74,14 +73,12 @@
 	size_t servers_read_bytes;    /**< of the pages read so far */
 	uint64_t fetched_version;     /**< newest version for which a read was scheduled */
 	int64_t operator_revision;    /**< of the last read, as of its first page */
-	int64_t evacuations_revision; /**< of the newest evacuation or return that was watched */
 	char *last_operator_key_read; /**< last key of the pages read so far; NULL: at the start */
 	bool reading_servers;
 	bool reading_catalog;
 	bool catalog_read; /**< the pages read so far include the catalogue */
 	bool watching_catalog;
 	bool watching_evacuations; /**< alone, since the catalogue is not watched */
-	bool evacuations_known;    /**< they were read since the start */
 };
 
 struct catalog_request_msg {
@@ -217,7 +214,7 @@
 /* Whether evacuations of availability zones are followed. */
 static bool follows_evacuations(const struct catalog_task *c)
 {
-	return c->directory->settings->evacuation_timeout_us && c->source->operator_prefix;
+	return pw_evacuations_are_followed(c->evacuations);
 }
 
 /* Requests the catalogue, or a page of what operators have written, which includes it. */
@@ -536,152 +533,42 @@
  */
 static void publish_servers(struct catalog_task *c)
 {
-	struct pw_server_list *next;
-
-	if (!c->servers || (follows_evacuations(c) && !c->evacuations_known))
+	if (!c->servers || !pw_evacuations_are_known(c->evacuations))
 		return;
-	next = g_hash_table_size(c->evacuations) ? pw_server_list_new()
-						 : pw_server_list_ref(c->servers);
-	for (guint i = 0; g_hash_table_size(c->evacuations) && i < c->servers->entries->len; i++) {
-		struct pw_server_entry *e =
-			pw_server_entry_copy(g_ptr_array_index(c->servers->entries, i));
-		const struct pw_evacuation *evacuation =
-			g_hash_table_lookup(c->evacuations, e->availability_zone);
-
-		if (evacuation) {
-			e->leaving = e->evacuated = true;
-			e->evacuation_stop_us = pw_evacuation_stop_us(
-				evacuation, c->directory->settings->evacuation_timeout_us);
-		}
-		g_ptr_array_add(next->entries, e);
-	}
 	pw_server_list_unref(c->published_servers);
-	c->published_servers = next;
+	c->published_servers = pw_evacuations_mark(c->evacuations, c->servers);
 	publish_to_all(c, send_servers);
 }
 
-static bool is_known_zone(const struct catalog_task *c, const char *zone)
-{
-	for (guint i = 0; c->servers && i < c->servers->entries->len; i++) {
-		const struct pw_server_entry *e = g_ptr_array_index(c->servers->entries, i);
-
-		if (strcmp(e->availability_zone, zone) == 0)
-			return true;
-	}
-	return pw_directory_has_zone(c->directory, zone);
-}
-
-/*
- * Adds an evacuation unless it is known.
- *
- * @param earliest_us see struct pw_evacuation
- */
-static bool add_evacuation(struct catalog_task *c, const char *zone, uint64_t earliest_us)
-{
-	struct pw_evacuation *e;
-
-	if (g_hash_table_contains(c->evacuations, zone))
-		return false;
-	e = g_new0(struct pw_evacuation, 1);
-	e->learned_us = catalog_now_us(c);
-	e->earliest_us = earliest_us;
-	g_hash_table_insert(c->evacuations, g_strdup(zone), e);
-	pw_counter_inc(PW_COUNTER_EVACUATIONS_STARTED);
-	pw_event_log(PW_EVENT_ZONE_EVACUATED, "zone=%s known=%d watched=%d stop_ms=%" PRIu64, zone,
-		     is_known_zone(c, zone), e->earliest_us == e->learned_us,
-		     (pw_evacuation_stop_us(e, c->directory->settings->evacuation_timeout_us) -
-		      e->learned_us) /
-			     PW_US_PER_MS);
-	return true;
-}
-
-static bool remove_evacuation(struct catalog_task *c, const char *zone)
-{
-	if (!g_hash_table_contains(c->evacuations, zone))
-		return false;
-	pw_event_log(PW_EVENT_ZONE_RETURNED, "zone=%s", zone);
-	g_hash_table_remove(c->evacuations, zone);
-	return true;
-}
-
-/* Returns a digest of the evacuated zones, which does not depend on their order; 0: none. */
-static uint64_t compute_evacuations_digest(const struct catalog_task *c)
-{
-	GHashTableIter it;
-	gpointer zone;
-	uint64_t digest = 0;
-
-	g_hash_table_iter_init(&it, c->evacuations);
-	while (g_hash_table_iter_next(&it, &zone, NULL))
-		digest ^= pw_directory_name_hash(zone);
-	return digest;
-}
-
 static void publish_evacuations(struct catalog_task *c)
 {
-	c->freshness.evacuations_digest = compute_evacuations_digest(c);
+	c->freshness.evacuations_digest = pw_evacuations_digest(c->evacuations);
 	publish_servers(c);
 }
 
-/* Finds the zone that an item evacuates; NULL if it evacuates none. */
-static const char *find_evacuated_zone(const struct catalog_task *c, const struct pw_store_kv *kv)
-{
-	const char *zone;
-
-	if (c->source->ops->find_evacuated_zone(&zone, kv->key) == PW_OK)
-		return zone;
-	pw_event_log(PW_EVENT_EVACUATION_REFUSED, "error=\"%s\" key=\"%.200s\"", pw_error_message(),
-		     kv->key);
-	return NULL;
-}
-
-/*
- * Applies the evacuations that a complete read has found, all others have ended. The watch may have
- * reported later ones than a read that took long.
- */
 static void apply_read_evacuations(struct catalog_task *c)
 {
-	bool changed = !c->evacuations_known;
-	GHashTableIter it;
-	gpointer zone;
+	const struct pw_evacuations_source from = {
+		.servers = c->servers,
+		.now_us = catalog_now_us(c),
+		.known_us = c->freshness.catalog_fresh_us,
+		.revision = c->operator_revision,
+	};
 
-	if (c->evacuations_known && c->operator_revision < c->evacuations_revision) {
-		g_hash_table_remove_all(c->evacuations_read);
-		return;
-	}
-	g_hash_table_iter_init(&it, c->evacuations_read);
-	while (g_hash_table_iter_next(&it, &zone, NULL))
-		changed |= add_evacuation(c, zone, c->freshness.catalog_fresh_us);
-	g_hash_table_iter_init(&it, c->evacuations);
-	while (g_hash_table_iter_next(&it, &zone, NULL)) {
-		if (g_hash_table_contains(c->evacuations_read, zone))
-			continue;
-		pw_event_log(PW_EVENT_ZONE_RETURNED, "zone=%s", (const char *)zone);
-		g_hash_table_iter_remove(&it);
-		changed = true;
-	}
-	c->evacuations_known = true;
-	g_hash_table_remove_all(c->evacuations_read);
-	if (changed)
+	if (pw_evacuations_apply_read(c->evacuations, &from))
 		publish_evacuations(c);
 }
 
-/* Applies the evacuations among the events of a watch. */
 static void apply_watched_evacuations(struct catalog_task *c, const struct pw_store_watch_result *r)
 {
-	bool changed = false;
-
-	for (size_t i = 0; follows_evacuations(c) && i < r->event_count; i++) {
-		const struct pw_store_event *e = &r->events[i];
-		const char *zone = find_evacuated_zone(c, &e->kv);
+	/* The watch reports an evacuation at once. */
+	const struct pw_evacuations_source from = {
+		.servers = c->servers,
+		.now_us = catalog_now_us(c),
+		.known_us = catalog_now_us(c),
+	};
 
-		if (!zone)
-			continue;
-		c->evacuations_revision = MAX(c->evacuations_revision, e->kv.mod_revision);
-		changed |= e->kind == PW_STORE_PUT ? add_evacuation(c, zone, catalog_now_us(c))
-						   : remove_evacuation(c, zone);
-	}
-	if (changed)
+	if (pw_evacuations_apply_watched(c->evacuations, r, &from))
 		publish_evacuations(c);
 }
 
@@ -693,15 +580,10 @@
 
 	for (size_t i = 0; i < r->kv_count; i++) {
 		const struct pw_store_kv *kv = &r->kvs[i];
-		const char *zone;
 
 		if (strcmp(kv->key, c->source->catalog_key) == 0 && kv->value)
 			catalog = kv;
-		if (!follows_evacuations(c))
-			continue;
-		zone = find_evacuated_zone(c, kv);
-		if (zone)
-			g_hash_table_add(c->evacuations_read, g_strdup(zone));
+		pw_evacuations_collect(c->evacuations, kv);
 	}
 	return catalog;
 }
@@ -738,7 +620,7 @@
 	if (!base->code && request_next_page(c, r))
 		return;
 	if (base->code || !c->catalog_read) {
-		g_hash_table_remove_all(c->evacuations_read);
+		pw_evacuations_discard(c->evacuations);
 		g_clear_pointer(&c->last_operator_key_read, g_free);
 		pw_loop_timer_set(c->task.loop, &c->catalog_timer,
 				  now_us + next_retry_delay_us(&c->catalog_backoff_us));
@@ -747,8 +629,7 @@
 	c->catalog_backoff_us = 0;
 	if (c->freshness.catalog_fresh_us)
 		pw_histogram_add(PW_HISTOGRAM_CATALOG_AGE, now_us - c->freshness.catalog_fresh_us);
-	if (follows_evacuations(c))
-		apply_read_evacuations(c);
+	apply_read_evacuations(c);
 	set_catalog_fresh(c, c->catalog_requested_us);
 	watch = pw_follow_handle_read(&c->follow, c->freshness.catalog_version > former_version,
 				      now_us - c->catalog_requested_us, now_us);
@@ -1060,8 +941,7 @@
 	c->entries_read = g_ptr_array_new();
 	c->refused_keys = key_set_new();
 	c->refused_read = key_set_new();
-	c->evacuations = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	c->evacuations_read = key_set_new();
+	c->evacuations = pw_evacuations_new(c->directory, c->source);
 	c->retained_until_us = UINT64_MAX;
 	c->catalog_timer.ops = &catalog_timer_ops;
 	c->servers_timer.ops = &servers_timer_ops;
@@ -1083,8 +963,7 @@
 	pw_catalog_unref(c->catalog);
 	pw_server_list_unref(c->servers);
 	pw_server_list_unref(c->published_servers);
-	g_hash_table_unref(c->evacuations);
-	g_hash_table_unref(c->evacuations_read);
+	pw_evacuations_free(c->evacuations);
 	g_free(c->last_operator_key_read);
 	g_hash_table_unref(c->registry_states);
 }
--- a/tests/fuzz/fuzz_caller.c
+++ b/tests/fuzz/fuzz_caller.c
@@ -85,8 +85,8 @@
 	h->front.fresh_until_us = UINT64_MAX;
 	h->front.next_request_number = 1;
 	h->front.callers_by_session = g_hash_table_new(g_int64_hash, g_int64_equal);
-	limits_init(&h->front);
 	FUZZ_CHECK(!pw_loop_new(&h->front.task.loop));
+	limits_init(&h->front);
 	FUZZ_CHECK(
 		!pw_document_parse(&h->front.document, document_text, strlen(document_text), 1, f));
 	pw_findings_free(f);
