--- a/review/common-2/fleet.sh
+++ b/review/common-2/fleet.sh
@@ -6,17 +6,16 @@
 TROUBLE="${TROUBLE:-1}"
 WORK="$(mktemp -d)"
 RECORD="$HERE/record.txt"
-FLEET_PIDS=()
 VM_PID=() VM_CALLER=() VM_API=() VM_PEER=() VM_METRICS=()
 : >"$RECORD"
+: >"$WORK/pids"
 
 fleet_end() {
 	local pid
-	for pid in "${FLEET_PIDS[@]}"; do
+	while read -r pid; do
 		kill -CONT "$pid" 2>/dev/null
 		kill -KILL "$pid" 2>/dev/null
-	done
-	wait 2>/dev/null
+	done <"$WORK/pids"
 	rm -rf "$WORK"
 }
 trap fleet_end EXIT
@@ -49,7 +48,8 @@
 		--rate-window 5s --log-level info --stop-timeout 6s --memory-limit 260 \
 		--evacuation-timeout 0s >>"$WORK/vm-$i.log" 2>&1 &
 	VM_PID[i]=$!
-	FLEET_PIDS+=("$!")
+	echo "$!" >>"$WORK/pids"
+	disown
 }
 
 # vm_wait INDEX: waits until the proxy is ready.
@@ -62,22 +62,28 @@
 	cannot "proxy $1 does not become ready"
 }
 
-# fleet_start COUNT CATALOGUE: starts the stand-in and the proxies.
+# fleet_start COUNT CATALOGUE: starts the stand-in, with the databases in DATABASES, and up to seven
+# proxies.
 fleet_start() {
-	local count=$1 ports i
-	mapfile -t ports < <("$BIN/tool" ports $((4 + 4 * count)))
+	local count=$1 ports i database groups=()
+	mapfile -t ports < <("$BIN/tool" ports 40)
 	PLATFORM=${ports[0]}
-	"$BIN/standin-platform" "$PLATFORM" "core=${ports[1]},${ports[2]},${ports[3]}" \
-		>"$WORK/platform.log" 2>&1 &
-	FLEET_PIDS+=("$!")
+	i=1
+	for database in ${DATABASES:-core}; do
+		groups+=("$database=${ports[i]},${ports[i + 1]},${ports[i + 2]}")
+		i=$((i + 3))
+	done
+	"$BIN/standin-platform" "$PLATFORM" "${groups[@]}" >"$WORK/platform.log" 2>&1 &
+	echo "$!" >>"$WORK/pids"
+	disown
 	for i in $(seq 50); do
 		"$BIN/tool" http GET "$PLATFORM" /state >/dev/null && break
 		sleep 0.1
 	done
 	fault config 1 "$2" || cannot "the stand-in does not take the catalogue"
 	for i in $(seq 0 $((count - 1))); do
-		VM_CALLER[i]=${ports[4 + 4 * i]} VM_API[i]=${ports[5 + 4 * i]}
-		VM_PEER[i]=${ports[6 + 4 * i]} VM_METRICS[i]=${ports[7 + 4 * i]}
+		VM_CALLER[i]=${ports[10 + 4 * i]} VM_API[i]=${ports[11 + 4 * i]}
+		VM_PEER[i]=${ports[12 + 4 * i]} VM_METRICS[i]=${ports[13 + 4 * i]}
 		vm_start "$i"
 	done
 	for i in $(seq 0 $((count - 1))); do
