--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,49 +1,61 @@
 #!/usr/bin/env bash
-# Callers with long names of variables; two of three proxies are watched for their memory limit, and
-# are killed and restarted when they exceed it, as the platform does.
-# TROUBLE=0: the names are short.
+# Acknowledged commits of a service with SyncReplicas 1: one replica receives nothing for 6 s, the
+# other one crashes, the primary crashes, and all proxies are killed and start again.
+# TROUBLE=0: the same without these.
 set -u
 HERE="$(cd "$(dirname "$0")" && pwd)"
 source "$HERE/../common-2/fleet.sh"
-routes="" services=""
-for d in 0 1 2; do
-	routes+="{\"Name\":\"p$d\",\"Host\":\"desk$d\",\"Type\":\"primary\",\"TimeoutMs\":800,
-\"TargetLatencyMs\":600,\"Priority\":1,\"Service\":\"db$d\",\"Public\":false},
-{\"Name\":\"v$d\",\"Host\":\"views$d\",\"Type\":\"bounded_staleness\",\"TimeoutMs\":2000,
-\"TargetLatencyMs\":1000,\"Priority\":2,\"Service\":\"db$d\",\"MaxStalenessMs\":1500,
-\"Public\":false},"
-	services+="{\"Name\":\"db$d\",\"MaxConns\":38,\"SyncReplicas\":0},"
-done
-tenants=""
-for t in 0 1 2 3 4 5 6 7; do
-	tenants+="{\"Name\":\"t$t\",\"ApiKeys\":[\"key$t\"],\"RatePerS\":100,\"Burst\":100},"
-done
-DATABASES="db0 db1 db2"
-fleet_start 3 "{\"Version\":1,\"Routes\":[${routes%,}],\"Services\":[${services%,}],
-\"Limits\":{\"TxIdleMs\":3000},\"Tenants\":[${tenants%,}]}"
-fault work 20
-bytes=1000000
-[ "$TROUBLE" != 0 ] || bytes=10
-# watch INDEX: up to three rounds at one proxy; writes the number of ends.
-watch() {
-	local i=$1 ends=0 round
-	for round in 1 2 3; do
-		timeout 40 "$BIN/7-names" "${VM_CALLER[i]}" "${VM_PID[i]}" 260 $bytes 25 \
-			"$WORK/record-$i" || ends=$((ends + 1))
-		[ $ends = $round ] || break
-		sleep 0.5
-		vm_start "$i"
-		vm_wait "$i"
-	done
-	echo "$ends" >"$WORK/ends-$i"
+fleet_start 3 "${CATALOGUE/\"SyncReplicas\":0/\"SyncReplicas\":1}"
+fault lag 8
+fault promotion-delay 300
+begin=${EPOCHREALTIME/./}
+# at MS: waits until so long after the beginning.
+at() {
+	local left=$(($1 - (${EPOCHREALTIME/./} - begin) / 1000))
+	[ $left -le 0 ] || sleep "$(printf '%d.%03d' $((left / 1000)) $((left % 1000)))"
+}
+trouble() {
+	[ "$TROUBLE" = 0 ] && return
+	echo "$(((${EPOCHREALTIME/./} - begin) / 1000)) ms: $*" >>"$RECORD"
+	shift
+	"$@" || cannot "$*"
+}
+state() {
+	echo "$(((${EPOCHREALTIME/./} - begin) / 1000)) ms: $("$BIN/tool" http GET "$PLATFORM" /state)" >>"$RECORD"
 }
-watch 0 &
-first=$!
-watch 1 &
-wait $first $!
-cat "$WORK"/record-* >>"$RECORD"
-a=$(cat "$WORK/ends-0") b=$(cat "$WORK/ends-1")
-echo "ended for their memory: edge-1 $a times, edge-2 $b times" | tee -a "$RECORD"
-[ -n "$a" ] && [ -n "$b" ] || cannot "a proxy was not watched"
-[ "$a" -ge 3 ] && [ "$b" -ge 3 ] && exit 1
-exit 0
+kill_proxies() {
+	for i in 0 1 2; do kill -KILL "${VM_PID[i]}"; done
+}
+start_proxies() {
+	for i in 0 1 2; do vm_start "$i"; done
+}
+trouble "replica i-core-2 receives nothing" fault deaf i-core-2
+count=$("$BIN/7-commits" write "${VM_CALLER[0]}" 1500 "$RECORD") || cannot "the writer"
+at 1800
+state
+trouble "replica i-core-3 crashes" fault crash i-core-3
+at 5400
+trouble "the entry of i-core-3 is removed, three heartbeats after its crash" fault gone i-core-3
+trouble "the primary i-core-1 crashes" fault crash i-core-1
+trouble "all proxies are killed" kill_proxies
+at 6000
+trouble "replica i-core-2 receives again" fault hearing i-core-2
+at 6400
+trouble "the proxies start again" start_proxies
+for i in 0 1 2; do
+	"$BIN/7-commits" call "${VM_CALLER[i]}" 8000 &
+	echo "$!" >>"$WORK/pids"
+	disown
+done
+at 8800
+state
+trouble "replica i-core-3 is back" fault start i-core-3
+at 12400
+trouble "i-core-1 is back" fault start i-core-1
+at 15000
+state
+"$BIN/7-commits" check "${VM_CALLER[1]}" "$count" "$RECORD"
+result=$?
+[ $result -le 1 ] || cannot "the check ended with $result"
+tail -n 1 "$RECORD"
+exit $result
