LOST: the servers that may hold an acknowledged commit are kept in the store

Cause: a change of primary counted silent replicas over the registered servers and those that the process itself had seen leave in the last 20 s (cluster_departed.c). A process that had started since, or that lived on for longer, did not know of the replica that alone had the commits, so a replica without them was the one with the longest log.

Change: the primaries record has a replica set for each group with synchronous replication. It is written by one VM when servers join or leave; a server that is gone and silent stays in it until the primary has told the end of its log after that and enough of the others have reported it (decide/replica_set, cluster_replicas.c). A change of primary waits for silent servers of that set, and without a set promotes only a server with the whole log of the acting primary. cluster_departed.c with its time limit is gone: neither the limit nor the callers' view of the primary's log proves that others have what a silent replica has. Event 4025 tells what a change waits for, 4026 each set that is written.

Why it works: each VM reads the record before its first permit, so it knows the set whichever way those that wrote it are gone, and each write is a compare-and-swap on the record that claims use too.

--- a/codec/include/pw/codec/primaries.h
+++ b/codec/include/pw/codec/primaries.h
@@ -11,6 +11,14 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/** A server of a replica set. */
+struct pw_replica {
+	char *id;
+	char *address;    /**< IP:PORT */
+	bool is_stopping; /**< a stop is planned: its log then goes to a new server at its address
+			   */
+};
+
 /** The primary of a group. */
 struct pw_primary {
 	char *group;
@@ -27,6 +35,11 @@
 	/** Only with `changing`: process that set the mark, and its VM; 0 and NULL: not known. */
 	uint64_t mark_incarnation;
 	char *mark_vm;
+	/**
+	 * struct pw_replica, the servers that may hold an acknowledged commit, the primary
+	 * included; see pw/decide/replica_set.h. NULL: not known, as for asynchronous replication.
+	 */
+	GPtrArray *replica_set;
 };
 
 /** A snapshot of the record of all primaries. */
@@ -49,6 +62,19 @@
 struct pw_primaries *pw_primaries_ref(const struct pw_primaries *p);
 void pw_primaries_unref(const struct pw_primaries *p);
 
+/** @return an empty replica set */
+GPtrArray *pw_replica_set_new(void);
+/** Adds a server to a replica set. */
+void pw_replica_set_add(GPtrArray *set, const char *id, const char *address, bool is_stopping);
+/** @return the server with that id, or NULL if the set, which may be NULL, lacks it */
+const struct pw_replica *pw_replica_set_find(const GPtrArray *set, const char *id);
+/**
+ * Replaces the replica set of a group.
+ *
+ * @param set NULL: not known; otherwise the record takes it over
+ */
+void pw_primaries_set_replica_set(struct pw_primaries *p, const char *group, GPtrArray *set);
+
 /** @return the primary of the group, or NULL */
 struct pw_primary *pw_primaries_find(const struct pw_primaries *p, const char *group);
 /**
@@ -89,7 +115,9 @@
  * The copy that the store was restored from may lack changes of primary that were completed, and
  * lack or still carry marks. For each group the higher generation wins. With equal generations, the
  * mark of the record with the higher token counts; a record that was written in the new era keeps
- * its marks and gets those that it cannot know.
+ * its marks and gets those that it cannot know. Replica sets are united: which one is newer cannot
+ * be told, and a server too many is only waited for. If one of two records lacks a group's set, or
+ * the VM knows none of an earlier era, the set is not known.
  *
  * @param out    record to be written in place of the stored one, with its revision
  * @param stored NULL: the store has none
--- a/codec/src/primaries.c
+++ b/codec/src/primaries.c
@@ -13,9 +13,72 @@
 	g_free(p->server_id);
 	g_free(p->leader);
 	g_free(p->mark_vm);
+	g_clear_pointer(&p->replica_set, g_ptr_array_unref);
 	g_free(p);
 }
 
+static void replica_free(gpointer data)
+{
+	struct pw_replica *r = data;
+
+	g_free(r->id);
+	g_free(r->address);
+	g_free(r);
+}
+
+GPtrArray *pw_replica_set_new(void)
+{
+	return g_ptr_array_new_with_free_func(replica_free);
+}
+
+void pw_replica_set_add(GPtrArray *set, const char *id, const char *address, bool is_stopping)
+{
+	struct pw_replica *r = g_new0(struct pw_replica, 1);
+
+	r->id = g_strdup(id);
+	r->address = g_strdup(address);
+	r->is_stopping = is_stopping;
+	g_ptr_array_add(set, r);
+}
+
+const struct pw_replica *pw_replica_set_find(const GPtrArray *set, const char *id)
+{
+	for (guint i = 0; set && i < set->len; i++) {
+		const struct pw_replica *r = g_ptr_array_index(set, i);
+
+		if (strcmp(r->id, id) == 0)
+			return r;
+	}
+	return NULL;
+}
+
+/* Adds the servers of `from` that `set` lacks. Returns whether there were any. */
+static bool unite_replica_sets(GPtrArray *set, const GPtrArray *from)
+{
+	bool added = false;
+
+	for (guint i = 0; i < from->len; i++) {
+		const struct pw_replica *r = g_ptr_array_index(from, i);
+
+		if (pw_replica_set_find(set, r->id))
+			continue;
+		pw_replica_set_add(set, r->id, r->address, r->is_stopping);
+		added = true;
+	}
+	return added;
+}
+
+static GPtrArray *replica_set_copy(const GPtrArray *set)
+{
+	GPtrArray *copy;
+
+	if (!set)
+		return NULL;
+	copy = pw_replica_set_new();
+	(void)unite_replica_sets(copy, set);
+	return copy;
+}
+
 struct pw_primaries *pw_primaries_new(void)
 {
 	struct pw_primaries *p = g_atomic_rc_box_new0(struct pw_primaries);
@@ -41,6 +104,7 @@
 		to->server_id = g_strdup(from->server_id);
 		to->leader = g_strdup(from->leader);
 		to->mark_vm = g_strdup(from->mark_vm);
+		to->replica_set = replica_set_copy(from->replica_set);
 		g_ptr_array_add(copy->entries, to);
 	}
 	return copy;
@@ -103,6 +167,14 @@
 	clear_mark(item);
 }
 
+void pw_primaries_set_replica_set(struct pw_primaries *p, const char *group, GPtrArray *set)
+{
+	struct pw_primary *item = pw_primaries_find(p, group);
+
+	g_clear_pointer(&item->replica_set, g_ptr_array_unref);
+	item->replica_set = set;
+}
+
 void pw_primaries_mark(struct pw_primaries *p, const char *group, const char *holder,
 		       uint64_t incarnation, bool planned)
 {
@@ -180,24 +252,43 @@
 	to->mark_vm = g_strdup(from->mark_vm);
 }
 
+/* Merges the replica sets of one group. Returns whether the one of `to` changed. */
+static bool merge_replica_set(struct pw_primary *to, const struct pw_primary *known)
+{
+	if (!to->replica_set)
+		return false;
+	if (known->replica_set)
+		return unite_replica_sets(to->replica_set, known->replica_set);
+	g_clear_pointer(&to->replica_set, g_ptr_array_unref);
+	return true;
+}
+
 /* Merges the entry of one group. Returns whether the entry in `merged` changed. */
 static bool merge_entry(struct pw_primaries *merged, const struct pw_primary *known,
 			bool is_written_again, enum merge_order order)
 {
 	struct pw_primary *to = pw_primaries_find(merged, known->group);
-	bool changing;
+	bool changing, set_changed;
 
 	if (!to || known->generation > to->generation) {
+		bool is_new = !to;
+
 		pw_primaries_set(merged, known->group, known->server_id, known->leader,
 				 known->generation);
-		copy_mark(pw_primaries_find(merged, known->group), known);
+		to = pw_primaries_find(merged, known->group);
+		copy_mark(to, known);
+		if (is_new)
+			to->replica_set = replica_set_copy(known->replica_set);
+		else
+			(void)merge_replica_set(to, known);
 		return true;
 	}
+	set_changed = merge_replica_set(to, known);
 	if (known->generation < to->generation)
-		return false;
+		return set_changed;
 	changing = merge_mark(to->changing, known->changing, is_written_again, order);
 	if (changing == to->changing)
-		return false;
+		return set_changed;
 	if (changing)
 		copy_mark(to, known);
 	else
@@ -205,6 +296,15 @@
 	return true;
 }
 
+static void forget_replica_sets(struct pw_primaries *p)
+{
+	for (guint i = 0; i < p->entries->len; i++) {
+		struct pw_primary *item = g_ptr_array_index(p->entries, i);
+
+		g_clear_pointer(&item->replica_set, g_ptr_array_unref);
+	}
+}
+
 bool pw_primaries_merge(struct pw_primaries **out, const struct pw_primaries *stored,
 			const struct pw_primaries *known, uint32_t era)
 {
@@ -215,6 +315,8 @@
 
 	if (!is_written_again)
 		merged->restored_token = merged->fencing_token;
+	if (!known && !is_written_again)
+		forget_replica_sets(merged);
 	if (known) {
 		order = compare_tokens(known->fencing_token, merged->restored_token);
 		for (guint i = 0; i < known->entries->len; i++)
@@ -243,6 +345,20 @@
 	return copy;
 }
 
+/* Returns the JSON array of a replica set; NULL if it is not known. */
+static json_t *replica_set_to_json(const GPtrArray *set)
+{
+	json_t *list = set ? json_array() : NULL;
+
+	for (guint i = 0; set && i < set->len; i++) {
+		const struct pw_replica *r = g_ptr_array_index(set, i);
+
+		json_array_append_new(list, json_pack("{s:s,s:s,s:b}", "id", r->id, "address",
+						      r->address, "stopping", r->is_stopping));
+	}
+	return list;
+}
+
 char *pw_primaries_encode(const struct pw_primaries *p)
 {
 	json_t *list = json_array(), *root;
@@ -252,12 +368,13 @@
 
 		json_array_append_new(
 			list,
-			json_pack("{s:s,s:s,s:s*,s:I,s:b,s:b,s:I,s:I,s:s*}", "group", item->group,
-				  "server", item->server_id, "leader", item->leader, "generation",
-				  (json_int_t)item->generation, "changing", item->changing,
-				  "planned", item->planned, "mark_token",
+			json_pack("{s:s,s:s,s:s*,s:I,s:b,s:b,s:I,s:I,s:s*,s:o*}", "group",
+				  item->group, "server", item->server_id, "leader", item->leader,
+				  "generation", (json_int_t)item->generation, "changing",
+				  item->changing, "planned", item->planned, "mark_token",
 				  (json_int_t)item->mark_token, "mark_incarnation",
-				  (json_int_t)item->mark_incarnation, "mark_vm", item->mark_vm));
+				  (json_int_t)item->mark_incarnation, "mark_vm", item->mark_vm,
+				  "replica_set", replica_set_to_json(item->replica_set)));
 	}
 	root = json_pack("{s:I,s:s,s:o}", "fence", (json_int_t)p->fencing_token, "holder",
 			 p->holder ? p->holder : "", "primaries", list);
@@ -273,6 +390,30 @@
 	return json_is_integer(j) && json_integer_value(j) >= 0;
 }
 
+/*
+ * Decodes a replica set. A malformed one counts as not known, since the primary has to be used all
+ * the same.
+ */
+static GPtrArray *replica_set_from_json(const json_t *list)
+{
+	GPtrArray *set = json_is_array(list) ? pw_replica_set_new() : NULL;
+	const json_t *item;
+	size_t i;
+
+	json_array_foreach (list, i, item) {
+		const char *id = json_string_value(json_object_get(item, "id"));
+		const char *address = json_string_value(json_object_get(item, "address"));
+
+		if (!id || !address) {
+			g_ptr_array_unref(set);
+			return NULL;
+		}
+		pw_replica_set_add(set, id, address,
+				   json_is_true(json_object_get(item, "stopping")));
+	}
+	return set;
+}
+
 /* Adds the primary of one group. Returns false if the item is malformed. */
 static bool decode_primary(struct pw_primaries *p, const json_t *item)
 {
@@ -292,6 +433,7 @@
 	primary->mark_incarnation =
 		(uint64_t)json_integer_value(json_object_get(item, "mark_incarnation"));
 	primary->mark_vm = g_strdup(json_string_value(json_object_get(item, "mark_vm")));
+	primary->replica_set = replica_set_from_json(json_object_get(item, "replica_set"));
 	return true;
 }
 
--- a/core/include/pw/core/event.h
+++ b/core/include/pw/core/event.h
@@ -69,6 +69,8 @@
 	X(ZONE_EVACUATED, 4022, G_LOG_LEVEL_WARNING, "zone_evacuated")         \
 	X(ZONE_RETURNED, 4023, G_LOG_LEVEL_MESSAGE, "zone_returned")           \
 	X(EVACUATION_REFUSED, 4024, G_LOG_LEVEL_WARNING, "evacuation_refused") \
+	X(CHANGE_WAITS, 4025, G_LOG_LEVEL_WARNING, "change_waits")             \
+	X(REPLICA_SET, 4026, G_LOG_LEVEL_MESSAGE, "replica_set")               \
 	X(REQUEST_REFUSED, 4030, G_LOG_LEVEL_INFO, "request_refused")          \
 	X(REQUEST_RETRIED, 4031, G_LOG_LEVEL_INFO, "request_retried")          \
 	X(REQUEST_SERVED, 4032, G_LOG_LEVEL_INFO, "request_served")            \
--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -237,12 +237,25 @@
 	pw_primaries_unref(c->primaries);
 	c->primaries = record;
 	c->newer_record_since_us = 0;
+	replicas_update(c);
 	/* A delegated permit holds for one revision of the record only. */
 	c->delegated_permit_until_us = 0;
 	cluster_publish_primaries(c);
 	pulse_send_record(c);
 }
 
+bool cluster_apply_conflicting_record(struct cluster *c, const struct pw_store_txn_result *r)
+{
+	struct pw_primaries *record;
+
+	if (!r->kv_count || !r->kvs[0].mod_revision ||
+	    pw_primaries_decode(&record, r->kvs[0].value, r->kvs[0].size_bytes,
+				r->kvs[0].mod_revision))
+		return false;
+	cluster_apply_primaries(c, record);
+	return true;
+}
+
 bool cluster_reaches_primary(const struct cluster *c, const struct pw_primary *primary,
 			     uint64_t *unreachable_since_us)
 {
@@ -461,6 +474,7 @@
 	pw_loop_timer_set(c->task.loop, t, now_us + CLUSTER_TICK_INTERVAL_US);
 	era_clear_dead_marks(c);
 	change_tick(c);
+	replicas_tick(c);
 	publish_shares(c);
 	pulse_send_record(c);
 	pulse_announce_demand(c);
@@ -520,13 +534,15 @@
 		c->catalog = pw_catalog_ref(((struct pw_catalog_msg *)m)->catalog);
 		if (has_group_without_primary(c))
 			member_create_primaries(c);
+		replicas_update(c);
 		publish_shares(c);
 	} else if (m->ops == &pw_servers_msg_ops) {
 		const struct pw_server_list *next = ((struct pw_servers_msg *)m)->servers;
 
-		departed_update(c, next);
+		replicas_keep_unrecorded(c, next);
 		pw_server_list_unref(c->servers);
 		c->servers = pw_server_list_ref(next);
+		replicas_update(c);
 		change_tick(c);
 	} else if (m->ops == &pw_traffic_report_ops) {
 		handle_traffic_report(c, (struct pw_traffic_report *)m);
@@ -543,11 +559,11 @@
 	/* Freed first, since a promotion request in flight refers to a change. */
 	if (c->promoter)
 		c->promoter->ops->free(c->promoter);
+	replicas_stop(c);
 	change_stop_all(c);
 	era_stop(c);
 	pulse_stop(c);
 	position_stop(c);
-	departed_stop(c);
 	pw_loop_timer_clear(c->task.loop, &c->tick_timer);
 	for (uint32_t i = 0; i < c->directory->gateway_count; i++)
 		g_hash_table_unref(c->gateways[i].reachability);
@@ -559,6 +575,7 @@
 	pw_catalog_unref(c->catalog);
 	pw_server_list_unref(c->servers);
 	pw_primaries_unref(c->primaries);
+	pw_primaries_unref(c->written_sets);
 }
 
 static int cluster_start(struct pw_task *t)
@@ -581,7 +598,7 @@
 	c->drain_limit_us = UINT64_MAX;
 	change_start(c);
 	position_start(c);
-	departed_start(c);
+	replicas_start(c);
 	rc = pulse_start(c);
 	if (!rc)
 		rc = c->directory->binding->promoter_new(&c->promoter, t->loop,
--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -94,6 +94,7 @@
 	bool claim_pending;                    /**< a claim is in flight */
 	bool promotion_pending;                /**< a promotion request is in flight */
 	bool promotion_sent; /**< a promotion request was sent and may have taken effect */
+	bool wait_logged;    /**< see log_wait() */
 	bool ended;
 };
 
@@ -266,22 +267,6 @@
 	write_record(ch, record, TAG_RECORD_PRIMARY);
 }
 
-/*
- * Applies the record that another VM has written, from the result of a failed compare-and-swap.
- * Returns false if the result contains no valid record.
- */
-static bool apply_conflicting_record(struct cluster *c, const struct pw_store_txn_result *r)
-{
-	struct pw_primaries *record;
-
-	if (!r->kv_count || !r->kvs[0].mod_revision ||
-	    pw_primaries_decode(&record, r->kvs[0].value, r->kvs[0].size_bytes,
-				r->kvs[0].mod_revision))
-		return false;
-	cluster_apply_primaries(c, record);
-	return true;
-}
-
 /*
  * Applies the record that this VM has just written, without reading it back.
  *
@@ -376,8 +361,8 @@
 		apply_own_record(ch, base->revision, false);
 		request_members(ch);
 	} else if (base->code == PW_ECONFLICT &&
-		   apply_conflicting_record(ch->cluster,
-					    (const struct pw_store_txn_result *)base)) {
+		   cluster_apply_conflicting_record(ch->cluster,
+						    (const struct pw_store_txn_result *)base)) {
 		repeat_claim(ch);
 	} else {
 		abort_change(ch, base->message);
@@ -607,22 +592,16 @@
 	return g && g->sync_replica_count;
 }
 
-/* Adds the replicas that have departed, which are queried as well, and may answer. */
-static void add_departed_servers(struct change *ch, const struct pw_primary *primary)
+/* Adds the replicas of the recorded set that are not registered; they are queried and may answer.
+ */
+static void add_missing_servers(struct change *ch, const struct pw_primary *primary)
 {
-	const struct cluster *c = ch->cluster;
+	GPtrArray *missing = replicas_list_missing(ch->cluster, primary);
+	const struct pw_change_server s = { .departed = true };
 
-	for (guint i = 0; i < c->departed->len; i++) {
-		const struct departed *d = g_ptr_array_index(c->departed, i);
-		const struct pw_change_server s = {
-			.departed = true,
-			.last_known_end = d->primary_log_end,
-		};
-
-		if (departed_counts(c, d, ch->group) &&
-		    strcmp(d->entry->id, primary->server_id) != 0)
-			add_server(ch, d->entry, &s);
-	}
+	for (guint i = 0; i < missing->len; i++)
+		add_server(ch, g_ptr_array_index(missing, i), &s);
+	g_ptr_array_unref(missing);
 }
 
 /* Sets whether a server may be promoted, by what its entry and the promoter say. */
@@ -649,11 +628,11 @@
 		};
 
 		set_eligibility(ch, &s, e->leaving);
-		if (strcmp(e->group, ch->group) == 0)
+		if (strcmp(e->group, ch->group) == 0 && !replicas_has_successor(c, e))
 			add_server(ch, e, &s);
 	}
 	if (is_synchronous(ch))
-		add_departed_servers(ch, primary);
+		add_missing_servers(ch, primary);
 	enter_phase(ch, PHASE_SELECT);
 }
 
@@ -820,6 +799,37 @@
 	return g_string_free(text, FALSE);
 }
 
+/* Logs once which replicas a change with synchronous replication waits for. */
+static void log_wait(struct change *ch)
+{
+	const struct cluster *c = ch->cluster;
+	const struct pw_primary *primary = pw_primaries_find(c->primaries, ch->group);
+	const struct pw_catalog_group *g = pw_catalog_find_group(c->catalog, ch->group);
+	GString *missing;
+	char *reports;
+
+	if (ch->wait_logged || !is_synchronous(ch))
+		return;
+	ch->wait_logged = true;
+	missing = g_string_new(NULL);
+	for (guint i = 0; i < ch->entries->len; i++) {
+		const struct pw_server_entry *e = g_ptr_array_index(ch->entries, i);
+		const struct pw_change_server *s =
+			&g_array_index(ch->servers, struct pw_change_server, i);
+
+		if (!s->is_primary && !s->reported)
+			g_string_append_printf(missing, "%s%s", missing->len ? " " : "", e->id);
+	}
+	reports = format_reports(ch);
+	pw_event_log(PW_EVENT_CHANGE_WAITS,
+		     "database=%s term=%" PRIu64
+		     " missing=\"%s\" sync_replicas=%u set_known=%d reports=\"%s\"",
+		     ch->group, ch->fencing_token, missing->str, g->sync_replica_count,
+		     primary->replica_set != NULL, reports);
+	g_string_free(missing, TRUE);
+	g_free(reports);
+}
+
 static void send_promotion_request(struct change *ch)
 {
 	struct cluster *c = ch->cluster;
@@ -901,18 +911,25 @@
 	const struct pw_catalog_group *g = pw_catalog_find_group(c->catalog, ch->group);
 	const struct pw_primary *primary = pw_primaries_find(c->primaries, ch->group);
 	bool last_resort = now_us - ch->started_us >= PW_CHANGE_LAST_RESORT_AFTER_US;
+	const struct pw_change_conditions k = {
+		.sync_replicas = g ? g->sync_replica_count : 0,
+		.replica_set_known = primary->replica_set != NULL,
+		.min_term = last_resort ? 0 : position_seen_term(c, primary),
+		.planned = ch->planned,
+		.urgent = now_us - ch->phase_entered_us >= CATCH_UP_TIMEOUT_US,
+	};
 	uint32_t target = 0;
 
 	update_entries(ch);
 	switch (pw_change_choose(&target, (struct pw_change_server *)(void *)ch->servers->data,
-				 ch->servers->len, g ? g->sync_replica_count : 0,
-				 last_resort ? 0 : position_seen_term(c, primary), ch->planned,
-				 now_us - ch->phase_entered_us >= CATCH_UP_TIMEOUT_US)) {
+				 ch->servers->len, &k)) {
 	case PW_CHANGE_PROMOTE:
 		ch->target = (int32_t)target;
 		send_promotion_request(ch);
 		return;
 	case PW_CHANGE_WAIT:
+		if (k.urgent)
+			log_wait(ch);
 		if (now_us >= ch->next_query_us)
 			query_servers(ch, false);
 		return;
@@ -982,8 +999,8 @@
 	}
 	/* A conflict without items was found by the client: the store was restored. */
 	if (base->code == PW_ECONFLICT && ((const struct pw_store_txn_result *)base)->kv_count) {
-		if (apply_conflicting_record(ch->cluster,
-					     (const struct pw_store_txn_result *)base)) {
+		if (cluster_apply_conflicting_record(ch->cluster,
+						     (const struct pw_store_txn_result *)base)) {
 			/* The conflict concerned another group. */
 			if (is_in_charge(ch)) {
 				record_primary(ch);
@@ -1087,12 +1104,7 @@
 				     g_str_hash(primary->group));
 }
 
-/*
- * Returns the number of live members that come before this VM in the order in which VMs act on a
- * change. The order differs between groups, and members that cannot renew their permits are left
- * out.
- */
-static uint32_t compute_rank(const struct cluster *c, const struct pw_primary *primary)
+uint32_t change_rank(const struct cluster *c, const struct pw_primary *primary, bool only_live)
 {
 	uint64_t own_weight =
 		rank_weight(primary, c->directory->settings->vm_name, c->own_name_hash);
@@ -1104,7 +1116,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &item)) {
 		const struct member *m = item;
 
-		rank += pulse_is_member_live(c, m) && !m->needs_permit &&
+		rank += (!only_live || pulse_is_member_live(c, m)) && !m->needs_permit &&
 			rank_weight(primary, m->name, m->name_hash) < own_weight;
 	}
 	return rank;
@@ -1233,7 +1245,7 @@
 		.changing = primary->changing,
 		.record_since_us = cluster_record_since_us(c, primary->group),
 		.leader_ended_us = was_led_by_earlier_process(c, primary) ? c->started_us : 0,
-		.rank = compute_rank(c, primary),
+		.rank = change_rank(c, primary, true),
 		.live_count = 1,
 	};
 	v->entry_fault_since_us = track_entry_fault(c, primary, pw_change_entry_fault(v));
--- a/daemon/control/cluster_member.c
+++ b/daemon/control/cluster_member.c
@@ -499,6 +499,7 @@
 		    pw_primaries_find(record, e->group))
 			continue;
 		pw_primaries_set(record, e->group, e->id, NULL, ++record->fencing_token);
+		pw_primaries_set_replica_set(record, e->group, replicas_first_set(c, e->group));
 		added = true;
 	}
 	if (added) {
@@ -559,6 +560,9 @@
 	case TAG_PRIMARIES_CREATE:
 		handle_create_result(c, r);
 		break;
+	case TAG_REPLICA_SETS:
+		replicas_handle_result(c, r);
+		break;
 	default:
 		break;
 	}
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -1,10 +1,9 @@
 /*
  * State and functions that the parts of the cluster task share: membership and the permit to use
  * the primaries (cluster_member.c), heartbeat datagrams or pulses (cluster_pulse.c), log positions
- * of primaries that other VMs have seen (cluster_position.c), replicas that are not registered any
- * more (cluster_departed.c), eras of the store (cluster_era.c), and changes of primary
- * (cluster_change.c, cluster_status.c). cluster.c owns the task and
- * dispatches its messages.
+ * of primaries that other VMs have seen (cluster_position.c), replica sets (cluster_replicas.c),
+ * eras of the store (cluster_era.c), and changes of primary (cluster_change.c, cluster_status.c).
+ * cluster.c owns the task and dispatches its messages.
  *
  * Terms: A permit allows this VM to send work to the primaries until a point in time. Renewals of
  * the member's lease at the store extend it; without the store, another VM may delegate its own
@@ -30,6 +29,7 @@
 #include "pw/core/address.h"
 #include "pw/core/stream.h"
 #include "pw/decide/change.h"
+#include "pw/decide/replica_set.h"
 #include "store.h"
 
 /*
@@ -107,6 +107,7 @@
 	TAG_PRIMARIES_CREATE,
 	TAG_PRIMARIES_RESTORE, /**< record of an earlier era, written again */
 	TAG_REVOKE_OWN_LEASE,
+	TAG_REPLICA_SETS, /**< record with other replica sets */
 	/*
 	 * Calls for a change of primary. The tag also holds the index of the lease to revoke, from
 	 * bit LEASE_TAG_SHIFT, and the number of the change, from bit CHANGE_TAG_SHIFT.
@@ -235,10 +236,16 @@
 
 	/* Log positions of primaries that this VM or others have seen. */
 	GHashTable *positions;               /**< group -> newest struct pw_seen_position */
-	GPtrArray *departed;                 /**< struct departed */
 	GHashTable *changed_position_groups; /**< set of groups, to be sent to the gateways */
 	uint32_t next_position_group;        /**< counter; group in the next pulse, round-robin */
 
+	/* Replica sets. */
+	GHashTable *replica_changes; /**< group -> struct replica_change */
+	GPtrArray *unrecorded; /**< struct pw_server_entry: was registered, and never in the set */
+	struct pw_primaries *written_sets; /**< record whose write is in flight; NULL: none */
+	uint64_t sets_not_before_us;       /**< earliest time of the next write */
+	int64_t lost_set_revision; /**< revision that a write without an answer replaces; 0: none */
+
 	/* Accounts: name -> struct account_demand. */
 	GHashTable *demands;
 
@@ -290,6 +297,12 @@
 void cluster_write_primaries(struct cluster *c, const struct pw_primaries *record, uint64_t tag);
 /** Applies a primaries record if it is newer than the current one. Takes ownership of it. */
 void cluster_apply_primaries(struct cluster *c, struct pw_primaries *record);
+/**
+ * Applies the record that another VM has written, from the result of a failed compare-and-swap.
+ *
+ * @return false if the result contains no valid record
+ */
+bool cluster_apply_conflicting_record(struct cluster *c, const struct pw_store_txn_result *r);
 /** @return since when this VM knows the current entry of a group in the record; 0: no entry */
 uint64_t cluster_record_since_us(const struct cluster *c, const char *group);
 /** @return revision of the newest primaries record that all gateways of this VM have settled */
@@ -382,19 +395,33 @@
 /** @return term of the newest position that some VM has seen at this primary; 0: none */
 uint64_t position_seen_term(const struct cluster *c, const struct pw_primary *primary);
 
-/* cluster_departed.c */
-/** Server that is not registered any more. */
-struct departed {
-	struct pw_server_entry *entry;      /**< its last entry */
-	struct pw_position primary_log_end; /**< last one known when it departed */
-	uint64_t since_us;
-};
-void departed_start(struct cluster *c);
-void departed_stop(struct cluster *c);
-/** Compares the list of servers with the next one, before that replaces it. */
-void departed_update(struct cluster *c, const struct pw_server_list *next);
-/** @return whether the server is of the group and may still come back with its log */
-bool departed_counts(const struct cluster *c, const struct departed *d, const char *group);
+/* cluster_replicas.c */
+void replicas_start(struct cluster *c);
+/** Called before the status queries are stopped. */
+void replicas_stop(struct cluster *c);
+/** Finds out which sets have to be written; called when record, servers or catalogue change. */
+void replicas_update(struct cluster *c);
+/** Keeps the servers that the next list lacks and no set has yet; called before it is applied. */
+void replicas_keep_unrecorded(struct cluster *c, const struct pw_server_list *next);
+/** Goes on with the proofs, and writes the sets that may be written. */
+void replicas_tick(struct cluster *c);
+void replicas_handle_result(struct cluster *c, const struct pw_store_result *r);
+/**
+ * Lists the replicas that are not registered and may hold an acknowledged commit.
+ *
+ * @return struct pw_server_entry; the caller unrefs the array
+ */
+GPtrArray *replicas_list_missing(const struct cluster *c, const struct pw_primary *primary);
+/**
+ * Returns the replica set with which a group is added to the record: no VM has used its primary
+ * before, so no commit was acknowledged to callers.
+ *
+ * @return NULL if replication is asynchronous, or if the store was restored from a copy, which may
+ *         lack an earlier record; otherwise the caller takes it over
+ */
+GPtrArray *replicas_first_set(const struct cluster *c, const char *group);
+/** @return whether a registered server has stopped, and its log is at a new one at its address */
+bool replicas_has_successor(const struct cluster *c, const struct pw_server_entry *e);
 
 /* cluster_era.c */
 /**
@@ -435,6 +462,13 @@
  */
 uint32_t change_find_first_members(const struct cluster *c, const struct pw_primary *primary,
 				   struct member **first, uint32_t count);
+/**
+ * Returns the number of members that come before this VM in the order in which VMs act for a group.
+ * The order differs between groups, and members that cannot renew their permits are left out.
+ *
+ * @param only_live leaves out members of which no pulse has arrived lately
+ */
+uint32_t change_rank(const struct cluster *c, const struct pw_primary *primary, bool only_live);
 /** Starts, continues and ends changes. */
 void change_tick(struct cluster *c);
 void change_handle_result(struct cluster *c, uint64_t tag, struct pw_store_result *r);
--- a/decide/include/pw/decide/change.h
+++ b/decide/include/pw/decide/change.h
@@ -202,14 +202,10 @@
 	 */
 	bool leaving;
 	bool refused; /**< the promotion request was refused, since it does not run */
-	/**
-	 * It was a replica and is not registered any more. Commits that only it has are at or
-	 * before `last_known_end`.
-	 */
+	/** It is in the replica set and not registered any more, see replica_set.h. */
 	bool departed;
-	struct pw_position last_known_end; /**< end of the primary's log when it departed */
-	bool reported;                     /**< it has answered: the fields below are known */
-	bool acts_as_primary;              /**< it reports that it is primary */
+	bool reported;        /**< it has answered: the fields below are known */
+	bool acts_as_primary; /**< it reports that it is primary */
 	uint64_t term;
 	struct pw_position log_end; /**< end of its log */
 	uint32_t distance;          /**< breaks ties: the smaller is preferred */
@@ -220,24 +216,39 @@
 	PW_CHANGE_PROMOTE, /**< promote the server */
 };
 
+/** What a server has to fulfil to be promoted. */
+struct pw_change_conditions {
+	/** Number of replicas that have every acknowledged commit; 0: asynchronous replication. */
+	uint32_t sync_replicas;
+	/**
+	 * The servers are all that may hold an acknowledged commit, as the store has the replica
+	 * set of the group. Otherwise only a server that has the whole log of the acting primary is
+	 * known to have every commit.
+	 */
+	bool replica_set_known;
+	/**
+	 * Term of the newest known commit: a server whose log ends in an earlier term lacks all
+	 * commits of the current primary and is not chosen; 0: any.
+	 */
+	uint64_t min_term;
+	bool planned; /**< the current primary is alive: wait until a replica has its whole log */
+	bool urgent;  /**< time is short: choose the best replica even if it lags or others are
+		       * silent
+		       */
+};
+
 /**
  * Chooses the server to promote. A server that already acts as primary of the newest reported term
  * is preferred; it has to be promoted as well, since a server that has not reported may have been
  * promoted after it.
  *
  * With synchronous replication the chosen server has every acknowledged commit, whatever the other
- * arguments say.
+ * conditions say: fewer replicas than have each commit are silent, so a commit is in some report.
  *
- * @param server        index of the chosen server; valid unless PW_CHANGE_WAIT is returned
- * @param sync_replicas number of replicas that have every commit; 0: asynchronous replication
- * @param planned       the current primary is alive: wait until a replica has its whole log
- * @param min_term      term of the newest known commit: a server whose log ends in an earlier term
- *                      lacks all commits of the current primary and is not chosen; 0: any
- * @param urgent        time is short: choose the best replica even if it lags or others are silent
+ * @param server index of the chosen server; valid unless PW_CHANGE_WAIT is returned
  */
 enum pw_change_choice pw_change_choose(uint32_t *server, const struct pw_change_server *servers,
-				       uint32_t count, uint32_t sync_replicas, uint64_t min_term,
-				       bool planned, bool urgent);
+				       uint32_t count, const struct pw_change_conditions *k);
 
 /**
  * Time after the response to a promotion request in which the promotion takes effect. The service
--- a/decide/src/change.c
+++ b/decide/src/change.c
@@ -152,19 +152,10 @@
 	const struct pw_change_server *current; /**< the current primary; NULL: not registered */
 	const struct pw_change_server *best;    /**< best eligible server; NULL: none */
 	const struct pw_change_server *longest; /**< replica with the longest log; NULL: none */
-	/** Replicas that have not reported and may have commits that `longest` lacks. */
-	uint32_t silent_count;
-	bool all_reported; /**< the current primary, too */
+	uint32_t silent_count;                  /**< replicas that have not reported */
+	bool all_reported;                      /**< the current primary, too */
 };
 
-/* Whether a server has all commits that a replica which has departed may have. */
-static bool covers_departed(const struct pw_change_server *s,
-			    const struct pw_change_server *departed)
-{
-	return s && departed->departed &&
-	       pw_position_compare(&s->log_end, &departed->last_known_end) >= 0;
-}
-
 static void summarise(struct reports *r, const struct pw_change_server *servers, uint32_t count,
 		      uint64_t min_term)
 {
@@ -173,6 +164,7 @@
 		const struct pw_change_server *s = &servers[i];
 
 		r->all_reported = r->all_reported && s->reported;
+		r->silent_count += !s->is_primary && !s->reported;
 		if (s->is_primary)
 			r->current = s;
 		if (!s->reported)
@@ -183,9 +175,6 @@
 		    (!r->best || is_better_candidate(s, r->best)))
 			r->best = s;
 	}
-	for (uint32_t i = 0; i < count; i++)
-		r->silent_count += !servers[i].is_primary && !servers[i].reported &&
-				   !covers_departed(r->longest, &servers[i]);
 }
 
 /* Whether the log of `a` ends before that of `b`; a missing server has no log. */
@@ -210,40 +199,39 @@
  * if none is known to have them, or if it cannot be promoted, or should not be before time is
  * short.
  */
-static const struct pw_change_server *
-choose_synchronous(const struct reports *r, uint32_t sync_replicas, bool planned, bool urgent)
+static const struct pw_change_server *choose_synchronous(const struct reports *r,
+							 const struct pw_change_conditions *k)
 {
 	if (has_log_of_primary(r->best, r->current))
 		return r->best;
 	/* Only if so many replicas are silent can they be all that have some commit. */
-	if (r->silent_count >= sync_replicas)
+	if (!k->replica_set_known || r->silent_count >= k->sync_replicas)
 		return NULL;
-	if (planned && r->current && r->current->reported && is_shorter(r->best, r->current))
+	if (k->planned && r->current && r->current->reported && is_shorter(r->best, r->current))
 		return NULL;
 	if (!is_shorter(r->best, r->longest))
 		return r->best;
-	return urgent && r->longest->leaving ? r->longest : NULL;
+	return k->urgent && r->longest->leaving ? r->longest : NULL;
 }
 
 enum pw_change_choice pw_change_choose(uint32_t *server, const struct pw_change_server *servers,
-				       uint32_t count, uint32_t sync_replicas, uint64_t min_term,
-				       bool planned, bool urgent)
+				       uint32_t count, const struct pw_change_conditions *k)
 {
 	const struct pw_change_server *chosen;
 	struct reports r;
 
-	summarise(&r, servers, count, min_term);
+	summarise(&r, servers, count, k->min_term);
 	if (r.all_reported && find_acting_primary(server, servers, count))
 		return PW_CHANGE_PROMOTE;
-	chosen = sync_replicas ? choose_synchronous(&r, sync_replicas, planned, urgent) : r.best;
+	chosen = k->sync_replicas ? choose_synchronous(&r, k) : r.best;
 	if (!chosen)
 		return PW_CHANGE_WAIT;
 	*server = (uint32_t)(chosen - servers);
-	if (urgent)
+	if (k->urgent)
 		return PW_CHANGE_PROMOTE;
 	if (r.silent_count)
 		return PW_CHANGE_WAIT;
-	if (planned && (!r.current || !r.current->reported || is_shorter(chosen, r.current)))
+	if (k->planned && (!r.current || !r.current->reported || is_shorter(chosen, r.current)))
 		return PW_CHANGE_WAIT;
 	return PW_CHANGE_PROMOTE;
 }
--- a/tests/codec/test_primaries.c
+++ b/tests/codec/test_primaries.c
@@ -285,6 +285,150 @@
 }
 END_TEST
 
+/* Returns a set of servers that are named by one letter each; NULL: not known. */
+static GPtrArray *make_set(const char *names)
+{
+	GPtrArray *set = names ? pw_replica_set_new() : NULL;
+
+	for (; names && *names; names++) {
+		const char id[] = { *names, '\0' };
+
+		pw_replica_set_add(set, id, "10.0.0.1:5432", *names == 'b');
+	}
+	return set;
+}
+
+static char *set_names(const GPtrArray *set)
+{
+	GString *names = g_string_new(NULL);
+
+	for (guint i = 0; set && i < set->len; i++)
+		g_string_append(names, ((const struct pw_replica *)g_ptr_array_index(set, i))->id);
+	return g_string_free(names, !set);
+}
+
+/*
+ * Guards against a replica set that is lost by a copy, by encoding and decoding, or by a change of
+ * primary, and against one that is shared.
+ */
+START_TEST(test_replica_set_round_trip)
+{
+	struct pw_primaries *p = pw_primaries_new(), *copy, *decoded = NULL;
+	const struct pw_replica *r;
+	char *text, *names;
+
+	pw_primaries_set(p, "orders", "a", NULL, 11);
+	pw_primaries_set(p, "fees", "c", NULL, 12);
+	pw_primaries_set_replica_set(p, "orders", make_set("ab"));
+	copy = pw_primaries_copy(p);
+	pw_primaries_set_replica_set(p, "orders", NULL);
+	pw_primaries_mark(copy, "orders", "vm-1", 77, false);
+	pw_primaries_set(copy, "orders", "b", "vm-1", 13);
+	text = pw_primaries_encode(copy);
+	ck_assert_int_eq(pw_primaries_decode(&decoded, text, strlen(text), 5), PW_OK);
+	names = set_names(pw_primaries_find(decoded, "orders")->replica_set);
+	ck_assert_str_eq(names, "ab");
+	r = pw_replica_set_find(pw_primaries_find(decoded, "orders")->replica_set, "b");
+	ck_assert(r && r->is_stopping && strcmp(r->address, "10.0.0.1:5432") == 0);
+	ck_assert(!pw_replica_set_find(pw_primaries_find(decoded, "orders")->replica_set, "a")
+			   ->is_stopping);
+	ck_assert_ptr_null(pw_primaries_find(decoded, "fees")->replica_set);
+	ck_assert_ptr_null(pw_primaries_find(p, "orders")->replica_set);
+	g_free(names);
+	g_free(text);
+	pw_primaries_unref(p);
+	pw_primaries_unref(copy);
+	pw_primaries_unref(decoded);
+}
+END_TEST
+
+static const struct {
+	const char *label;
+	const char *json; /* of the set */
+	const char *names;
+} malformed_sets[] = {
+	{ "empty", "[]", "" },
+	{ "not a list", "{\"id\":\"a\"}", NULL },
+	{ "a server without an address", "[{\"id\":\"a\"}]", NULL },
+	{ "a number as id", "[{\"id\":7,\"address\":\"10.0.0.1:5432\"}]", NULL },
+	{ "null", "null", NULL },
+};
+
+/* Guards against a malformed replica set that is used, or that makes the record unusable. */
+START_TEST(test_malformed_replica_set)
+{
+	char *text = g_strdup_printf("{\"fence\":9,\"holder\":\"vm-1\",\"primaries\":[{\"group\":"
+				     "\"a\",\"server\":\"i-1\",\"generation\":5,"
+				     "\"replica_set\":%s}]}",
+				     malformed_sets[_i].json);
+	struct pw_primaries *p = NULL;
+	char *names;
+
+	ck_assert_int_eq(pw_primaries_decode(&p, text, strlen(text), 5), PW_OK);
+	names = set_names(pw_primaries_find(p, "a")->replica_set);
+	ck_assert_msg(g_strcmp0(names, malformed_sets[_i].names) == 0, "%s: %s",
+		      malformed_sets[_i].label, names);
+	g_free(names);
+	g_free(text);
+	pw_primaries_unref(p);
+}
+END_TEST
+
+static const struct {
+	const char *label;
+	uint32_t stored_era;
+	const char *stored;
+	uint64_t known_generation; /* 0: the VM knows no record; that of the stored one is 5 */
+	const char *known;
+	const char *expected;
+	bool must_write;
+} merge_set_cases[] = {
+	{ "nobody knows what the copy lacks", 1, "ab", 0, NULL, NULL, true },
+	{ "the record is of this era", ERA, "ab", 0, NULL, "ab", false },
+	{ "a server joined after the copy", 1, "ab", 5, "abc", "abc", true },
+	{ "a server was left out after the copy", 1, "abc", 5, "ab", "abc", true },
+	{ "the primary was changed after the copy", 1, "abc", 6, "ad", "abcd", true },
+	{ "the copy has a newer primary", 1, "ab", 4, "ac", "abc", true },
+	{ "the copy has no set", 1, NULL, 5, "ab", NULL, true },
+	{ "the VM knows no set", 1, "ab", 5, NULL, NULL, true },
+	{ "another VM wrote all that is known", ERA, "abc", 5, "ab", "abc", false },
+	{ "another VM wrote less than is known", ERA, "ab", 5, "abc", "abc", true },
+	{ "another VM wrote that the set is not known", ERA, NULL, 5, "ab", NULL, false },
+};
+
+/* Guards against a replica set that a restored store lacks servers of. */
+START_TEST(test_merge_replica_sets)
+{
+	struct pw_primaries *stored = pw_primaries_new(), *known = NULL, *merged = NULL;
+	bool must_write;
+	char *names;
+
+	stored->era = merge_set_cases[_i].stored_era;
+	stored->fencing_token = ERA_TOKEN(0);
+	stored->restored_token = 5;
+	pw_primaries_set(stored, "orders", "a", NULL, 5);
+	pw_primaries_set_replica_set(stored, "orders", make_set(merge_set_cases[_i].stored));
+	if (merge_set_cases[_i].known_generation) {
+		known = pw_primaries_new();
+		known->era = 1;
+		known->fencing_token = 5;
+		pw_primaries_set(known, "orders", "a", NULL, merge_set_cases[_i].known_generation);
+		pw_primaries_set_replica_set(known, "orders", make_set(merge_set_cases[_i].known));
+	}
+	must_write = pw_primaries_merge(&merged, stored, known, ERA);
+	names = set_names(pw_primaries_find(merged, "orders")->replica_set);
+	ck_assert_msg(g_strcmp0(names, merge_set_cases[_i].expected) == 0, "%s: %s",
+		      merge_set_cases[_i].label, names);
+	ck_assert_msg(must_write == merge_set_cases[_i].must_write, "%s: must write: %d",
+		      merge_set_cases[_i].label, must_write);
+	g_free(names);
+	pw_primaries_unref(merged);
+	pw_primaries_unref(stored);
+	if (known)
+		pw_primaries_unref(known);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("primaries");
@@ -294,5 +438,8 @@
 	tcase_add_loop_test(tc, test_malformed_record, 0, PW_ARRAY_LEN(malformed_records));
 	tcase_add_test(tc, test_member_round_trip);
 	tcase_add_loop_test(tc, test_merge, 0, PW_ARRAY_LEN(merge_cases));
+	tcase_add_test(tc, test_replica_set_round_trip);
+	tcase_add_loop_test(tc, test_malformed_replica_set, 0, PW_ARRAY_LEN(malformed_sets));
+	tcase_add_loop_test(tc, test_merge_replica_sets, 0, PW_ARRAY_LEN(merge_set_cases));
 	return pw_suite_run("primaries", tc);
 }
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -129,13 +129,14 @@
 	bool holds_record;          /* reads of the record are not answered */
 	bool fails_record;          /* reads of the record are refused */
 	enum cluster_tag failed_page_tag;
-	bool holds_revocations;    /* revocations of members' leases are not answered */
-	bool loses_own_lease;      /* the next renewal is answered with "not found" */
-	bool holds_grants;         /* grants of leases are not answered */
-	bool loses_later_renewals; /* all further renewals are answered with "not found" */
-	bool both_groups;          /* OTHER_GROUP has servers, and its primary leaves too */
-	bool leaving_with_spare;   /* the primary leaves, and a third server is a candidate */
-	int64_t own_lease_id;      /* last lease that was granted */
+	bool holds_revocations;      /* revocations of members' leases are not answered */
+	bool loses_own_lease;        /* the next renewal is answered with "not found" */
+	bool holds_grants;           /* grants of leases are not answered */
+	bool loses_later_renewals;   /* all further renewals are answered with "not found" */
+	uint32_t sync_replica_count; /* of GROUP */
+	bool both_groups;            /* OTHER_GROUP has servers, and its primary leaves too */
+	bool leaving_with_spare;     /* the primary leaves, and a third server is a candidate */
+	int64_t own_lease_id;        /* last lease that was granted */
 	/* Entry of the VM under test, and a registration that is carried out after the next one. */
 	int64_t entry_revision, entry_lease_id;
 	bool delays_registration, has_late_registration;
@@ -147,6 +148,7 @@
 	enum cluster_tag edit_tag;
 	/* What the VM did. */
 	uint32_t claim_count, clear_count, record_count, list_count;
+	uint32_t set_write_count; /* writes of replica sets */
 	uint32_t revoked_members; /* bit i: the lease of member i */
 	bool revoked_own_lease;
 	uint32_t promote_count;
@@ -531,6 +533,7 @@
 	x->claim_count += kind == TAG_CLAIM;
 	x->clear_count += kind == TAG_CLEAR_MARK;
 	x->record_count += kind == TAG_RECORD_PRIMARY;
+	x->set_write_count += kind == TAG_REPLICA_SETS;
 	if (x->edit && kind == x->edit_tag) {
 		edit_record(x, x->edit);
 		x->edit = NULL;
@@ -677,6 +680,7 @@
 
 	g->name = g_strdup(GROUP);
 	g->connection_limit = 20;
+	g->sync_replica_count = x->sync_replica_count;
 	catalog_msg->base.ops = &pw_catalog_msg_ops;
 	catalog_msg->catalog = pw_catalog_new();
 	pw_catalog_add_group(catalog_msg->catalog, g);
@@ -2017,6 +2021,85 @@
 }
 END_TEST
 
+static const struct {
+	const char *label;
+	uint32_t sync_replica_count;
+	const char *set; /* in the record at the start, ids of one digit; NULL: not known */
+	bool is_marked;  /* another VM changes the primary */
+	bool is_behind;  /* the replica lacks entries of the primary's log */
+	enum record_answer answer; /* to the first write */
+	uint32_t write_count;
+	const char *expected; /* set in the record at the end */
+} replica_set_cases[] = {
+	{ "asynchronous replication", 0, NULL, false, false, ANSWER_GIVEN, 0, NULL },
+	{ "replication has become asynchronous", 0, "12", false, false, ANSWER_GIVEN, 1, NULL },
+	{ "the set is complete", 1, "12", false, false, ANSWER_GIVEN, 0, "12" },
+	{ "a server has joined", 1, "1", false, true, ANSWER_GIVEN, 1, "12" },
+	{ "the set is not known", 1, NULL, false, false, ANSWER_GIVEN, 1, "12" },
+	{ "the set is not known, the replica is behind", 1, NULL, false, true, ANSWER_GIVEN, 0,
+	  NULL },
+	{ "a server is gone", 1, "123", false, false, ANSWER_GIVEN, 1, "12" },
+	{ "a server is gone, the replica is behind", 1, "123", false, true, ANSWER_GIVEN, 0,
+	  "123" },
+	{ "a server is gone, the primary is being changed", 1, "123", true, false, ANSWER_GIVEN, 0,
+	  "123" },
+	{ "the answer to the write is lost", 1, "123", false, false, ANSWER_LOST, 2, "12" },
+	/* The second write prevents that the first one takes effect later. */
+	{ "the write and its answer are lost", 1, "123", false, false, ANSWER_LOST_NOOP, 3, "12" },
+};
+
+/* Names the servers of a set by the digits of their ids. */
+static char *set_digits(const GPtrArray *set)
+{
+	GString *digits = g_string_new(NULL);
+
+	for (guint i = 0; set && i < set->len; i++)
+		g_string_append(digits,
+				((const struct pw_replica *)g_ptr_array_index(set, i))->id + 1);
+	return g_string_free(digits, !set);
+}
+
+/*
+ * Guards against a replica set that lacks a server which may be the only one with a commit, and
+ * against writes of sets that need none.
+ */
+START_TEST(test_replica_set_is_written)
+{
+	struct fixture x;
+	char *digits;
+
+	setup(&x);
+	x.sync_replica_count = replica_set_cases[_i].sync_replica_count;
+	x.answer = replica_set_cases[_i].answer;
+	x.answer_tag = TAG_REPLICA_SETS;
+	x.servers[1].term = replica_set_cases[_i].is_behind ? 2 : 3;
+	if (replica_set_cases[_i].set) {
+		GPtrArray *set = pw_replica_set_new();
+
+		for (const char *digit = replica_set_cases[_i].set; *digit; digit++) {
+			const char id[] = { 's', *digit, '\0' };
+
+			pw_replica_set_add(set, id,
+					   *digit == '3' ? "127.0.0.1:1"
+							 : x.servers[*digit - '1'].address,
+					   false);
+		}
+		pw_primaries_set_replica_set(x.record, GROUP, set);
+	}
+	if (replica_set_cases[_i].is_marked)
+		pw_primaries_mark(x.record, GROUP, "vm2", 1, false);
+	start(&x, false);
+	(void)wait_for(&x, never, 3500);
+	digits = set_digits(pw_primaries_find(x.record, GROUP)->replica_set);
+	ck_assert_msg(x.set_write_count == replica_set_cases[_i].write_count &&
+			      g_strcmp0(digits, replica_set_cases[_i].expected) == 0,
+		      "%s: %u writes, servers %s", replica_set_cases[_i].label, x.set_write_count,
+		      digits);
+	g_free(digits);
+	teardown(&x);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("cluster");
@@ -2063,5 +2146,6 @@
 	tcase_add_loop_test(tc, test_member_with_delegated_permit_is_kept, 0,
 			    PW_ARRAY_LEN(removal_cases));
 	tcase_add_loop_test(tc, test_one_vote_per_vm, 0, PW_ARRAY_LEN(vote_cases));
+	tcase_add_loop_test(tc, test_replica_set_is_written, 0, PW_ARRAY_LEN(replica_set_cases));
 	return pw_suite_run("cluster", tc);
 }
