Replica sets: no query to servers of evacuated zones; asynchronous groups as before

By reading: a proof queried all registered servers, also those of a zone whose time to evacuate is over, to which nothing may be sent; and a leaving server with a successor at its address was left out of changes of asynchronous groups too, whose changes are to stay as they are. A proof now leaves the former out, which then do not count as having the log, and a change of primary the latter only with synchronous replication.

test_cluster has the evacuated zone: no connection, no write.

--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -617,6 +617,7 @@
 {
 	struct cluster *c = ch->cluster;
 	const struct pw_primary *primary = pw_primaries_find(c->primaries, ch->group);
+	bool synchronous = is_synchronous(ch);
 
 	for (guint i = 0; i < c->servers->entries->len; i++) {
 		const struct pw_server_entry *e = g_ptr_array_index(c->servers->entries, i);
@@ -628,10 +629,12 @@
 		};
 
 		set_eligibility(ch, &s, e->leaving);
-		if (strcmp(e->group, ch->group) == 0 && !replicas_has_successor(c, e))
-			add_server(ch, e, &s);
+		if (strcmp(e->group, ch->group) != 0 ||
+		    (synchronous && !is_primary && replicas_has_successor(c, e)))
+			continue;
+		add_server(ch, e, &s);
 	}
-	if (is_synchronous(ch))
+	if (synchronous)
 		add_missing_servers(ch, primary);
 	enter_phase(ch, PHASE_SELECT);
 }
--- a/daemon/control/cluster_replicas.c
+++ b/daemon/control/cluster_replicas.c
@@ -310,14 +310,24 @@
 
 static const struct status_query_ops status_query_ops = { .done = handle_status_row };
 
+/* Whether statements may be sent to a server: not once the time to evacuate its zone is over. */
+static bool may_query(const struct cluster *c, const char *id)
+{
+	const struct pw_server_entry *e = pw_server_list_find(c->servers, id);
+
+	return !e || !e->evacuated || cluster_now_us(c) < e->evacuation_stop_us;
+}
+
 static void start_round(struct replica_change *rc)
 {
 	struct cluster *c = rc->cluster;
 
 	for (guint i = 0; i < rc->entries->len; i++) {
+		const struct pw_server_entry *e = g_ptr_array_index(rc->entries, i);
+
 		g_array_index(rc->views, struct pw_replica_view, i).reported = false;
-		rc->queries->pdata[i] = status_query_start(c, g_ptr_array_index(rc->entries, i), 0,
-							   &status_query_ops, rc);
+		if (may_query(c, e->id))
+			rc->queries->pdata[i] = status_query_start(c, e, 0, &status_query_ops, rc);
 	}
 	rc->next_round_us = cluster_now_us(c) + pw_replica_set_round_delay_us(rc->round_count++);
 }
--- a/standins/platform/database.c
+++ b/standins/platform/database.c
@@ -282,13 +282,26 @@
 	return true;
 }
 
+/* Ends a server, whose log goes to a new one at its address. */
+static bool replace_server(struct server *s)
+{
+	char *id = g_strconcat(s->id, "-next", NULL);
+
+	remove_server(s);
+	g_free(s->id);
+	s->id = id;
+	s->draining = false;
+	start_server(s);
+	return true;
+}
+
 static const struct {
 	const char *name;
 	bool (*inject)(struct server *s);
 } server_faults[] = {
 	{ "crash", crash_server },   { "start", restart_server }, { "dark", darken_server },
 	{ "light", lighten_server }, { "deaf", deafen_server },   { "hearing", undeafen_server },
-	{ "leave", drain_server },   { "gone", remove_server },
+	{ "leave", drain_server },   { "gone", remove_server },   { "replace", replace_server },
 };
 
 bool databases_inject_fault(struct databases *d, const char *name, const char *argument)
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -56,6 +56,7 @@
 	int listener;
 	int connections[CONNECTIONS_MAX]; /* -1: unused */
 	char input[CONNECTIONS_MAX][256];
+	uint32_t accepted_count; /* connections */
 	bool is_primary;
 	uint64_t term;
 	uint64_t step_down_term; /* of the last command to step down; 0: none */
@@ -135,6 +136,7 @@
 	bool loses_later_renewals;   /* all further renewals are answered with "not found" */
 	uint32_t sync_replica_count; /* of GROUP */
 	bool both_groups;            /* OTHER_GROUP has servers, and its primary leaves too */
+	bool is_replica_evacuated;   /* for longer than its servers may be used */
 	bool leaving_with_spare;     /* the primary leaves, and a third server is a candidate */
 	int64_t own_lease_id;        /* last lease that was granted */
 	/* Entry of the VM under test, and a registration that is carried out after the next one. */
@@ -290,6 +292,7 @@
 			k++;
 		ck_assert_uint_lt(k, CONNECTIONS_MAX);
 		s->connections[k] = fd;
+		s->accepted_count++;
 		s->input[k][0] = '\0';
 	}
 	for (size_t k = 0; k < CONNECTIONS_MAX; k++) {
@@ -687,9 +690,17 @@
 	pw_mailbox_send(x->directory.cluster, &catalog_msg->base);
 	servers_msg->base.ops = &pw_servers_msg_ops;
 	servers_msg->servers = pw_server_list_new();
-	for (uint32_t i = 0; i < SERVER_COUNT; i++)
+	for (uint32_t i = 0; i < SERVER_COUNT; i++) {
 		add_server(servers_msg->servers, x->servers[i].id, GROUP, x->servers[i].address,
 			   i == 0 && (primary_leaves || x->leaving_with_spare), i == 0);
+		if (i > 0 && x->is_replica_evacuated) {
+			struct pw_server_entry *e =
+				g_ptr_array_index(servers_msg->servers->entries, i);
+
+			e->leaving = e->evacuated = true;
+			e->evacuation_stop_us = 1;
+		}
+	}
 	if (x->leaving_with_spare)
 		add_server(servers_msg->servers, "s3", GROUP, x->servers[1].address, false, false);
 	for (uint32_t i = 0; x->both_groups && i < SERVER_COUNT; i++)
@@ -2024,28 +2035,33 @@
 static const struct {
 	const char *label;
 	uint32_t sync_replica_count;
-	const char *set; /* in the record at the start, ids of one digit; NULL: not known */
-	bool is_marked;  /* another VM changes the primary */
-	bool is_behind;  /* the replica lacks entries of the primary's log */
+	const char *set;   /* in the record at the start, ids of one digit; NULL: not known */
+	bool is_marked;    /* another VM changes the primary */
+	bool is_behind;    /* the replica lacks entries of the primary's log */
+	bool is_evacuated; /* the zone of the replica, so that it may not be queried */
 	enum record_answer answer; /* to the first write */
 	uint32_t write_count;
 	const char *expected; /* set in the record at the end */
 } replica_set_cases[] = {
-	{ "asynchronous replication", 0, NULL, false, false, ANSWER_GIVEN, 0, NULL },
-	{ "replication has become asynchronous", 0, "12", false, false, ANSWER_GIVEN, 1, NULL },
-	{ "the set is complete", 1, "12", false, false, ANSWER_GIVEN, 0, "12" },
-	{ "a server has joined", 1, "1", false, true, ANSWER_GIVEN, 1, "12" },
-	{ "the set is not known", 1, NULL, false, false, ANSWER_GIVEN, 1, "12" },
-	{ "the set is not known, the replica is behind", 1, NULL, false, true, ANSWER_GIVEN, 0,
+	{ "asynchronous replication", 0, NULL, false, false, false, ANSWER_GIVEN, 0, NULL },
+	{ "replication has become asynchronous", 0, "12", false, false, false, ANSWER_GIVEN, 1,
 	  NULL },
-	{ "a server is gone", 1, "123", false, false, ANSWER_GIVEN, 1, "12" },
-	{ "a server is gone, the replica is behind", 1, "123", false, true, ANSWER_GIVEN, 0,
-	  "123" },
-	{ "a server is gone, the primary is being changed", 1, "123", true, false, ANSWER_GIVEN, 0,
+	{ "the set is complete", 1, "12", false, false, false, ANSWER_GIVEN, 0, "12" },
+	{ "a server has joined", 1, "1", false, true, false, ANSWER_GIVEN, 1, "12" },
+	{ "the set is not known", 1, NULL, false, false, false, ANSWER_GIVEN, 1, "12" },
+	{ "the set is not known, the replica is behind", 1, NULL, false, true, false, ANSWER_GIVEN,
+	  0, NULL },
+	{ "a server is gone", 1, "123", false, false, false, ANSWER_GIVEN, 1, "12" },
+	{ "a server is gone, the replica is behind", 1, "123", false, true, false, ANSWER_GIVEN, 0,
 	  "123" },
-	{ "the answer to the write is lost", 1, "123", false, false, ANSWER_LOST, 2, "12" },
+	{ "a server is gone, the primary is being changed", 1, "123", true, false, false,
+	  ANSWER_GIVEN, 0, "123" },
+	{ "a server is gone, the zone of the replica is evacuated", 1, "123", false, false, true,
+	  ANSWER_GIVEN, 0, "123" },
+	{ "the answer to the write is lost", 1, "123", false, false, false, ANSWER_LOST, 2, "12" },
 	/* The second write prevents that the first one takes effect later. */
-	{ "the write and its answer are lost", 1, "123", false, false, ANSWER_LOST_NOOP, 3, "12" },
+	{ "the write and its answer are lost", 1, "123", false, false, false, ANSWER_LOST_NOOP, 3,
+	  "12" },
 };
 
 /* Names the servers of a set by the digits of their ids. */
@@ -2073,6 +2089,7 @@
 	x.answer = replica_set_cases[_i].answer;
 	x.answer_tag = TAG_REPLICA_SETS;
 	x.servers[1].term = replica_set_cases[_i].is_behind ? 2 : 3;
+	x.is_replica_evacuated = replica_set_cases[_i].is_evacuated;
 	if (replica_set_cases[_i].set) {
 		GPtrArray *set = pw_replica_set_new();
 
@@ -2095,6 +2112,8 @@
 			      g_strcmp0(digits, replica_set_cases[_i].expected) == 0,
 		      "%s: %u writes, servers %s", replica_set_cases[_i].label, x.set_write_count,
 		      digits);
+	ck_assert_msg(!replica_set_cases[_i].is_evacuated || !x.servers[1].accepted_count, "%s: %u",
+		      replica_set_cases[_i].label, x.servers[1].accepted_count);
 	g_free(digits);
 	teardown(&x);
 }
--- a/tests/platform/test_replica_set_fleet.c
+++ b/tests/platform/test_replica_set_fleet.c
@@ -292,6 +292,23 @@
 	g_usleep(G_USEC_PER_SEC);
 }
 
+/* The new server alone has what is committed from then on. */
+static void replace_as_planned(void)
+{
+	inject_fault("leave", "i-core-2");
+	g_usleep(3 * G_USEC_PER_SEC);
+	inject_fault("deaf", "i-core-3");
+	inject_fault("replace", "i-core-2");
+	ck_assert(PW_HARNESS_WAIT_UNTIL(
+		have_all_logged("name=server_gone group=core server=i-core-2"), GONE_TIMEOUT_MS));
+}
+
+static void replace_before_restart(void)
+{
+	replace_as_planned();
+	restart_together();
+}
+
 /* The servers that are left, of which one is promoted when the primary crashes. */
 static const struct {
 	const char *label;
@@ -302,6 +319,9 @@
 	{ "a replica has left as planned", leave_as_planned },
 	{ "a replica is gone, and all VMs have started since", leave_before_restart },
 	{ "a replica is gone while all VMs are restarted", leave_while_all_restart },
+	{ "a replica was replaced at its address", replace_as_planned },
+	{ "a replica was replaced at its address, and all VMs have started since",
+	  replace_before_restart },
 };
 
 /* Guards against a group that waits for a replica which has left for good. */
