Operators see what a change of primary waits for, and may have a lost server forgotten

A change that waits for a replica ended with "the change took too long", and nothing said what for; if the replica is lost for good, nothing let the change go on.

Event 4025 names the servers, GET /v1/status and pimentowingctl status show the replica set of each database and what a change of that VM waits for. DELETE /v1/replica-set (pimentowingctl replica forget DATABASE SERVER) takes a server out of the set, with the operator's token, if it is neither registered nor the primary; without a known set, "unknown" in place of the server makes the registered servers the set.

--- a/core/include/pw/core/event.h
+++ b/core/include/pw/core/event.h
@@ -71,6 +71,7 @@
 	X(EVACUATION_REFUSED, 4024, G_LOG_LEVEL_WARNING, "evacuation_refused") \
 	X(CHANGE_WAITS, 4025, G_LOG_LEVEL_WARNING, "change_waits")             \
 	X(REPLICA_SET, 4026, G_LOG_LEVEL_MESSAGE, "replica_set")               \
+	X(REPLICA_FORGOTTEN, 4027, G_LOG_LEVEL_WARNING, "replica_forgotten")   \
 	X(REQUEST_REFUSED, 4030, G_LOG_LEVEL_INFO, "request_refused")          \
 	X(REQUEST_RETRIED, 4031, G_LOG_LEVEL_INFO, "request_retried")          \
 	X(REQUEST_SERVED, 4032, G_LOG_LEVEL_INFO, "request_served")            \
--- a/ctl/api_http.c
+++ b/ctl/api_http.c
@@ -9,7 +9,14 @@
 #define CONNECT_TIMEOUT_MS 1000L
 #define REQUEST_TIMEOUT_MS 3000L
 #define RESPONSE_MAX_BYTES ((size_t)65536)
-#define HTTP_OK            200L
+
+enum http_status {
+	HTTP_OK = 200,
+	HTTP_UNAUTHORIZED = 401,
+	HTTP_FORBIDDEN = 403,
+	HTTP_CONFLICT = 409,
+	HTTP_GATEWAY_TIMEOUT = 504,
+};
 
 struct http_api_client {
 	struct ctl_api_client base;
@@ -29,12 +36,31 @@
 	return size * count;
 }
 
+/* Returns the error for an HTTP status, or 0. */
+static int check_status(const char *address, long status)
+{
+	switch (status) {
+	case HTTP_OK:
+		return PW_OK;
+	case HTTP_UNAUTHORIZED:
+	case HTTP_FORBIDDEN:
+		return pw_error_set(PW_EDENIED, "%s: the operator's token is missing or wrong",
+				    address);
+	case HTTP_CONFLICT:
+		return pw_error_set(PW_ECONFLICT, "%s: HTTP status %ld", address, status);
+	case HTTP_GATEWAY_TIMEOUT:
+		return pw_error_set(PW_ETIMEOUT, "%s: HTTP status %ld", address, status);
+	default:
+		return pw_error_set(PW_EINVALID, "%s: HTTP status %ld", address, status);
+	}
+}
+
 /*
  * Requests http[s]://ADDRESS/PATH; the body of the response replaces the contents of `response`.
- * The return codes are those of `get_status`.
+ * The return codes are those of the functions of struct ctl_api_client_ops.
  */
-static int http_get(struct http_api_client *h, GString *response, const char *address,
-		    const char *path)
+static int http_request(struct http_api_client *h, GString *response, const char *method,
+			const char *address, const char *path)
 {
 	const char *scheme = h->ca_path ? "https" : "http";
 	char *url = g_strdup_printf("%s://%s%s", scheme, address, path);
@@ -44,6 +70,7 @@
 	g_string_truncate(response, 0);
 	curl_easy_reset(h->curl);
 	curl_easy_setopt(h->curl, CURLOPT_URL, url);
+	curl_easy_setopt(h->curl, CURLOPT_CUSTOMREQUEST, method);
 	curl_easy_setopt(h->curl, CURLOPT_PROTOCOLS_STR, scheme);
 	if (h->ca_path)
 		curl_easy_setopt(h->curl, CURLOPT_CAINFO, h->ca_path);
@@ -59,12 +86,21 @@
 	g_free(url);
 	if (rc != CURLE_OK)
 		return pw_error_set(PW_EUNAVAILABLE, "%s: %s", address, curl_easy_strerror(rc));
-	if (status == 401 || status == 403)
-		return pw_error_set(PW_EDENIED, "%s: the operator's token is missing or wrong",
-				    address);
-	if (status != HTTP_OK)
-		return pw_error_set(PW_EINVALID, "%s: HTTP status %ld", address, status);
-	return PW_OK;
+	return check_status(address, status);
+}
+
+/* Adds the reason that a proxy gives for a refusal to the error message. */
+static int add_reason(int code, const char *address, GString *response)
+{
+	if (!response->len || !g_utf8_validate(response->str, (gssize)response->len, NULL))
+		return code;
+	return pw_error_set(code, "%s: %.200s", address, g_strchomp(response->str));
+}
+
+void ctl_proxy_status_dispose(struct ctl_proxy_status *s)
+{
+	g_free(s->vm);
+	json_decref(s->replica_sets);
 }
 
 static int http_get_status(struct ctl_api_client *a, struct ctl_proxy_status *out,
@@ -75,7 +111,7 @@
 	const char *vm;
 	json_int_t revision;
 	int fresh, draining;
-	int rc = http_get((struct http_api_client *)a, response, address, "/v1/status");
+	int rc = http_request((struct http_api_client *)a, response, "GET", address, "/v1/status");
 
 	if (rc != PW_OK)
 		goto done;
@@ -91,6 +127,7 @@
 		.revision = (uint64_t)revision,
 		.fresh = fresh != 0,
 		.draining = draining != 0,
+		.replica_sets = json_incref(json_object_get(root, "replica_sets")),
 	};
 done:
 	json_decref(root);
@@ -117,7 +154,7 @@
 	append_argument(path, "&kind", q->kind);
 	if (q->position)
 		append_argument(path, "&position", q->position);
-	rc = http_get((struct http_api_client *)a, response, address, path->str);
+	rc = http_request((struct http_api_client *)a, response, "GET", address, path->str);
 	if (rc == PW_OK) {
 		*out = json_loadb(response->str, response->len, 0, NULL);
 		if (!json_is_object(*out)) {
@@ -126,15 +163,31 @@
 			rc = pw_error_set(PW_EINVALID,
 					  "%s: the response is not a valid explanation", address);
 		}
-	} else if (rc == PW_EINVALID && response->len &&
-		   g_utf8_validate(response->str, (gssize)response->len, NULL)) {
-		rc = pw_error_set(PW_EINVALID, "%s: %.200s", address, g_strchomp(response->str));
+	} else if (rc == PW_EINVALID) {
+		rc = add_reason(rc, address, response);
 	}
 	g_string_free(path, TRUE);
 	g_string_free(response, TRUE);
 	return rc;
 }
 
+static int http_forget_replica(struct ctl_api_client *a, const char *address, const char *database,
+			       const char *server)
+{
+	GString *response = g_string_new(NULL), *path = g_string_new("/v1/replica-set?");
+	int rc;
+
+	append_argument(path, "database", database);
+	if (server)
+		append_argument(path, "&server", server);
+	rc = http_request((struct http_api_client *)a, response, "DELETE", address, path->str);
+	if (rc != PW_OK && rc != PW_EDENIED)
+		rc = add_reason(rc, address, response);
+	g_string_free(path, TRUE);
+	g_string_free(response, TRUE);
+	return rc;
+}
+
 static void http_sleep(struct ctl_api_client *a, uint64_t duration_us)
 {
 	g_usleep(duration_us);
@@ -153,6 +206,7 @@
 static const struct ctl_api_client_ops http_ops = {
 	.get_status = http_get_status,
 	.explain = http_explain,
+	.forget_replica = http_forget_replica,
 	.sleep = http_sleep,
 	.free = http_free,
 };
--- a/ctl/change.c
+++ b/ctl/change.c
@@ -58,7 +58,7 @@
 	if (ctl->api->ops->get_status(ctl->api, &status, address) != PW_OK)
 		return false;
 	has_revision = status.revision >= revision;
-	g_free(status.vm);
+	ctl_proxy_status_dispose(&status);
 	return has_revision;
 }
 
--- a/ctl/command.c
+++ b/ctl/command.c
@@ -6,9 +6,10 @@
 #include "pw/core/error.h"
 
 static const struct ctl_command *const commands[] = {
-	&ctl_check_command,        &ctl_apply_command,   &ctl_show_command,
-	&ctl_status_command,       &ctl_explain_command, &ctl_key_new_command,
-	&ctl_key_withdraw_command, &ctl_drain_command,   &ctl_undrain_command,
+	&ctl_check_command,          &ctl_apply_command,   &ctl_show_command,
+	&ctl_status_command,         &ctl_explain_command, &ctl_key_new_command,
+	&ctl_key_withdraw_command,   &ctl_drain_command,   &ctl_undrain_command,
+	&ctl_replica_forget_command,
 };
 
 const struct ctl_command *ctl_command_at(size_t i)
--- a/ctl/command.h
+++ b/ctl/command.h
@@ -77,6 +77,7 @@
 extern const struct ctl_command ctl_show_command;
 extern const struct ctl_command ctl_status_command;
 extern const struct ctl_command ctl_explain_command;
+extern const struct ctl_command ctl_replica_forget_command;
 extern const struct ctl_command ctl_key_new_command;
 extern const struct ctl_command ctl_key_withdraw_command;
 extern const struct ctl_command ctl_drain_command;
--- a/ctl/document_store.h
+++ b/ctl/document_store.h
@@ -49,6 +49,11 @@
 	uint64_t revision; /**< revision of the document that is in force at the proxy */
 	bool fresh;    /**< the store or a peer confirmed the document recently; false: isolated */
 	bool draining; /**< the document drains the VM, or the proxy is being stopped */
+	/**
+	 * Object with an entry for each database with synchronous replication, see /v1/status; NULL
+	 * if the binding has none.
+	 */
+	json_t *replica_sets;
 };
 
 /** A statement whose server is asked for. */
@@ -63,7 +68,8 @@
 
 struct ctl_api_client_ops {
 	/**
-	 * Asks a proxy for its status. On success the caller frees `out->vm` with g_free().
+	 * Asks a proxy for its status. On success the caller disposes of `out` with
+	 * ctl_proxy_status_dispose().
 	 *
 	 * @param address IP:PORT of the proxy's administration API
 	 * @return 0; PW_EUNAVAILABLE if no response arrived; PW_EDENIED if the proxy rejected the
@@ -79,11 +85,22 @@
 	 */
 	int (*explain)(struct ctl_api_client *a, json_t **out, const char *address,
 		       const struct ctl_explain_query *q);
+	/**
+	 * Has a proxy forget a server of a replica set.
+	 *
+	 * @param server NULL: the registered servers become the set, which has to be unknown
+	 * @return as `get_status`; PW_ECONFLICT if somebody else changed the set meanwhile, and
+	 *         PW_ETIMEOUT if the outcome is not known
+	 */
+	int (*forget_replica)(struct ctl_api_client *a, const char *address, const char *database,
+			      const char *server);
 	/** Waits between two rounds of status requests; returns at once in tests. */
 	void (*sleep)(struct ctl_api_client *a, uint64_t duration_us);
 	void (*free)(struct ctl_api_client *a);
 };
 
+void ctl_proxy_status_dispose(struct ctl_proxy_status *s);
+
 /** First member of a client of the administration API. */
 struct ctl_api_client {
 	const struct ctl_api_client_ops *ops;
--- a/daemon/control/admin.c
+++ b/daemon/control/admin.c
@@ -362,6 +362,32 @@
 	return MHD_YES;
 }
 
+/*
+ * Has a server of a replica set forgotten, so that changes of primary do not wait for it. Without a
+ * server, the registered servers become the set of a database that has none.
+ */
+static enum MHD_Result delete_replica(struct api_request *req)
+{
+	struct admin *a = req->admin;
+	const char *database = query_argument(req, "database");
+
+	if (req->response_text)
+		return respond_text(req->connection, req->response_status, req->response_text);
+	if (!a->directory->cluster)
+		return respond_text(req->connection, MHD_HTTP_NOT_FOUND,
+				    "this binding has no replica sets\n");
+	if (!database)
+		return respond_text(req->connection, MHD_HTTP_BAD_REQUEST,
+				    "the database is needed\n");
+	req->change_tag = ++a->last_tag;
+	g_hash_table_insert(a->pending_changes, &req->change_tag, req);
+	MHD_suspend_connection(req->connection);
+	pw_mailbox_send(a->directory->cluster,
+			pw_replica_forget_msg_new(a->task.inbox, req->change_tag, database,
+						  query_argument(req, "server")));
+	return MHD_YES;
+}
+
 /* Methods and paths of the API. */
 static const struct {
 	const char *method;
@@ -376,6 +402,7 @@
 	{ "GET", "/v1/explain", false, get_explain },
 	{ "GET", "/v1/document", false, get_document },
 	{ "PUT", "/v1/document", false, put_document },
+	{ "DELETE", "/v1/replica-set", false, delete_replica },
 };
 
 static enum MHD_Result dispatch(struct api_request *req, const char *method, const char *path)
@@ -545,27 +572,45 @@
 	resume(req);
 }
 
-static void handle_explained(struct admin *a, struct pw_explained_msg *m)
+/* Returns the HTTP status for the code of another task's answer. */
+static unsigned int answer_status(int32_t code)
 {
-	struct api_request *req = take_pending(a, m->tag);
-
-	if (!req)
-		return;
-	switch (m->code) {
+	switch (code) {
 	case PW_OK:
-		req->response_status = MHD_HTTP_OK;
-		break;
+		return MHD_HTTP_OK;
 	case PW_ENOTFOUND:
-		req->response_status = MHD_HTTP_NOT_FOUND;
-		break;
+		return MHD_HTTP_NOT_FOUND;
 	case PW_EINVALID:
-		req->response_status = MHD_HTTP_BAD_REQUEST;
-		break;
+		return MHD_HTTP_BAD_REQUEST;
+	case PW_ECONFLICT:
+		return MHD_HTTP_CONFLICT;
+	case PW_ETIMEOUT:
+		return MHD_HTTP_GATEWAY_TIMEOUT;
 	default:
-		req->response_status = MHD_HTTP_SERVICE_UNAVAILABLE;
-		break;
+		return MHD_HTTP_SERVICE_UNAVAILABLE;
 	}
+}
+
+static void handle_explained(struct admin *a, struct pw_explained_msg *m)
+{
+	struct api_request *req = take_pending(a, m->tag);
+
+	if (!req)
+		return;
+	req->response_status = answer_status(m->code);
+	req->response_text = g_steal_pointer(&m->text);
+	resume(req);
+}
+
+static void handle_forgotten(struct admin *a, struct pw_replica_forgotten_msg *m)
+{
+	struct api_request *req = take_pending(a, m->tag);
+
+	if (!req)
+		return;
+	req->response_status = answer_status(m->code);
 	req->response_text = g_steal_pointer(&m->text);
+	pw_event_log(PW_EVENT_ADMIN_CHANGE, "object=replica-set status=%u", req->response_status);
 	resume(req);
 }
 
@@ -600,6 +645,8 @@
 		handle_store_result(a, (struct pw_store_result_msg *)m);
 	} else if (m->ops == &pw_explained_msg_ops) {
 		handle_explained(a, (struct pw_explained_msg *)m);
+	} else if (m->ops == &pw_replica_forgotten_msg_ops) {
+		handle_forgotten(a, (struct pw_replica_forgotten_msg *)m);
 	}
 	pw_msg_free(m);
 }
--- a/daemon/control/admin.h
+++ b/daemon/control/admin.h
@@ -6,7 +6,8 @@
  * callers, else 503) need no credentials. All others need `Authorization: Bearer TOKEN`:
  * `GET /metrics` (Prometheus text format), `GET /v1/status` (JSON), `GET /v1/document` (the
  * document in force, with its revision in ETag), `PUT /v1/document` (replaces the document by a
- * compare-and-swap at the store; If-Match holds the revision that is replaced).
+ * compare-and-swap at the store; If-Match holds the revision that is replaced), and
+ * `DELETE /v1/replica-set?database=GROUP[&server=ID]` (has a server of a replica set forgotten).
  */
 #ifndef PW_DAEMON_CONTROL_ADMIN_H
 #define PW_DAEMON_CONTROL_ADMIN_H
--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -550,6 +550,9 @@
 		handle_local_freshness(c, (struct pw_catalog_freshness_msg *)m);
 	} else if (m->ops == &pw_drain_ops) {
 		member_leave(c);
+	} else if (m->ops == &pw_replica_forget_msg_ops) {
+		replica_status_forget(c, (struct pw_replica_forget_msg *)m);
+		return;
 	}
 	pw_msg_free(m);
 }
@@ -560,6 +563,7 @@
 	if (c->promoter)
 		c->promoter->ops->free(c->promoter);
 	replicas_stop(c);
+	replica_status_stop(c);
 	change_stop_all(c);
 	era_stop(c);
 	pulse_stop(c);
@@ -599,6 +603,7 @@
 	change_start(c);
 	position_start(c);
 	replicas_start(c);
+	replica_status_start(c);
 	rc = pulse_start(c);
 	if (!rc)
 		rc = c->directory->binding->promoter_new(&c->promoter, t->loop,
--- a/daemon/control/cluster.h
+++ b/daemon/control/cluster.h
@@ -108,4 +108,39 @@
 /** @return report without entries, whose `settled_revision` the caller sets */
 struct pw_traffic_report *pw_traffic_report_new(uint32_t gateway_index);
 
+/**
+ * Request of an operator that changes of primary wait no longer for a server, whose acknowledged
+ * commits are lost if no other one has them. Sent by the admin task.
+ */
+struct pw_replica_forget_msg {
+	struct pw_msg base;
+	struct pw_mailbox *reply_to;
+	uint64_t tag;
+	char *group;
+	/** Server of the replica set; NULL if that is not known: the registered servers are it. */
+	char *server;
+};
+
+extern const struct pw_msg_ops pw_replica_forget_msg_ops;
+
+/** Creates a request; copies the names. */
+struct pw_msg *pw_replica_forget_msg_new(struct pw_mailbox *reply_to, uint64_t tag,
+					 const char *group, const char *server);
+
+/** The answer to a struct pw_replica_forget_msg. */
+struct pw_replica_forgotten_msg {
+	struct pw_msg base;
+	uint64_t tag;
+	/**
+	 * 0; PW_ENOTFOUND if the group or the server in its replica set is unknown; PW_EINVALID if
+	 * the server is registered or the primary, or the set is known and no server is given;
+	 * PW_ECONFLICT if another VM wrote the record; PW_ETIMEOUT if the outcome is not known;
+	 * PW_EUNAVAILABLE without the store
+	 */
+	int32_t code;
+	char *text; /**< JSON, or an error message */
+};
+
+extern const struct pw_msg_ops pw_replica_forgotten_msg_ops;
+
 #endif
--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -808,28 +808,32 @@
 	const struct cluster *c = ch->cluster;
 	const struct pw_primary *primary = pw_primaries_find(c->primaries, ch->group);
 	const struct pw_catalog_group *g = pw_catalog_find_group(c->catalog, ch->group);
-	GString *missing;
-	char *reports;
+	GPtrArray *missing;
+	char *reports, *names;
 
 	if (ch->wait_logged || !is_synchronous(ch))
 		return;
 	ch->wait_logged = true;
-	missing = g_string_new(NULL);
+	missing = g_ptr_array_new();
 	for (guint i = 0; i < ch->entries->len; i++) {
 		const struct pw_server_entry *e = g_ptr_array_index(ch->entries, i);
 		const struct pw_change_server *s =
 			&g_array_index(ch->servers, struct pw_change_server, i);
 
 		if (!s->is_primary && !s->reported)
-			g_string_append_printf(missing, "%s%s", missing->len ? " " : "", e->id);
+			g_ptr_array_add(missing, e->id);
 	}
+	replica_status_set_wait(ch->cluster, primary, missing);
+	g_ptr_array_add(missing, NULL);
+	names = g_strjoinv(" ", (char **)missing->pdata);
 	reports = format_reports(ch);
 	pw_event_log(PW_EVENT_CHANGE_WAITS,
 		     "database=%s term=%" PRIu64
 		     " missing=\"%s\" sync_replicas=%u set_known=%d reports=\"%s\"",
-		     ch->group, ch->fencing_token, missing->str, g->sync_replica_count,
+		     ch->group, ch->fencing_token, names, g->sync_replica_count,
 		     primary->replica_set != NULL, reports);
-	g_string_free(missing, TRUE);
+	g_ptr_array_unref(missing);
+	g_free(names);
 	g_free(reports);
 }
 
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -245,6 +245,8 @@
 	struct pw_primaries *written_sets; /**< record whose write is in flight; NULL: none */
 	uint64_t sets_not_before_us;       /**< earliest time of the next write */
 	int64_t lost_set_revision; /**< revision that a write without an answer replaces; 0: none */
+	struct pw_replica_forget_msg *forget_request; /**< `written_sets` is for it; NULL: none */
+	GHashTable *waits; /**< group -> struct replica_wait, see replica_status_set_wait() */
 
 	/* Accounts: name -> struct account_demand. */
 	GHashTable *demands;
@@ -423,6 +425,35 @@
 /** @return whether a registered server has stopped, and its log is at a new one at its address */
 bool replicas_has_successor(const struct cluster *c, const struct pw_server_entry *e);
 
+/** @return number of synchronous replicas of the group; 0: asynchronous, or not in the catalogue */
+uint32_t replicas_sync_count(const struct cluster *c, const char *group);
+/** Writes the record with other replica sets, which it takes over; none may be in flight. */
+void replicas_write(struct cluster *c, struct pw_primaries *record);
+
+/* cluster_replica_status.c */
+void replica_status_start(struct cluster *c);
+void replica_status_stop(struct cluster *c);
+/** Tells the administration API the replica sets and what changes of primary wait for. */
+void replica_status_publish(struct cluster *c);
+/**
+ * Records for the status of this VM which servers a change of primary waits for, until the primary
+ * is reached or replaced.
+ *
+ * @param missing ids of the servers
+ */
+void replica_status_set_wait(struct cluster *c, const struct pw_primary *primary,
+			     const GPtrArray *missing);
+/** Ends the waits of groups whose primary is reached again or was replaced. */
+void replica_status_end_waits(struct cluster *c);
+/** Handles a request of an operator, which is answered when the store has. Takes it over. */
+void replica_status_forget(struct cluster *c, struct pw_replica_forget_msg *m);
+/**
+ * Answers the request that the last write of replica sets was for, if there is one.
+ *
+ * @param text JSON or an error message, which the answer takes over
+ */
+void replica_status_answer(struct cluster *c, int32_t code, char *text);
+
 /* cluster_era.c */
 /**
  * Records the era of a result. In a new era this VM has no lease any more, and its changes whose
--- a/daemon/control/cluster_replicas.c
+++ b/daemon/control/cluster_replicas.c
@@ -32,7 +32,7 @@
 /* Eras are counted from here; a store that was restored from a copy is in a later one. */
 #define FIRST_ERA 1
 
-static uint32_t sync_replica_count(const struct cluster *c, const char *group)
+uint32_t replicas_sync_count(const struct cluster *c, const char *group)
 {
 	const struct pw_catalog_group *g = pw_catalog_find_group(c->catalog, group);
 
@@ -166,7 +166,7 @@
 {
 	GPtrArray *set;
 
-	if (!sync_replica_count(c, group) || c->era > FIRST_ERA)
+	if (!replicas_sync_count(c, group) || c->era > FIRST_ERA)
 		return NULL;
 	set = pw_replica_set_new();
 	for (guint i = 0; i < c->servers->entries->len; i++) {
@@ -212,7 +212,7 @@
 static void update_group(struct cluster *c, const struct pw_primary *primary)
 {
 	struct replica_change *old = g_hash_table_lookup(c->replica_changes, primary->group), *rc;
-	uint32_t sync_replicas = sync_replica_count(c, primary->group);
+	uint32_t sync_replicas = replicas_sync_count(c, primary->group);
 
 	/* A group that the catalogue lacks may come back. */
 	if (!pw_catalog_find_group(c->catalog, primary->group) ||
@@ -248,7 +248,7 @@
 		const struct pw_server_entry *e = g_ptr_array_index(c->unrecorded, i);
 		const struct pw_primary *primary = pw_primaries_find(c->primaries, e->group);
 
-		if (pw_server_list_find(c->servers, e->id) || !sync_replica_count(c, e->group) ||
+		if (pw_server_list_find(c->servers, e->id) || !replicas_sync_count(c, e->group) ||
 		    (primary && pw_replica_set_find(primary->replica_set, e->id)))
 			g_ptr_array_remove_index_fast(c->unrecorded, i);
 	}
@@ -261,6 +261,7 @@
 	prune_unrecorded(c);
 	for (guint i = 0; i < c->primaries->entries->len; i++)
 		update_group(c, g_ptr_array_index(c->primaries->entries, i));
+	replica_status_publish(c);
 }
 
 void replicas_keep_unrecorded(struct cluster *c, const struct pw_server_list *next)
@@ -271,7 +272,7 @@
 		const struct pw_server_entry *e = g_ptr_array_index(c->servers->entries, i);
 		const struct pw_primary *primary = pw_primaries_find(c->primaries, e->group);
 
-		if (primary && sync_replica_count(c, e->group) &&
+		if (primary && replicas_sync_count(c, e->group) &&
 		    !pw_server_list_find(next, e->id) &&
 		    !pw_replica_set_find(primary->replica_set, e->id))
 			g_ptr_array_add(c->unrecorded, pw_server_entry_copy(e));
@@ -406,7 +407,7 @@
 		if (!primary || !is_due(c, rc, primary))
 			continue;
 		if (rc->step == PW_REPLICA_SET_PROVE) {
-			continue_proof(rc, sync_replica_count(c, group));
+			continue_proof(rc, replicas_sync_count(c, group));
 			if (!rc->proved)
 				continue;
 		}
@@ -434,22 +435,29 @@
 	return c->lost_set_revision && c->primaries->revision == c->lost_set_revision;
 }
 
+void replicas_write(struct cluster *c, struct pw_primaries *record)
+{
+	c->written_sets = record;
+	cluster_write_primaries(c, record, TAG_REPLICA_SETS);
+}
+
 void replicas_tick(struct cluster *c)
 {
 	struct pw_primaries *record;
 	uint64_t now_us = cluster_now_us(c);
 
-	if (!c->primaries || !c->servers || !c->catalog || !c->renewal_ok || c->leaving ||
-	    c->written_sets || now_us < c->sets_not_before_us || !era_is_record_current(c) ||
-	    !c->members_read_us)
+	if (!c->primaries || !c->servers || !c->catalog)
+		return;
+	replica_status_end_waits(c);
+	if (!c->renewal_ok || c->leaving || c->written_sets || now_us < c->sets_not_before_us ||
+	    !era_is_record_current(c) || !c->members_read_us)
 		return;
 	record = build_record(c);
 	if (!record && may_write_take_effect(c))
 		record = pw_primaries_copy(c->primaries);
 	if (!record)
 		return;
-	c->written_sets = record;
-	cluster_write_primaries(c, record, TAG_REPLICA_SETS);
+	replicas_write(c, record);
 }
 
 /* A server that was gone may answer again before the next write. */
@@ -477,8 +485,10 @@
 	if (base->code == PW_OK) {
 		record->revision = base->revision;
 		cluster_apply_primaries(c, record);
+		replica_status_answer(c, PW_OK, g_strdup("{}\n"));
 		return;
 	}
+	replica_status_answer(c, base->code, g_strdup_printf("%s\n", base->message));
 	if (base->code != PW_ECONFLICT)
 		c->lost_set_revision = record->revision;
 	pw_primaries_unref(record);
--- a/tests/ctl/test_api.c
+++ b/tests/ctl/test_api.c
@@ -21,7 +21,7 @@
 /* Returns the query's values, as the server decodes them; an empty text if there are none. */
 static char *join_arguments(struct MHD_Connection *c)
 {
-	static const char *const names[] = { "account", "database", "kind", "position" };
+	static const char *const names[] = { "account", "database", "kind", "position", "server" };
 	GString *text = g_string_new(NULL);
 
 	for (size_t i = 0; i < PW_ARRAY_LEN(names); i++) {
@@ -96,7 +96,7 @@
 		ck_assert_uint_eq(status.revision, 7);
 		ck_assert(status.fresh);
 		ck_assert(!status.draining);
-		g_free(status.vm);
+		ctl_proxy_status_dispose(&status);
 	}
 	return rc;
 }
@@ -184,11 +184,64 @@
 }
 END_TEST
 
+static const struct {
+	const char *label;
+	unsigned status;
+	const char *body;
+	const char *server; /**< NULL: the set is not known */
+	int result;
+	const char *message;      /**< part of the error message; NULL: no error */
+	const char *request_line; /**< without the token */
+} forget_cases[] = {
+	{ "done", 200, "{}", "i-1", PW_OK, NULL, "DELETE /v1/replica-set d&x|i-1" },
+	{ "unknown set", 200, "{}", NULL, PW_OK, NULL, "DELETE /v1/replica-set d&x" },
+	{ "a registered server", 400, "i-1 is registered\n", "i-1", PW_EINVALID, "is registered",
+	  "DELETE /v1/replica-set d&x|i-1" },
+	{ "another writer", 409, "try again\n", "i-1", PW_ECONFLICT, "try again",
+	  "DELETE /v1/replica-set d&x|i-1" },
+	{ "outcome not known", 504, "no answer\n", "i-1", PW_ETIMEOUT, "no answer",
+	  "DELETE /v1/replica-set d&x|i-1" },
+	{ "wrong token", 401, "no", "i-1", PW_EDENIED, "token", "DELETE /v1/replica-set d&x|i-1" },
+};
+
+/* Guards against a server that is forgotten without being asked for, and an outcome misstated. */
+START_TEST(test_forget_replica)
+{
+	struct sockaddr_in loopback = {
+		.sin_family = AF_INET,
+		.sin_addr = { .s_addr = htonl(INADDR_LOOPBACK) },
+	};
+	struct http_script s = { .status = forget_cases[_i].status, .body = forget_cases[_i].body };
+	struct MHD_Daemon *server =
+		MHD_start_daemon(MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL, NULL, handle_request, &s,
+				 MHD_OPTION_SOCK_ADDR, &loopback, MHD_OPTION_END);
+	char *address, *request_line = g_strdup_printf("%s -", forget_cases[_i].request_line);
+	struct ctl_api_client *a;
+	int rc;
+
+	ck_assert_ptr_nonnull(server);
+	address = g_strdup_printf("127.0.0.1:%u",
+				  MHD_get_daemon_info(server, MHD_DAEMON_INFO_BIND_PORT)->port);
+	ck_assert_int_eq(ctl_api_client_open(&a, NULL, NULL), PW_OK);
+	rc = a->ops->forget_replica(a, address, "d&x", forget_cases[_i].server);
+	ck_assert_msg(rc == forget_cases[_i].result &&
+			      (rc == PW_OK || strstr(pw_error_message(), forget_cases[_i].message)),
+		      "%s: %d: %s", forget_cases[_i].label, rc, pw_error_message());
+	ck_assert_str_eq(s.request_line, request_line);
+	a->ops->free(a);
+	MHD_stop_daemon(server);
+	g_free(s.request_line);
+	g_free(request_line);
+	g_free(address);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("api");
 
 	tcase_add_loop_test(tc, test_calls, 0, PW_ARRAY_LEN(cases));
 	tcase_add_loop_test(tc, test_explain, 0, PW_ARRAY_LEN(explain_cases));
+	tcase_add_loop_test(tc, test_forget_replica, 0, PW_ARRAY_LEN(forget_cases));
 	return pw_suite_run("api", tc);
 }
--- a/tests/ctl/test_command.c
+++ b/tests/ctl/test_command.c
@@ -85,6 +85,7 @@
 struct fake_api_client {
 	struct ctl_api_client base;
 	uint64_t revision;
+	const char *replica_sets; /**< JSON text; NULL: none */
 };
 
 static int fake_get_status(struct ctl_api_client *a, struct ctl_proxy_status *out,
@@ -98,6 +99,7 @@
 		.vm = g_strdup(strcmp(address, "127.0.0.1:1") == 0 ? "vm1" : "vm2"),
 		.revision = f->revision,
 		.fresh = true,
+		.replica_sets = f->replica_sets ? json_loads(f->replica_sets, 0, NULL) : NULL,
 	};
 	return PW_OK;
 }
@@ -119,6 +121,19 @@
 	return PW_OK;
 }
 
+static int fake_forget_replica(struct ctl_api_client *a, const char *address, const char *database,
+			       const char *server)
+{
+	(void)a;
+	if (strcmp(address, "127.0.0.1:9") == 0)
+		return pw_error_set(PW_EUNAVAILABLE, "%s: no answer", address);
+	if (g_strcmp0(server, "i-late") == 0)
+		return pw_error_set(PW_ETIMEOUT, "%s: the store did not answer", address);
+	if (g_strcmp0(server, "i-raced") == 0)
+		return pw_error_set(PW_ECONFLICT, "%s: try again", address);
+	return PW_OK;
+}
+
 static void fake_sleep(struct ctl_api_client *a, uint64_t duration_us)
 {
 	((struct fake_api_client *)a)->revision++;
@@ -127,6 +142,7 @@
 static const struct ctl_api_client_ops fake_ops = {
 	.get_status = fake_get_status,
 	.explain = fake_explain,
+	.forget_replica = fake_forget_replica,
 	.sleep = fake_sleep,
 };
 
@@ -642,6 +658,83 @@
 }
 END_TEST
 
+static const struct {
+	const char *label;
+	const char *replica_sets;
+	const char *out; /**< part of standard output */
+} replica_set_cases[] = {
+	{ "no database with synchronous replication", "{}",
+	  "127.0.0.1:1 vm=vm1 revision=0 fresh\n" },
+	{ "a set", "{\"db\":{\"primary\":\"a\",\"servers\":[\"a\",\"b\"],\"waits_for\":null}}",
+	  "  db primary=a servers=a,b\n" },
+	{ "a change that waits",
+	  "{\"db\":{\"primary\":\"a\",\"servers\":[\"a\",\"b\",\"c\"],\"waits_for\":[\"b\",\"c\"]}"
+	  "}",
+	  "  db primary=a servers=a,b,c waits-for=b,c\n" },
+	{ "no set is known", "{\"db\":{\"primary\":\"a\",\"servers\":null,\"waits_for\":[]}}",
+	  "  db primary=a servers=unknown waits-for=\n" },
+	{ "malformed", "{\"db\":7}", "  db primary=- servers=unknown\n" },
+};
+
+/* Guards against an operator who is not told what a change of primary waits for. */
+START_TEST(test_status_has_replica_sets)
+{
+	struct fixture x;
+	char *args[] = { NULL };
+
+	fixture_init(&x, NULL, "");
+	x.ctl.settings.api_addresses = first_address;
+	x.api.replica_sets = replica_set_cases[_i].replica_sets;
+	ck_assert_int_eq(ctl_status_command.ops->run(&ctl_status_command, &x.ctl, args), CTL_DONE);
+	ck_assert_msg(strstr(x.ctl.out->str, replica_set_cases[_i].out), "%s:\n%s",
+		      replica_set_cases[_i].label, x.ctl.out->str);
+	fixture_dispose(&x);
+}
+END_TEST
+
+static char *unreachable_first_addresses[] = { (char *)"127.0.0.1:9", (char *)"127.0.0.1:1", NULL };
+static char *unreachable_address[] = { (char *)"127.0.0.1:9", NULL };
+
+static const struct {
+	const char *label;
+	const char *server;
+	char **addresses;
+	bool json;
+	enum ctl_exit status;
+	const char *out; /**< part of standard output */
+	const char *err; /**< part of standard error; "": none is written */
+} forget_cases[] = {
+	{ "done", "i-1", first_address, false, CTL_DONE, "db no longer waits for i-1", "" },
+	{ "JSON", "i-1", first_address, true, CTL_DONE, "\"forgotten\":\"i-1\"", "" },
+	{ "unknown set", "unknown", first_address, false, CTL_DONE, "not registered", "" },
+	{ "the next proxy does it", "i-1", unreachable_first_addresses, false, CTL_DONE,
+	  "no longer waits for i-1", "127.0.0.1:9: no answer" },
+	{ "no proxy does it", "i-1", unreachable_address, false, CTL_FAILED, "", "no answer" },
+	{ "another writer", "i-raced", first_address, false, CTL_CONFLICT, "", "try again" },
+	{ "outcome not known", "i-late", first_address, false, CTL_FAILED, "",
+	  "the store did not answer" },
+};
+
+/* Guards against a server that counts as forgotten although no proxy has confirmed it. */
+START_TEST(test_replica_forget)
+{
+	struct fixture x;
+	char *args[] = { (char *)"db", (char *)(uintptr_t)forget_cases[_i].server, NULL };
+
+	fixture_init(&x, NULL, "");
+	x.ctl.settings.api_addresses = forget_cases[_i].addresses;
+	x.ctl.settings.json = forget_cases[_i].json;
+	ck_assert_int_eq(
+		ctl_replica_forget_command.ops->run(&ctl_replica_forget_command, &x.ctl, args),
+		forget_cases[_i].status);
+	ck_assert_msg(strstr(x.ctl.out->str, forget_cases[_i].out) &&
+			      strstr(x.ctl.err->str, forget_cases[_i].err) &&
+			      (forget_cases[_i].err[0] || !x.ctl.err->len),
+		      "%s:\n%s%s", forget_cases[_i].label, x.ctl.out->str, x.ctl.err->str);
+	fixture_dispose(&x);
+}
+END_TEST
+
 static void check_manual_mentions(const char *page, const char *word)
 {
 	char **parts = g_strsplit(word, "-", -1);
@@ -686,6 +779,8 @@
 	tcase_add_loop_test(tc, test_drain, 0, PW_ARRAY_LEN(drain_cases));
 	tcase_add_loop_test(tc, test_output, 0, PW_ARRAY_LEN(output_cases));
 	tcase_add_loop_test(tc, test_explain, 0, PW_ARRAY_LEN(explain_cases));
+	tcase_add_loop_test(tc, test_status_has_replica_sets, 0, PW_ARRAY_LEN(replica_set_cases));
+	tcase_add_loop_test(tc, test_replica_forget, 0, PW_ARRAY_LEN(forget_cases));
 	tcase_add_test(tc, test_manual);
 	return pw_suite_run("command", tc);
 }
--- a/tests/platform/test_replica_set_fleet.c
+++ b/tests/platform/test_replica_set_fleet.c
@@ -5,8 +5,13 @@
  */
 #include "suite.h"
 
+#include <sys/wait.h>
+
 #include "platform_fleet.h"
 
+#define CTL_PATH      PW_BUILD_DIR "/ctl/pimentowingctl"
+#define TOKEN         "operator"
+
 #define PRIMARIES_KEY "pimentowing/fleet/primaries"
 /* Longer than any memory of a VM. */
 #define LONG_OUTAGE_MS 23000
@@ -356,13 +361,89 @@
 }
 END_TEST
 
+/* Runs pimentowingctl for all VMs. Returns its exit status; `out` receives both of its outputs. */
+static int run_ctl(char **out, const char *arguments)
+{
+	char *command =
+		g_strdup_printf(CTL_PATH " --api 127.0.0.1:%u,127.0.0.1:%u,127.0.0.1:%u %s",
+				vms[0].api_port, vms[1].api_port, vms[2].api_port, arguments);
+	char *text = NULL, *errors = NULL;
+	int status = 0;
+
+	ck_assert(g_spawn_command_line_sync(command, &text, &errors, &status, NULL));
+	*out = g_strconcat(text, errors, NULL);
+	g_free(text);
+	g_free(errors);
+	g_free(command);
+	return WEXITSTATUS(status);
+}
+
+static void expect_ctl(const char *arguments, int status, const char *text)
+{
+	char *out;
+	int actual = run_ctl(&out, arguments);
+
+	ck_assert_msg(actual == status && strstr(out, text), "%s: %d: %s", arguments, actual, out);
+	g_free(out);
+}
+
+/* The server that is to be forgotten, once it is lost together with the primary. */
+static const struct {
+	const char *label;
+	void (*after_crash)(void);
+	const char *command;
+	const char *shown; /* before, by the status */
+} forget_cases[] = {
+	{ "a lost replica", do_nothing, "replica forget core i-core-2", "waits-for=i-core-2" },
+	{ "the set is not known", restart_with_old_record, "replica forget core unknown",
+	  "servers=unknown" },
+};
+
+/*
+ * Guards against a group that stays without a primary when an operator gives commits up, and
+ * against a server that is forgotten although it may still be asked.
+ */
+START_TEST(test_operator_forgets_server)
+{
+	struct client *c;
+
+	asked_vm = 0;
+	sync_replica_count = 1;
+	start_fleet();
+	sync_replica_count = 0;
+	c = open_session(0, "desk");
+	expect_answer(c, "WRITE before v", "ok I");
+	client_free(c);
+	g_usleep(G_USEC_PER_SEC);
+	expect_ctl("status", 0, "core primary=i-core-1 servers=i-core-1,i-core-2,i-core-3\n");
+	expect_ctl("replica forget core i-core-3", 1, "i-core-3 is registered");
+	expect_ctl("replica forget core i-core-1", 1, "i-core-1 is the primary");
+	expect_ctl("replica forget core i-core-9", 1, "no server i-core-9");
+	expect_ctl("replica forget core unknown", 1, "the replica set is known");
+	expect_ctl("replica forget other i-core-2", 1, "no database other");
+	inject_fault("deaf", "i-core-3");
+	inject_fault("gone", "i-core-2");
+	inject_fault("crash", "i-core-1");
+	forget_cases[_i].after_crash();
+	call_for(OBSERVED_MS);
+	ck_assert_msg(count_promotion_requests() == 0, "%s", forget_cases[_i].label);
+	expect_ctl("status", 0, forget_cases[_i].shown);
+	expect_ctl(forget_cases[_i].command, 0, "no longer waits");
+	call_for(2 * PROMOTION_TIMEOUT_MS);
+	ck_assert_msg(count_promotion_requests() > 0, "%s", forget_cases[_i].label);
+	stop_fleet();
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("replica set fleet");
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
+	g_setenv("PW_API_TOKEN", TOKEN, TRUE);
 	tcase_add_loop_test(tc, test_only_holder_is_waited_for, 0, PW_ARRAY_LEN(loss_cases));
 	tcase_add_loop_test(tc, test_server_that_left_is_not_waited_for, 0,
 			    PW_ARRAY_LEN(leave_cases));
+	tcase_add_loop_test(tc, test_operator_forgets_server, 0, PW_ARRAY_LEN(forget_cases));
 	return pw_suite_run("replica set fleet", tc);
 }
