Replica sets: a server that was not asked is not silent; a new address is written

By reading, two ways in which a set could lack a server too early:

- If a status query could not be sent (no descriptor left), its server counted as silent.
A round with such a query proves nothing now.
- A server that runs at another address under its id was not written again, so it was asked at the old one once its entry was gone.

Besides: one function cancels a list of status queries, and one builds the set of the registered servers; the request of an operator is answered in one place; test_explain_fleet and test_replica_set_fleet share run_ctl(); the cases of test_replica_set_is_written name one trouble each.

--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -98,17 +98,6 @@
 	bool ended;
 };
 
-static void cancel_queries(struct change *ch)
-{
-	for (guint i = 0; i < ch->queries->len; i++) {
-		struct status_query *q = g_ptr_array_index(ch->queries, i);
-
-		ch->queries->pdata[i] = NULL;
-		if (q)
-			status_query_cancel(q);
-	}
-}
-
 static void end_change(struct change *ch, enum pw_event event, const char *reason)
 {
 	struct cluster *c = ch->cluster;
@@ -123,7 +112,7 @@
 				     : "",
 		     reason, (cluster_now_us(c) - ch->started_us) / PW_US_PER_MS);
 	ch->ended = true;
-	cancel_queries(ch);
+	status_query_cancel_list(ch->queries);
 	g_hash_table_remove(c->changes, ch->group);
 }
 
@@ -867,7 +856,7 @@
 	 */
 	if (!pw_permit_is_valid(c->permit_until_us, cluster_now_us(c)))
 		return;
-	cancel_queries(ch);
+	status_query_cancel_list(ch->queries);
 	reports = format_reports(ch);
 	ch->target_before = g_array_index(ch->servers, struct pw_change_server, ch->target);
 	g_array_index(ch->servers, struct pw_change_server, ch->target).reported = false;
@@ -950,7 +939,7 @@
 
 	if (pw_change_is_promoted(&ch->target_before, s,
 				  cluster_now_us(ch->cluster) - ch->promotion_answered_us)) {
-		cancel_queries(ch);
+		status_query_cancel_list(ch->queries);
 		record_primary(ch);
 	} else if (cluster_now_us(ch->cluster) >= ch->next_query_us) {
 		query_servers(ch, true);
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -414,6 +414,8 @@
  * @return struct pw_server_entry; the caller unrefs the array
  */
 GPtrArray *replicas_list_missing(const struct cluster *c, const struct pw_primary *primary);
+/** @return a replica set of the servers that are registered for the group */
+GPtrArray *replicas_registered_set(const struct cluster *c, const char *group);
 /**
  * Returns the replica set with which a group is added to the record: no VM has used its primary
  * before, so no commit was acknowledged to callers.
@@ -450,9 +452,9 @@
 /**
  * Answers the request that the last write of replica sets was for, if there is one.
  *
- * @param text JSON or an error message, which the answer takes over
+ * @param text JSON or an error message
  */
-void replica_status_answer(struct cluster *c, int32_t code, char *text);
+void replica_status_answer(struct cluster *c, int32_t code, const char *text);
 
 /* cluster_era.c */
 /**
@@ -535,6 +537,8 @@
 					void *owner);
 /** Cancels a query without calling `done`. */
 void status_query_cancel(struct status_query *q);
+/** Cancels the queries of a list, whose items become NULL, and may be before. */
+void status_query_cancel_list(GPtrArray *queries);
 /** Cancels all queries, also those without an owner. */
 void status_query_cancel_all(struct cluster *c);
 
--- a/daemon/control/cluster_replica_status.c
+++ b/daemon/control/cluster_replica_status.c
@@ -15,12 +15,12 @@
 /* A change of primary of this VM that waits for servers. */
 struct replica_wait {
 	uint64_t generation; /**< of the primary that is to be replaced */
-	char *servers;       /**< JSON array of their ids */
+	json_t *servers;     /**< array of their ids */
 };
 
 static void replica_wait_free(gpointer data)
 {
-	g_free(((struct replica_wait *)data)->servers);
+	json_decref(((struct replica_wait *)data)->servers);
 	g_free(data);
 }
 
@@ -46,8 +46,8 @@
 
 		json_array_append_new(servers, json_string(r->id));
 	}
-	return json_pack("{s:s,s:o,s:o}", "primary", primary->server_id, "servers", servers,
-			 "waits_for", wait ? json_loads(wait->servers, 0, NULL) : json_null());
+	return json_pack("{s:s,s:o,s:O?}", "primary", primary->server_id, "servers", servers,
+			 "waits_for", wait ? wait->servers : NULL);
 }
 
 void replica_status_publish(struct cluster *c)
@@ -72,17 +72,11 @@
 			     const GPtrArray *missing)
 {
 	struct replica_wait *wait = g_new0(struct replica_wait, 1);
-	json_t *servers = json_array();
-	char *text;
 
-	for (guint i = 0; i < missing->len; i++) {
-		json_array_append_new(servers, json_string(g_ptr_array_index(missing, i)));
-	}
-	text = json_dumps(servers, JSON_COMPACT);
 	wait->generation = primary->generation;
-	wait->servers = g_strdup(text);
-	free(text);
-	json_decref(servers);
+	wait->servers = json_array();
+	for (guint i = 0; i < missing->len; i++)
+		json_array_append_new(wait->servers, json_string(g_ptr_array_index(missing, i)));
 	g_hash_table_replace(c->waits, g_strdup(primary->group), wait);
 	replica_status_publish(c);
 }
@@ -109,16 +103,11 @@
 		replica_status_publish(c);
 }
 
-void replica_status_answer(struct cluster *c, int32_t code, char *text)
+/* Answers a request and frees it; takes over the text. */
+static void answer(struct pw_replica_forget_msg *m, int32_t code, char *text)
 {
-	struct pw_replica_forget_msg *m = g_steal_pointer(&c->forget_request);
-	struct pw_replica_forgotten_msg *reply;
+	struct pw_replica_forgotten_msg *reply = g_new0(struct pw_replica_forgotten_msg, 1);
 
-	if (!m) {
-		g_free(text);
-		return;
-	}
-	reply = g_new0(struct pw_replica_forgotten_msg, 1);
 	reply->base.ops = &pw_replica_forgotten_msg_ops;
 	reply->tag = m->tag;
 	reply->code = code;
@@ -127,24 +116,29 @@
 	pw_msg_free(&m->base);
 }
 
+void replica_status_answer(struct cluster *c, int32_t code, const char *text)
+{
+	struct pw_replica_forget_msg *m = g_steal_pointer(&c->forget_request);
+
+	if (m)
+		answer(m, code, g_strdup_printf("%s\n", text));
+}
+
 /* Returns the set without a server, or of the registered servers only if it was not known. */
 static GPtrArray *build_set_without(const struct cluster *c, const struct pw_primary *primary,
 				    const char *server)
 {
-	GPtrArray *set = pw_replica_set_new();
+	GPtrArray *set;
 
-	for (guint i = 0; primary->replica_set && i < primary->replica_set->len; i++) {
+	if (!primary->replica_set)
+		return replicas_registered_set(c, primary->group);
+	set = pw_replica_set_new();
+	for (guint i = 0; i < primary->replica_set->len; i++) {
 		const struct pw_replica *r = g_ptr_array_index(primary->replica_set, i);
 
 		if (strcmp(r->id, server) != 0)
 			pw_replica_set_add(set, r->id, r->address, r->is_stopping);
 	}
-	for (guint i = 0; !primary->replica_set && i < c->servers->entries->len; i++) {
-		const struct pw_server_entry *e = g_ptr_array_index(c->servers->entries, i);
-
-		if (strcmp(e->group, primary->group) == 0)
-			pw_replica_set_add(set, e->id, e->address, e->leaving && !e->evacuated);
-	}
 	return set;
 }
 
@@ -182,12 +176,9 @@
 	const struct pw_primary *primary;
 	struct pw_primaries *record;
 	int code = check_forget(c, m);
-	struct pw_replica_forget_msg *pending = g_steal_pointer(&c->forget_request);
 
 	if (code) {
-		c->forget_request = m;
-		replica_status_answer(c, code, g_strdup_printf("%s\n", pw_error_message()));
-		c->forget_request = pending;
+		answer(m, code, g_strdup_printf("%s\n", pw_error_message()));
 		return;
 	}
 	c->forget_request = m;
--- a/daemon/control/cluster_replicas.c
+++ b/daemon/control/cluster_replicas.c
@@ -13,6 +13,8 @@
 
 /* Number of VMs, by rank, that may write the set of a group, each if the ones before do not. */
 #define WRITER_COUNT 3
+/* Eras are counted from here; a store that was restored from a copy is in a later one. */
+#define FIRST_ERA 1
 
 /* A replica set that has to be written. */
 struct replica_change {
@@ -26,12 +28,10 @@
 	struct pw_replica_set_proof proof;
 	bool proved;
 	uint32_t round_count; /**< rounds of status queries that were started */
+	bool round_failed;    /**< a query of the last one could not be sent */
 	uint64_t next_round_us;
 };
 
-/* Eras are counted from here; a store that was restored from a copy is in a later one. */
-#define FIRST_ERA 1
-
 uint32_t replicas_sync_count(const struct cluster *c, const char *group)
 {
 	const struct pw_catalog_group *g = pw_catalog_find_group(c->catalog, group);
@@ -39,22 +39,11 @@
 	return g ? g->sync_replica_count : 0;
 }
 
-static void cancel_queries(struct replica_change *rc)
-{
-	for (guint i = 0; i < rc->queries->len; i++) {
-		struct status_query *q = g_ptr_array_index(rc->queries, i);
-
-		rc->queries->pdata[i] = NULL;
-		if (q)
-			status_query_cancel(q);
-	}
-}
-
 static void replica_change_free(gpointer data)
 {
 	struct replica_change *rc = data;
 
-	cancel_queries(rc);
+	status_query_cancel_list(rc->queries);
 	for (guint i = 0; i < rc->entries->len; i++)
 		pw_server_entry_free(g_ptr_array_index(rc->entries, i));
 	g_ptr_array_unref(rc->entries);
@@ -100,7 +89,8 @@
 	const struct pw_replica *r = pw_replica_set_find(primary->replica_set, e->id);
 	const struct pw_replica_view v = {
 		.is_primary = strcmp(e->id, primary->server_id) == 0,
-		.recorded = r != NULL,
+		/* A server that has another address now is written again. */
+		.recorded = r && strcmp(r->address, e->address) == 0,
 		.recorded_stopping = r && r->is_stopping,
 		.registered = registered,
 		/* The entry of an evacuated zone does not tell whether the server stops. */
@@ -162,13 +152,10 @@
 	return missing;
 }
 
-GPtrArray *replicas_first_set(const struct cluster *c, const char *group)
+GPtrArray *replicas_registered_set(const struct cluster *c, const char *group)
 {
-	GPtrArray *set;
+	GPtrArray *set = pw_replica_set_new();
 
-	if (!replicas_sync_count(c, group) || c->era > FIRST_ERA)
-		return NULL;
-	set = pw_replica_set_new();
 	for (guint i = 0; i < c->servers->entries->len; i++) {
 		const struct pw_server_entry *e = g_ptr_array_index(c->servers->entries, i);
 
@@ -178,6 +165,13 @@
 	return set;
 }
 
+GPtrArray *replicas_first_set(const struct cluster *c, const char *group)
+{
+	if (!replicas_sync_count(c, group) || c->era > FIRST_ERA)
+		return NULL;
+	return replicas_registered_set(c, group);
+}
+
 bool replicas_has_successor(const struct cluster *c, const struct pw_server_entry *e)
 {
 	return e->leaving && !e->evacuated && has_successor(c, e->group, e->id, e->address);
@@ -323,12 +317,15 @@
 {
 	struct cluster *c = rc->cluster;
 
+	rc->round_failed = false;
 	for (guint i = 0; i < rc->entries->len; i++) {
 		const struct pw_server_entry *e = g_ptr_array_index(rc->entries, i);
 
 		g_array_index(rc->views, struct pw_replica_view, i).reported = false;
-		if (may_query(c, e->id))
-			rc->queries->pdata[i] = status_query_start(c, e, 0, &status_query_ops, rc);
+		if (!may_query(c, e->id))
+			continue;
+		rc->queries->pdata[i] = status_query_start(c, e, 0, &status_query_ops, rc);
+		rc->round_failed = rc->round_failed || !rc->queries->pdata[i];
 	}
 	rc->next_round_us = cluster_now_us(c) + pw_replica_set_round_delay_us(rc->round_count++);
 }
@@ -338,7 +335,8 @@
 {
 	if (rc->proved || !is_round_done(rc))
 		return;
-	if (rc->round_count)
+	/* A server that was not asked does not count as silent. */
+	if (rc->round_count && !rc->round_failed)
 		rc->proved = pw_replica_set_prove(&rc->proof,
 						  (struct pw_replica_view *)(void *)rc->views->data,
 						  rc->views->len, sync_replicas);
@@ -485,10 +483,10 @@
 	if (base->code == PW_OK) {
 		record->revision = base->revision;
 		cluster_apply_primaries(c, record);
-		replica_status_answer(c, PW_OK, g_strdup("{}\n"));
+		replica_status_answer(c, PW_OK, "{}");
 		return;
 	}
-	replica_status_answer(c, base->code, g_strdup_printf("%s\n", base->message));
+	replica_status_answer(c, base->code, base->message);
 	if (base->code != PW_ECONFLICT)
 		c->lost_set_revision = record->revision;
 	pw_primaries_unref(record);
--- a/daemon/control/cluster_status.c
+++ b/daemon/control/cluster_status.c
@@ -182,6 +182,17 @@
 	end_query(q);
 }
 
+void status_query_cancel_list(GPtrArray *queries)
+{
+	for (guint i = 0; i < queries->len; i++) {
+		struct status_query *q = g_ptr_array_index(queries, i);
+
+		queries->pdata[i] = NULL;
+		if (q)
+			status_query_cancel(q);
+	}
+}
+
 void status_query_cancel_all(struct cluster *c)
 {
 	GList *queries = g_hash_table_get_keys(c->queries);
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -2032,36 +2032,40 @@
 }
 END_TEST
 
+/* What differs from a group whose replica has the primary's log and the address in the set. */
+enum replica_set_trouble {
+	TROUBLE_NONE,
+	PRIMARY_MARKED,    /* another VM changes the primary */
+	REPLICA_BEHIND,    /* it lacks entries of the primary's log */
+	REPLICA_EVACUATED, /* its zone, so that it may not be queried */
+	REPLICA_MOVED,     /* since the set was written */
+	ANSWER_MISSING,    /* to the first write, which takes effect */
+	WRITE_MISSING,     /* the first write takes no effect, and has no answer */
+};
+
 static const struct {
 	const char *label;
 	uint32_t sync_replica_count;
-	const char *set;   /* in the record at the start, ids of one digit; NULL: not known */
-	bool is_marked;    /* another VM changes the primary */
-	bool is_behind;    /* the replica lacks entries of the primary's log */
-	bool is_evacuated; /* the zone of the replica, so that it may not be queried */
-	enum record_answer answer; /* to the first write */
+	const char *set; /* in the record at the start, ids of one digit; NULL: not known */
+	enum replica_set_trouble trouble;
 	uint32_t write_count;
 	const char *expected; /* set in the record at the end */
 } replica_set_cases[] = {
-	{ "asynchronous replication", 0, NULL, false, false, false, ANSWER_GIVEN, 0, NULL },
-	{ "replication has become asynchronous", 0, "12", false, false, false, ANSWER_GIVEN, 1,
-	  NULL },
-	{ "the set is complete", 1, "12", false, false, false, ANSWER_GIVEN, 0, "12" },
-	{ "a server has joined", 1, "1", false, true, false, ANSWER_GIVEN, 1, "12" },
-	{ "the set is not known", 1, NULL, false, false, false, ANSWER_GIVEN, 1, "12" },
-	{ "the set is not known, the replica is behind", 1, NULL, false, true, false, ANSWER_GIVEN,
-	  0, NULL },
-	{ "a server is gone", 1, "123", false, false, false, ANSWER_GIVEN, 1, "12" },
-	{ "a server is gone, the replica is behind", 1, "123", false, true, false, ANSWER_GIVEN, 0,
+	{ "asynchronous replication", 0, NULL, TROUBLE_NONE, 0, NULL },
+	{ "replication has become asynchronous", 0, "12", TROUBLE_NONE, 1, NULL },
+	{ "the set is complete", 1, "12", TROUBLE_NONE, 0, "12" },
+	{ "a server has joined", 1, "1", REPLICA_BEHIND, 1, "12" },
+	{ "a server has another address", 1, "12", REPLICA_MOVED, 1, "12" },
+	{ "the set is not known", 1, NULL, TROUBLE_NONE, 1, "12" },
+	{ "the set is not known, the replica is behind", 1, NULL, REPLICA_BEHIND, 0, NULL },
+	{ "a server is gone", 1, "123", TROUBLE_NONE, 1, "12" },
+	{ "a server is gone, the replica is behind", 1, "123", REPLICA_BEHIND, 0, "123" },
+	{ "a server is gone, the primary is being changed", 1, "123", PRIMARY_MARKED, 0, "123" },
+	{ "a server is gone, the replica may not be queried", 1, "123", REPLICA_EVACUATED, 0,
 	  "123" },
-	{ "a server is gone, the primary is being changed", 1, "123", true, false, false,
-	  ANSWER_GIVEN, 0, "123" },
-	{ "a server is gone, the zone of the replica is evacuated", 1, "123", false, false, true,
-	  ANSWER_GIVEN, 0, "123" },
-	{ "the answer to the write is lost", 1, "123", false, false, false, ANSWER_LOST, 2, "12" },
+	{ "the answer to the write is lost", 1, "123", ANSWER_MISSING, 2, "12" },
 	/* The second write prevents that the first one takes effect later. */
-	{ "the write and its answer are lost", 1, "123", false, false, false, ANSWER_LOST_NOOP, 3,
-	  "12" },
+	{ "the write and its answer are lost", 1, "123", WRITE_MISSING, 3, "12" },
 };
 
 /* Names the servers of a set by the digits of their ids. */
@@ -2081,29 +2085,30 @@
  */
 START_TEST(test_replica_set_is_written)
 {
+	enum replica_set_trouble trouble = replica_set_cases[_i].trouble;
+	GPtrArray *set = replica_set_cases[_i].set ? pw_replica_set_new() : NULL;
 	struct fixture x;
 	char *digits;
 
 	setup(&x);
 	x.sync_replica_count = replica_set_cases[_i].sync_replica_count;
-	x.answer = replica_set_cases[_i].answer;
 	x.answer_tag = TAG_REPLICA_SETS;
-	x.servers[1].term = replica_set_cases[_i].is_behind ? 2 : 3;
-	x.is_replica_evacuated = replica_set_cases[_i].is_evacuated;
-	if (replica_set_cases[_i].set) {
-		GPtrArray *set = pw_replica_set_new();
-
-		for (const char *digit = replica_set_cases[_i].set; *digit; digit++) {
-			const char id[] = { 's', *digit, '\0' };
-
-			pw_replica_set_add(set, id,
-					   *digit == '3' ? "127.0.0.1:1"
-							 : x.servers[*digit - '1'].address,
-					   false);
-		}
-		pw_primaries_set_replica_set(x.record, GROUP, set);
+	if (trouble == ANSWER_MISSING)
+		x.answer = ANSWER_LOST;
+	else if (trouble == WRITE_MISSING)
+		x.answer = ANSWER_LOST_NOOP;
+	x.servers[1].term = trouble == REPLICA_BEHIND ? 2 : 3;
+	x.is_replica_evacuated = trouble == REPLICA_EVACUATED;
+	for (const char *digit = replica_set_cases[_i].set; digit && *digit; digit++) {
+		const char id[] = { 's', *digit, '\0' };
+		bool is_elsewhere = *digit == '3' || (*digit == '2' && trouble == REPLICA_MOVED);
+
+		pw_replica_set_add(set, id,
+				   is_elsewhere ? "127.0.0.1:1" : x.servers[*digit - '1'].address,
+				   false);
 	}
-	if (replica_set_cases[_i].is_marked)
+	pw_primaries_set_replica_set(x.record, GROUP, set);
+	if (trouble == PRIMARY_MARKED)
 		pw_primaries_mark(x.record, GROUP, "vm2", 1, false);
 	start(&x, false);
 	(void)wait_for(&x, never, 3500);
@@ -2112,7 +2117,7 @@
 			      g_strcmp0(digits, replica_set_cases[_i].expected) == 0,
 		      "%s: %u writes, servers %s", replica_set_cases[_i].label, x.set_write_count,
 		      digits);
-	ck_assert_msg(!replica_set_cases[_i].is_evacuated || !x.servers[1].accepted_count, "%s: %u",
+	ck_assert_msg(trouble != REPLICA_EVACUATED || !x.servers[1].accepted_count, "%s: %u",
 		      replica_set_cases[_i].label, x.servers[1].accepted_count);
 	g_free(digits);
 	teardown(&x);
--- a/tests/include/platform_fleet.h
+++ b/tests/include/platform_fleet.h
@@ -16,6 +16,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include "harness.h"
@@ -557,4 +558,21 @@
 	return true;
 }
 
+#define CTL_PATH PW_BUILD_DIR "/ctl/pimentowingctl"
+
+/* Runs pimentowingctl. Returns its exit status; `out` receives both of its outputs. */
+static inline int run_ctl(char **out, const char *addresses, const char *arguments)
+{
+	char *command = g_strdup_printf(CTL_PATH " --api %s %s", addresses, arguments);
+	char *text = NULL, *errors = NULL;
+	int status = 0;
+
+	ck_assert(g_spawn_command_line_sync(command, &text, &errors, &status, NULL));
+	*out = g_strconcat(text, errors, NULL);
+	g_free(text);
+	g_free(errors);
+	g_free(command);
+	return WEXITSTATUS(status);
+}
+
 #endif
--- a/tests/platform/test_explain_fleet.c
+++ b/tests/platform/test_explain_fleet.c
@@ -4,27 +4,20 @@
  */
 #include "suite.h"
 
-#include <sys/wait.h>
-
 #include "evacuation_fleet.h"
 
-#define CTL_PATH PW_BUILD_DIR "/ctl/pimentowingctl"
-#define TOKEN    "operator"
+#define TOKEN "operator"
 
 /* Runs `explain` at a VM. Returns its exit status; `out` receives both of its outputs. */
 static int explain(char **out, uint32_t vm, const char *arguments)
 {
-	char *command = g_strdup_printf(CTL_PATH " --api 127.0.0.1:%u explain %s", vms[vm].api_port,
-					arguments);
-	char *text = NULL, *errors = NULL;
-	int status = 0;
-
-	ck_assert(g_spawn_command_line_sync(command, &text, &errors, &status, NULL));
-	*out = g_strconcat(text, errors, NULL);
-	g_free(text);
-	g_free(errors);
+	char *address = g_strdup_printf("127.0.0.1:%u", vms[vm].api_port);
+	char *command = g_strconcat("explain ", arguments, NULL);
+	int status = run_ctl(out, address, command);
+
+	g_free(address);
 	g_free(command);
-	return WEXITSTATUS(status);
+	return status;
 }
 
 static uint32_t count_all(void)
--- a/tests/platform/test_replica_set_fleet.c
+++ b/tests/platform/test_replica_set_fleet.c
@@ -5,11 +5,8 @@
  */
 #include "suite.h"
 
-#include <sys/wait.h>
-
 #include "platform_fleet.h"
 
-#define CTL_PATH      PW_BUILD_DIR "/ctl/pimentowingctl"
 #define TOKEN         "operator"
 
 #define PRIMARIES_KEY "pimentowing/fleet/primaries"
@@ -23,6 +20,21 @@
 /* Index of the VM that is asked after the knowledge was lost. */
 static uint32_t asked_vm;
 
+/* Starts a fleet whose database has synchronous replication, and has it commit once. */
+static void start_synchronous_fleet(void)
+{
+	struct client *c;
+
+	asked_vm = 0;
+	sync_replica_count = 1;
+	start_fleet();
+	sync_replica_count = 0;
+	c = open_session(0, "desk");
+	expect_answer(c, "WRITE before v", "ok I");
+	client_free(c);
+	g_usleep(G_USEC_PER_SEC);
+}
+
 static void start_and_wait(uint32_t first, uint32_t count)
 {
 	for (uint32_t i = first; i < first + count; i++)
@@ -227,13 +239,8 @@
 {
 	struct client *c;
 
-	asked_vm = 0;
-	sync_replica_count = 1;
-	start_fleet();
-	sync_replica_count = 0;
+	start_synchronous_fleet();
 	c = open_session(0, "desk");
-	expect_answer(c, "WRITE before v", "ok I");
-	g_usleep(G_USEC_PER_SEC);
 	loss_cases[_i].before_departure();
 	inject_fault("deaf", "i-core-3");
 	if (loss_cases[_i].before_departure == pause_all)
@@ -335,14 +342,7 @@
 	gint64 crashed_us;
 	struct client *c;
 
-	asked_vm = 0;
-	sync_replica_count = 1;
-	start_fleet();
-	sync_replica_count = 0;
-	c = open_session(0, "desk");
-	expect_answer(c, "WRITE before v", "ok I");
-	client_free(c);
-	g_usleep(G_USEC_PER_SEC);
+	start_synchronous_fleet();
 	leave_cases[_i].leave();
 	c = open_session(0, "desk");
 	(void)write_until_ok(&c, 0, "WRITE kept v", 5000);
@@ -361,30 +361,15 @@
 }
 END_TEST
 
-/* Runs pimentowingctl for all VMs. Returns its exit status; `out` receives both of its outputs. */
-static int run_ctl(char **out, const char *arguments)
-{
-	char *command =
-		g_strdup_printf(CTL_PATH " --api 127.0.0.1:%u,127.0.0.1:%u,127.0.0.1:%u %s",
-				vms[0].api_port, vms[1].api_port, vms[2].api_port, arguments);
-	char *text = NULL, *errors = NULL;
-	int status = 0;
-
-	ck_assert(g_spawn_command_line_sync(command, &text, &errors, &status, NULL));
-	*out = g_strconcat(text, errors, NULL);
-	g_free(text);
-	g_free(errors);
-	g_free(command);
-	return WEXITSTATUS(status);
-}
-
 static void expect_ctl(const char *arguments, int status, const char *text)
 {
-	char *out;
-	int actual = run_ctl(&out, arguments);
+	char *out, *addresses = g_strdup_printf("127.0.0.1:%u,127.0.0.1:%u,127.0.0.1:%u",
+						vms[0].api_port, vms[1].api_port, vms[2].api_port);
+	int actual = run_ctl(&out, addresses, arguments);
 
 	ck_assert_msg(actual == status && strstr(out, text), "%s: %d: %s", arguments, actual, out);
 	g_free(out);
+	g_free(addresses);
 }
 
 /* The server that is to be forgotten, once it is lost together with the primary. */
@@ -405,16 +390,7 @@
  */
 START_TEST(test_operator_forgets_server)
 {
-	struct client *c;
-
-	asked_vm = 0;
-	sync_replica_count = 1;
-	start_fleet();
-	sync_replica_count = 0;
-	c = open_session(0, "desk");
-	expect_answer(c, "WRITE before v", "ok I");
-	client_free(c);
-	g_usleep(G_USEC_PER_SEC);
+	start_synchronous_fleet();
 	expect_ctl("status", 0, "core primary=i-core-1 servers=i-core-1,i-core-2,i-core-3\n");
 	expect_ctl("replica forget core i-core-3", 1, "i-core-3 is registered");
 	expect_ctl("replica forget core i-core-1", 1, "i-core-1 is the primary");
