Replica sets: a VM with an older list of servers does not write back what was left out

The log: a VM left out the server that was replaced; another one, whose list still had it, lost its entry afterwards, took it for a server that no set has had, and wrote it back (event 4026); the primary crashed before the next proof, and the change waited for it (4025 missing="i-core-2").

A VM remembers now which servers were taken out of a set while they were on its list, and writes them back only when the entry was gone in between, is of another start, or is there by a read that is newer than that. Such a server does not count as having the primary's log either. A leaving server whose successor is registered is not kept in memory when its entry goes.

--- a/daemon/control/cluster.c
+++ b/daemon/control/cluster.c
@@ -234,6 +234,7 @@
 		return;
 	}
 	update_record_since_us(c, record);
+	replicas_note_left_out(c, record);
 	pw_primaries_unref(c->primaries);
 	c->primaries = record;
 	c->newer_record_since_us = 0;
@@ -519,6 +520,8 @@
 		read->servers_fresh_us > servers_told_us + FRESHNESS_BROADCAST_STEP_US;
 
 	c->freshness = *read;
+	if (g_hash_table_size(c->left_out))
+		replicas_update(c);
 	if (is_news && m->is_own_read)
 		pulse_broadcast(c);
 }
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -242,6 +242,7 @@
 	/* Replica sets. */
 	GHashTable *replica_changes; /**< group -> struct replica_change */
 	GPtrArray *unrecorded; /**< struct pw_server_entry: was registered, and never in the set */
+	GHashTable *left_out;  /**< id of a registered server -> when it was taken out of its set */
 	struct pw_primaries *written_sets; /**< record whose write is in flight; NULL: none */
 	uint64_t sets_not_before_us;       /**< earliest time of the next write */
 	int64_t lost_set_revision; /**< revision that a write without an answer replaces; 0: none */
@@ -403,7 +404,9 @@
 void replicas_stop(struct cluster *c);
 /** Finds out which sets have to be written; called when record, servers or catalogue change. */
 void replicas_update(struct cluster *c);
-/** Keeps the servers that the next list lacks and no set has yet; called before it is applied. */
+/** Remembers the servers that the next record leaves out; called before it is applied. */
+void replicas_note_left_out(struct cluster *c, const struct pw_primaries *next);
+/** Keeps the servers that the next list lacks and no set has had; called before it is applied. */
 void replicas_keep_unrecorded(struct cluster *c, const struct pw_server_list *next);
 /** Goes on with the proofs, and writes the sets that may be written. */
 void replicas_tick(struct cluster *c);
--- a/daemon/control/cluster_replicas.c
+++ b/daemon/control/cluster_replicas.c
@@ -10,11 +10,17 @@
 #include "pw/core/clock.h"
 #include "pw/core/error.h"
 #include "pw/core/event.h"
+#include "pw/decide/registry.h"
 
 /* Number of VMs, by rank, that may write the set of a group, each if the ones before do not. */
 #define WRITER_COUNT 3
 /* Eras are counted from here; a store that was restored from a copy is in a later one. */
 #define FIRST_ERA 1
+/*
+ * Time after which the entry of a server that was left out of the set counts again, if it is still
+ * there by a later read: the list keeps servers for a while whose entries are gone.
+ */
+#define RETURN_AFTER_US (PW_REGISTRY_GRACE_PERIOD_US + 300 * PW_US_PER_MS)
 
 /* A replica set that has to be written. */
 struct replica_change {
@@ -57,23 +63,25 @@
 	c->replica_changes =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, replica_change_free);
 	c->unrecorded = g_ptr_array_new_with_free_func((GDestroyNotify)pw_server_entry_free);
+	c->left_out = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 void replicas_stop(struct cluster *c)
 {
 	g_hash_table_unref(c->replica_changes);
 	g_ptr_array_unref(c->unrecorded);
+	g_hash_table_unref(c->left_out);
 }
 
 /*
  * Whether another server of the group is registered at the address, and is to stay: the entry of
  * one that has stopped may outlast it, so that the two could be taken for each other's successor.
  */
-static bool has_successor(const struct cluster *c, const char *group, const char *id,
+static bool has_successor(const struct pw_server_list *servers, const char *group, const char *id,
 			  const char *address)
 {
-	for (guint i = 0; i < c->servers->entries->len; i++) {
-		const struct pw_server_entry *e = g_ptr_array_index(c->servers->entries, i);
+	for (guint i = 0; i < servers->entries->len; i++) {
+		const struct pw_server_entry *e = g_ptr_array_index(servers->entries, i);
 
 		if (strcmp(e->group, group) == 0 && strcmp(e->address, address) == 0 &&
 		    strcmp(e->id, id) != 0 && !e->leaving)
@@ -82,6 +90,14 @@
 	return false;
 }
 
+/* See `left_out` of struct pw_replica_view. */
+static bool is_left_out(const struct cluster *c, const char *id)
+{
+	const uint64_t *since_us = g_hash_table_lookup(c->left_out, id);
+
+	return since_us && c->freshness.servers_fresh_us < *since_us + RETURN_AFTER_US;
+}
+
 static void add_view(const struct cluster *c, const struct pw_primary *primary,
 		     const struct pw_server_entry *e, bool registered, GPtrArray *entries,
 		     GArray *views)
@@ -93,9 +109,10 @@
 		.recorded = r && strcmp(r->address, e->address) == 0,
 		.recorded_stopping = r && r->is_stopping,
 		.registered = registered,
+		.left_out = registered && is_left_out(c, e->id),
 		/* The entry of an evacuated zone does not tell whether the server stops. */
 		.stopping = e->evacuated ? r && r->is_stopping : e->leaving,
-		.has_successor = has_successor(c, primary->group, e->id, e->address),
+		.has_successor = has_successor(c->servers, primary->group, e->id, e->address),
 	};
 
 	g_ptr_array_add(entries, pw_server_entry_copy(e));
@@ -174,7 +191,8 @@
 
 bool replicas_has_successor(const struct cluster *c, const struct pw_server_entry *e)
 {
-	return e->leaving && !e->evacuated && has_successor(c, e->group, e->id, e->address);
+	return e->leaving && !e->evacuated &&
+	       has_successor(c->servers, e->group, e->id, e->address);
 }
 
 /* Whether two views differ in anything but the answers to queries. */
@@ -182,7 +200,8 @@
 {
 	return a->is_primary == b->is_primary && a->recorded == b->recorded &&
 	       a->recorded_stopping == b->recorded_stopping && a->registered == b->registered &&
-	       a->stopping == b->stopping && a->has_successor == b->has_successor;
+	       a->stopping == b->stopping && a->left_out == b->left_out &&
+	       a->has_successor == b->has_successor;
 }
 
 static bool is_same_change(const struct replica_change *a, const struct replica_change *b)
@@ -258,6 +277,41 @@
 	replica_status_publish(c);
 }
 
+void replicas_note_left_out(struct cluster *c, const struct pw_primaries *next)
+{
+	uint64_t now_us = cluster_now_us(c);
+
+	for (guint i = 0; c->primaries && c->servers && i < c->servers->entries->len; i++) {
+		const struct pw_server_entry *e = g_ptr_array_index(c->servers->entries, i);
+		const struct pw_primary *before = pw_primaries_find(c->primaries, e->group);
+		const struct pw_primary *after = pw_primaries_find(next, e->group);
+
+		if (!before || !after || !after->replica_set)
+			continue;
+		if (pw_replica_set_find(after->replica_set, e->id))
+			g_hash_table_remove(c->left_out, e->id);
+		else if (pw_replica_set_find(before->replica_set, e->id))
+			g_hash_table_replace(c->left_out, g_strdup(e->id),
+					     g_memdup2(&now_us, sizeof(now_us)));
+	}
+}
+
+/* Forgets that a server was left out once its entry is gone or has changed since. */
+static void prune_left_out(struct cluster *c, const struct pw_server_list *next)
+{
+	GHashTableIter it;
+	gpointer id;
+
+	g_hash_table_iter_init(&it, c->left_out);
+	while (g_hash_table_iter_next(&it, &id, NULL)) {
+		const struct pw_server_entry *before = pw_server_list_find(c->servers, id);
+		const struct pw_server_entry *after = pw_server_list_find(next, id);
+
+		if (!before || !after || before->started_ms != after->started_ms)
+			g_hash_table_iter_remove(&it);
+	}
+}
+
 void replicas_keep_unrecorded(struct cluster *c, const struct pw_server_list *next)
 {
 	if (!c->primaries || !c->servers || !c->catalog)
@@ -267,10 +321,13 @@
 		const struct pw_primary *primary = pw_primaries_find(c->primaries, e->group);
 
 		if (primary && replicas_sync_count(c, e->group) &&
-		    !pw_server_list_find(next, e->id) &&
+		    !pw_server_list_find(next, e->id) && !is_left_out(c, e->id) &&
+		    !(e->leaving && !e->evacuated &&
+		      has_successor(next, e->group, e->id, e->address)) &&
 		    !pw_replica_set_find(primary->replica_set, e->id))
 			g_ptr_array_add(c->unrecorded, pw_server_entry_copy(e));
 	}
+	prune_left_out(c, next);
 }
 
 static bool is_round_done(const struct replica_change *rc)
--- a/decide/include/pw/decide/replica_set.h
+++ b/decide/include/pw/decide/replica_set.h
@@ -27,6 +27,11 @@
 	bool recorded_stopping; /**< the recorded set says that a stop of it is planned */
 	bool registered;
 	bool stopping; /**< its entry says that a stop of it is planned */
+	/**
+	 * Another VM has left it out of the set since this one read its entry, so that the entry
+	 * may be outdated.
+	 */
+	bool left_out;
 	/**
 	 * Another server is registered at its address and not stopping: after a planned stop that
 	 * one has its log.
--- a/decide/src/replica_set.c
+++ b/decide/src/replica_set.c
@@ -24,7 +24,7 @@
 
 static bool needs_update(const struct pw_replica_view *s)
 {
-	if (is_replaced(s))
+	if (is_replaced(s) || s->left_out)
 		return s->recorded;
 	return !s->recorded || (s->registered && s->stopping != s->recorded_stopping);
 }
@@ -89,13 +89,14 @@
 	}
 	for (uint32_t i = 0; i < count; i++)
 		covering_count += !servers[i].is_primary && servers[i].reported &&
+				  pw_replica_set_has(&servers[i], true) &&
 				  pw_position_compare(&servers[i].log_end, &proof->floor) >= 0;
 	return proof->has_floor && covering_count >= sync_replicas;
 }
 
 bool pw_replica_set_has(const struct pw_replica_view *server, bool proved)
 {
-	return !is_replaced(server) && !(proved && server->was_gone);
+	return !is_replaced(server) && !server->left_out && !(proved && server->was_gone);
 }
 
 bool pw_replica_set_counts(const struct pw_replica_view *server)
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -2124,6 +2124,51 @@
 }
 END_TEST
 
+/* Sends a list of servers without the replica. */
+static void send_servers_without_replica(struct fixture *x)
+{
+	struct pw_servers_msg *m = g_new0(struct pw_servers_msg, 1);
+
+	m->base.ops = &pw_servers_msg_ops;
+	m->servers = pw_server_list_new();
+	add_server(m->servers, x->servers[0].id, GROUP, x->servers[0].address, false, true);
+	pw_mailbox_send(x->directory.cluster, &m->base);
+}
+
+/*
+ * Guards against a VM with an outdated list of servers that writes a server back which another VM
+ * has left out, and for which a change of primary would then wait.
+ */
+START_TEST(test_left_out_server_is_not_written_back)
+{
+	GPtrArray *set = pw_replica_set_new();
+	struct fixture x;
+
+	setup(&x);
+	x.sync_replica_count = 1;
+	pw_replica_set_add(set, "s1", x.servers[0].address, false);
+	pw_replica_set_add(set, "s2", x.servers[1].address, false);
+	pw_primaries_set_replica_set(x.record, GROUP, set);
+	start(&x, false);
+	(void)wait_for(&x, never, 1000);
+	x.record->revision++;
+	pw_primaries_set_replica_set(x.record, GROUP, pw_replica_set_new());
+	pw_replica_set_add(pw_primaries_find(x.record, GROUP)->replica_set, "s1",
+			   x.servers[0].address, false);
+	publish_record(&x);
+	(void)wait_for(&x, never, 1500);
+	ck_assert_uint_eq(x.set_write_count, 0);
+	send_servers_without_replica(&x);
+	(void)wait_for(&x, never, 1500);
+	ck_assert_uint_eq(x.set_write_count, 0);
+	/* It has registered again. */
+	send_catalog(&x, false);
+	(void)wait_for(&x, never, 500);
+	ck_assert_uint_eq(x.set_write_count, 1);
+	teardown(&x);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("cluster");
@@ -2171,5 +2216,6 @@
 			    PW_ARRAY_LEN(removal_cases));
 	tcase_add_loop_test(tc, test_one_vote_per_vm, 0, PW_ARRAY_LEN(vote_cases));
 	tcase_add_loop_test(tc, test_replica_set_is_written, 0, PW_ARRAY_LEN(replica_set_cases));
+	tcase_add_test(tc, test_left_out_server_is_not_written_back);
 	return pw_suite_run("cluster", tc);
 }
