--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -581,8 +581,7 @@
 	return g && g->sync_replica_count;
 }
 
-/* Adds the replicas of the recorded set that are not registered; they are queried and may answer.
- */
+/* Adds the replicas of the set that are not registered. They are queried, and may answer. */
 static void add_missing_servers(struct change *ch, const struct pw_primary *primary)
 {
 	GPtrArray *missing = replicas_list_missing(ch->cluster, primary);
--- a/daemon/control/cluster_replica_status.c
+++ b/daemon/control/cluster_replica_status.c
@@ -142,8 +142,7 @@
 	return set;
 }
 
-/* Returns why a request of an operator is refused, as an error code and its message; 0: it is not.
- */
+/* Returns 0, or why a request of an operator is refused, with the error message. */
 static int check_forget(const struct cluster *c, const struct pw_replica_forget_msg *m)
 {
 	const struct pw_primary *primary;
--- a/decide/include/pw/decide/replica_set.h
+++ b/decide/include/pw/decide/replica_set.h
@@ -49,8 +49,7 @@
 enum pw_replica_set_step {
 	PW_REPLICA_SET_KEEP,   /**< nothing */
 	PW_REPLICA_SET_CLEAR,  /**< write that the set is not known: replication is asynchronous */
-	PW_REPLICA_SET_UPDATE, /**< write what needs no proof: servers that joined or were replaced
-				*/
+	PW_REPLICA_SET_UPDATE, /**< write servers that joined or were replaced: needs no proof */
 	/**
 	 * Query the servers, pw_replica_set_prove() decides when a set may be written that leaves
 	 * servers out, or the first one.
