--- a/daemon/control/cluster_replicas.c
+++ b/daemon/control/cluster_replicas.c
@@ -254,6 +254,22 @@
 	}
 }
 
+/* Whether any group has a replica set or needs one. */
+static bool has_replica_sets(const struct cluster *c)
+{
+	for (guint i = 0; i < c->catalog->groups->len; i++) {
+		if (((const struct pw_catalog_group *)g_ptr_array_index(c->catalog->groups, i))
+			    ->sync_replica_count)
+			return true;
+	}
+	for (guint i = 0; i < c->primaries->entries->len; i++) {
+		if (((const struct pw_primary *)g_ptr_array_index(c->primaries->entries, i))
+			    ->replica_set)
+			return true;
+	}
+	return g_hash_table_size(c->replica_changes) > 0;
+}
+
 /* Forgets servers that are registered again, that the record has, or whose group needs no set. */
 static void prune_unrecorded(struct cluster *c)
 {
@@ -269,7 +285,7 @@
 
 void replicas_update(struct cluster *c)
 {
-	if (!c->primaries || !c->servers || !c->catalog)
+	if (!c->primaries || !c->servers || !c->catalog || !has_replica_sets(c))
 		return;
 	prune_unrecorded(c);
 	for (guint i = 0; i < c->primaries->entries->len; i++)
@@ -281,7 +297,9 @@
 {
 	uint64_t now_us = cluster_now_us(c);
 
-	for (guint i = 0; c->primaries && c->servers && i < c->servers->entries->len; i++) {
+	if (!c->primaries || !c->servers || !c->catalog || !has_replica_sets(c))
+		return;
+	for (guint i = 0; i < c->servers->entries->len; i++) {
 		const struct pw_server_entry *e = g_ptr_array_index(c->servers->entries, i);
 		const struct pw_primary *before = pw_primaries_find(c->primaries, e->group);
 		const struct pw_primary *after = pw_primaries_find(next, e->group);
@@ -314,7 +332,7 @@
 
 void replicas_keep_unrecorded(struct cluster *c, const struct pw_server_list *next)
 {
-	if (!c->primaries || !c->servers || !c->catalog)
+	if (!c->primaries || !c->servers || !c->catalog || !has_replica_sets(c))
 		return;
 	for (guint i = 0; i < c->servers->entries->len; i++) {
 		const struct pw_server_entry *e = g_ptr_array_index(c->servers->entries, i);
