--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -2121,6 +2121,7 @@
 		      replica_set_cases[_i].label, x.servers[1].accepted_count);
 	g_free(digits);
 	teardown(&x);
+	pw_primaries_unref(x.record);
 }
 END_TEST
 
@@ -2166,6 +2167,7 @@
 	(void)wait_for(&x, never, 500);
 	ck_assert_uint_eq(x.set_write_count, 1);
 	teardown(&x);
+	pw_primaries_unref(x.record);
 }
 END_TEST
 
