Change of primary: a member that was not heard of yet is not silent

Cause: the time since a member's last pulse was counted from 0 before its first one, so the leader of a change took it for silent and revoked its lease at once. In a large fleet a VM hears of each other one once in 3.7 s, later if datagrams are late.

Change: silence counts from when this VM learned of the member, if that is later than its last pulse. A member that sends nothing is revoked after the usual time to confirm.

--- a/daemon/control/cluster_change.c
+++ b/daemon/control/cluster_change.c
@@ -24,7 +24,8 @@
 
 /*
  * The lease of a member that has sent no pulse for this long (more than two PULSE_INTERVAL_US), or
- * for two intervals of its pulses if that is longer, is revoked at once.
+ * for two intervals of its pulses if that is longer, is revoked at once. For a member that was not
+ * heard of yet the time counts from when this VM learned of it.
  */
 #define MEMBER_SILENT_US (600 * PW_US_PER_MS)
 /* Interval at which members of a large fleet that have not confirmed are asked whether they have.
@@ -494,13 +495,19 @@
 							    PW_STORE_CALL_TIMEOUT_US, l->id));
 }
 
+/* Time since the last pulse of a member; before the first, since this VM learned of it. */
+static uint64_t member_silence_us(const struct cluster *c, const struct member *m)
+{
+	return cluster_now_us(c) - MAX(m->last_heard_us, m->known_since_us);
+}
+
 /* Whether a member is unknown to this VM, or silent as described at MEMBER_SILENT_US. */
 static bool is_member_silent(const struct cluster *c, const char *name)
 {
 	const struct member *m = g_hash_table_lookup(c->members, name);
 
-	return !m || cluster_now_us(c) - m->last_heard_us >
-			     MAX(MEMBER_SILENT_US, 2 * pulse_member_interval_us(c));
+	return !m ||
+	       member_silence_us(c, m) > MAX(MEMBER_SILENT_US, 2 * pulse_member_interval_us(c));
 }
 
 /* What this VM knows of the member of a lease. */
@@ -546,7 +553,7 @@
 			     "database=%s peer=%s lease=%" PRId64 " waited_ms=%" PRIu64
 			     " silent_ms=%" PRIu64 " knows_mark=%d needs_permit=%d",
 			     ch->group, l->member, l->id, waited_us / PW_US_PER_MS,
-			     m ? (cluster_now_us(c) - m->last_heard_us) / PW_US_PER_MS : 0,
+			     m ? member_silence_us(c, m) / PW_US_PER_MS : 0,
 			     m && m->primaries_revision >= ch->marked_revision,
 			     m && m->needs_permit);
 		send_lease_revoke(ch, i);
--- a/daemon/control/cluster_private.h
+++ b/daemon/control/cluster_private.h
@@ -132,10 +132,11 @@
 	bool has_address;
 	bool listed; /**< its entry was found since the last read of all members began */
 	bool leaving;
-	bool needs_permit;      /**< it cannot renew its permit at the store */
-	bool has_lost_vote;     /**< it cannot reach some primary, by its pulses */
-	uint64_t incarnation;   /**< identifies the process that sent its last pulse; 0: none */
-	uint64_t last_heard_us; /**< arrival of its last pulse; 0: none */
+	bool needs_permit;       /**< it cannot renew its permit at the store */
+	bool has_lost_vote;      /**< it cannot reach some primary, by its pulses */
+	uint64_t incarnation;    /**< identifies the process that sent its last pulse; 0: none */
+	uint64_t known_since_us; /**< when this VM learned of it */
+	uint64_t last_heard_us;  /**< arrival of its last pulse; 0: none */
 	uint64_t last_heard_sequence;            /**< sequence number of that pulse */
 	uint64_t next_sequence;                  /**< sequence number of the next pulse to it */
 	uint64_t sent_us[PULSE_SENT_TIME_COUNT]; /**< send times, by sequence number modulo size */
--- a/daemon/control/cluster_pulse.c
+++ b/daemon/control/cluster_pulse.c
@@ -45,6 +45,7 @@
 		m->name = g_strdup(name);
 		m->name_hash = (uint32_t)pw_directory_name_hash(name);
 		m->next_sequence = 1;
+		m->known_since_us = cluster_now_us(c);
 		g_hash_table_insert(c->members, m->name, m);
 	}
 	return m;
--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -1312,6 +1312,48 @@
 }
 END_TEST
 
+static const struct {
+	const char *label;
+	uint32_t member_count;
+	bool answers;
+	bool is_revoked;
+} new_member_cases[] = {
+	{ "small fleet, it sends pulses", SMALL_MEMBER_COUNT, true, false },
+	{ "small fleet, it says nothing", SMALL_MEMBER_COUNT, false, true },
+	{ "large fleet, it sends pulses", MEMBER_COUNT, true, false },
+	{ "large fleet, it says nothing", MEMBER_COUNT, false, true },
+};
+
+/* Guards against a change that revokes the lease of a member which could not be heard of yet. */
+START_TEST(test_lease_of_new_member_is_kept)
+{
+	struct fixture x;
+	bool claimed, promoted;
+
+	setup(&x);
+	pw_primaries_set(x.record, GROUP, x.servers[0].id, "vm1", FIRST_GENERATION);
+	for (uint32_t i = 0; i < new_member_cases[_i].member_count; i++) {
+		x.members[i].listed = i > 0;
+		x.members[i].is_silent = i == 0;
+		x.members[i].confirms = x.members[i].settles = true;
+	}
+	start(&x, true);
+	claimed = wait_for(&x, has_claimed, 5000);
+	/* The change is the first to read of it, and is ready to revoke leases before it is heard.
+	 */
+	x.members[0].listed = true;
+	(void)wait_for(&x, never, 150);
+	x.members[0].is_silent = !new_member_cases[_i].answers;
+	promoted = wait_for(&x, has_promoted, 4000);
+	teardown(&x);
+	ck_assert_msg(claimed && promoted &&
+			      x.revoked_members == (new_member_cases[_i].is_revoked ? 1 : 0),
+		      "%s: promoted %d, revoked leases 0x%x", new_member_cases[_i].label, promoted,
+		      x.revoked_members);
+	pw_primaries_unref(x.record);
+}
+END_TEST
+
 static const struct {
 	const char *label;
 	uint32_t member_count;
@@ -2164,7 +2206,7 @@
 	ck_assert_uint_eq(x.set_write_count, 0);
 	/* It has registered again. */
 	send_catalog(&x, false);
-	(void)wait_for(&x, never, 500);
+	(void)wait_for(&x, never, 150);
 	ck_assert_uint_eq(x.set_write_count, 1);
 	teardown(&x);
 	pw_primaries_unref(x.record);
@@ -2192,6 +2234,8 @@
 	tcase_add_loop_test(tc, test_permit_is_asked_of_one_helper, 0, PW_ARRAY_LEN(helper_cases));
 	tcase_add_loop_test(tc, test_lease_of_settled_member_is_kept, 0,
 			    PW_ARRAY_LEN(settled_cases));
+	tcase_add_loop_test(tc, test_lease_of_new_member_is_kept, 0,
+			    PW_ARRAY_LEN(new_member_cases));
 	tcase_add_loop_test(tc, test_lost_lease_costs_no_list_in_large_fleet, 0,
 			    PW_ARRAY_LEN(registration_cases));
 	tcase_add_loop_test(tc, test_lease_outlives_delegated_permit, 0, 2);
