--- a/tests/daemon/test_cluster.c
+++ b/tests/daemon/test_cluster.c
@@ -1339,8 +1339,7 @@
 	}
 	start(&x, true);
 	claimed = wait_for(&x, has_claimed, 5000);
-	/* The change is the first to read of it, and is ready to revoke leases before it is heard.
-	 */
+	/* The change reads of it and is ready to revoke leases before it is heard. */
 	x.members[0].listed = true;
 	(void)wait_for(&x, never, 150);
 	x.members[0].is_silent = !new_member_cases[_i].answers;
@@ -2206,7 +2205,7 @@
 	ck_assert_uint_eq(x.set_write_count, 0);
 	/* It has registered again. */
 	send_catalog(&x, false);
-	(void)wait_for(&x, never, 150);
+	(void)wait_for(&x, never, 500);
 	ck_assert_uint_eq(x.set_write_count, 1);
 	teardown(&x);
 	pw_primaries_unref(x.record);
